Workspace, contracts at the edges and an in-memory table stand-in

Cause: nothing exists yet; parallel work needs fixed contracts first. Ruled out: sharing one copy of contract types between product and stand-ins through a third crate; the product owns the types and the stand-ins depend on the product, never the reverse.

--- /dev/null
+++ b/src/bin/brassrack.rs
@@ -0,0 +1,3 @@
+//! Command-line tool for the operators of brassrack.
+
+fn main() {}
--- /dev/null
+++ b/src/bin/brassrackd.rs
@@ -0,0 +1,3 @@
+//! The daemon of brassrack.
+
+fn main() {}
--- /dev/null
+++ b/standins/src/bin/rack.rs
@@ -0,0 +1,3 @@
+//! Starts a whole rack on loopback.
+
+fn main() {}
--- /dev/null
+++ b/standins/src/bin/standin.rs
@@ -0,0 +1,3 @@
+//! Runs one stand-in as a process.
+
+fn main() {}
