Engine reports count the accepted requests of each replica

Cause: the home of a model must see the last use of a replica whichever instance sent the request; running and queued, sampled with a lag, miss short requests. Ruled out: demand messages between instances for each request (grows with traffic). Change: `served` in the report of a resident; absent means 0. Measured: compiles; no behaviour yet.

--- a/src/engine.rs
+++ b/src/engine.rs
@@ -70,6 +70,9 @@
     pub running: u32,
     /// Requests queued in the engine.
     pub queued: u32,
+    /// Requests accepted since the replica became ready.
+    #[serde(default)]
+    pub served: u64,
 }
 
 /// What an engine reports of itself, with a lag.
