--- a/standins/src/fault.rs
+++ b/standins/src/fault.rs
@@ -22,6 +22,16 @@
     LoseNext(u32),
     /// Calls neither take effect nor are answered.
     Silent,
+    /// Calls take effect and are never answered; their connections stay open.
+    Mute,
+    /// Connections are cut at once, and the calls take effect this many milliseconds later.
+    Late(u64),
+    /// The head and this many frames of the body (a stream's tokens) are sent, then the cut.
+    CutAfter(u32),
+    /// Two calls get each other's answers; a lone one gets its own under a foreign id.
+    Cross,
+    /// Connections that are open now go silent for good; new ones work.
+    SilentOpen,
 }
 
 /// What one call has to do about the fault.
@@ -37,6 +47,14 @@
     Lose,
     /// Do nothing and never answer.
     Hang,
+    /// Take effect, keep the connection and never answer.
+    Mute,
+    /// Cut the connection, then take effect after the delay.
+    Late(Duration),
+    /// Take effect, send this many frames of the body, then cut the connection.
+    CutAfter(u32),
+    /// Take effect and swap the answer with another call's.
+    Cross,
 }
 
 /// A shared fault switch.
@@ -54,7 +72,7 @@
     pub fn next(&self) -> Effect {
         let mut fault = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         match *fault {
-            Fault::None | Fault::LoseNext(0) => Effect::Answer,
+            Fault::None | Fault::LoseNext(0) | Fault::SilentOpen => Effect::Answer,
             Fault::Down => Effect::Refuse,
             Fault::Slow(ms) => Effect::Delay(Duration::from_millis(ms)),
             Fault::LoseAnswer => Effect::Lose,
@@ -63,6 +81,10 @@
                 Effect::Lose
             }
             Fault::Silent => Effect::Hang,
+            Fault::Mute => Effect::Mute,
+            Fault::Late(ms) => Effect::Late(Duration::from_millis(ms)),
+            Fault::CutAfter(n) => Effect::CutAfter(n),
+            Fault::Cross => Effect::Cross,
         }
     }
 }
--- a/standins/src/table.rs
+++ b/standins/src/table.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use brassrack::BoxFuture;
 use brassrack::objects::{ObjectError, Objects};
@@ -92,6 +93,15 @@
         Commit::Done(revision)
     }
 
+    /// Commits after the caller has been told that the answer is lost.
+    fn commit_later(&self, txn: Txn, delay: Duration) {
+        let table = self.client();
+        tokio::spawn(async move {
+            tokio::time::sleep(delay).await;
+            table.commit_now(txn);
+        });
+    }
+
     fn read_now(&self, read: &Read) -> Vec<Row> {
         let mut state = self.lock();
         state.usage.reads += 1;
@@ -117,7 +127,12 @@
 impl Table for MemoryTable {
     fn commit(&self, txn: Txn) -> BoxFuture<'_, Result<Commit, TableError>> {
         Box::pin(async move {
-            apply(self.switch.next(), || self.commit_now(txn))
+            let effect = self.switch.next();
+            if let Effect::Late(delay) = effect {
+                self.commit_later(txn, delay);
+                return Err(table_error(NoAnswer::Lost));
+            }
+            apply(effect, || self.commit_now(txn))
                 .await
                 .map_err(table_error)
         })
@@ -184,17 +199,26 @@
 /// Runs one call under the effect of a fault.
 async fn apply<T>(effect: Effect, call: impl FnOnce() -> T) -> Result<T, NoAnswer> {
     match effect {
-        Effect::Answer => Ok(call()),
+        Effect::Answer | Effect::Cross => Ok(call()),
         Effect::Refuse => Err(NoAnswer::Refused),
         Effect::Delay(delay) => {
             let value = call();
             tokio::time::sleep(delay).await;
             Ok(value)
         }
-        Effect::Lose => {
+        Effect::Lose | Effect::CutAfter(_) => {
+            call();
+            Err(NoAnswer::Lost)
+        }
+        Effect::Late(delay) => {
+            tokio::time::sleep(delay).await;
             call();
             Err(NoAnswer::Lost)
         }
+        Effect::Mute => {
+            call();
+            std::future::pending().await
+        }
         Effect::Hang => std::future::pending().await,
     }
 }
