Settings, command line and exit codes of the daemon

Cause: the daemon needs checked settings before it opens a listener. Ruled out: deriving the settings from serde alone, which stops at the first error and names no accepted range. Change: the YAML becomes a tree that typed readers walk; every error is collected with its key's path and the accepted range.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,11 +4,14 @@
 //! command-line tool `brassrack`. Outside systems are met at traits: [`table::Table`],
 //! [`engine::Engine`], [`instances::Directory`] and [`objects::Objects`].
 
+pub mod cli;
 pub mod clock;
 pub mod engine;
+pub mod exit_codes;
 pub mod instances;
 pub mod objects;
 pub mod rules;
+pub mod settings;
 pub mod table;
 pub mod verdict;
 
--- /dev/null
+++ b/src/settings/read.rs
@@ -0,0 +1,134 @@
+//! The keys of a settings file with their accepted ranges.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use super::tree::{SettingError, Tree};
+use super::{Admin, Limits, Listen, Platform, Settings, Timing, Token};
+
+const LEVELS: [&str; 6] = ["off", "error", "warn", "info", "debug", "trace"];
+const TOKEN_LENGTH: std::ops::RangeInclusive<usize> = 16..=512;
+/// Heartbeats that a lease must outlast.
+const HEARTBEATS_PER_LEASE: u32 = 3;
+
+pub(super) fn settings(text: &str) -> Result<Settings, Vec<SettingError>> {
+    let mut tree = Tree::new(text);
+    let settings = Settings {
+        name: tree.name("name"),
+        region: tree.name("region"),
+        domain: tree.name("domain"),
+        listen: listen(&mut tree),
+        platform: platform(&mut tree),
+        admin: Admin {
+            token: tree.secret("admin.token", TOKEN_LENGTH).map(Token::new),
+        },
+        limits: limits(&mut tree),
+        timing: timing(&mut tree),
+        log: tree
+            .choice("log.level", &LEVELS, "info")
+            .parse()
+            .unwrap_or(log::LevelFilter::Info),
+    };
+    check_listeners(&mut tree, &settings);
+    check_lease(&mut tree, &settings.timing);
+    let errors = tree.finish();
+    if errors.is_empty() {
+        Ok(settings)
+    } else {
+        Err(errors)
+    }
+}
+
+fn listen(tree: &mut Tree) -> Listen {
+    let usual = Listen::default();
+    Listen {
+        callers: tree.address("listen.callers").unwrap_or(usual.callers),
+        admin: tree.address("listen.admin").unwrap_or(usual.admin),
+        peers: tree.address("listen.peers").unwrap_or(usual.peers),
+    }
+}
+
+fn platform(tree: &mut Tree) -> Platform {
+    let usual = Platform::default();
+    Platform {
+        table: remote(tree, "platform.table", usual.table),
+        list: remote(tree, "platform.list", usual.list),
+        objects: remote(tree, "platform.objects", usual.objects),
+    }
+}
+
+/// An address that can be connected to.
+fn remote(tree: &mut Tree, path: &str, usual: SocketAddr) -> SocketAddr {
+    let Some(address) = tree.address(path) else {
+        return usual;
+    };
+    if address.port() == 0 || address.ip().is_unspecified() {
+        let expected = "an IP number other than 0.0.0.0 or :: and a port from 1 to 65535";
+        tree.reject(path, format!("'{address}'"), expected);
+    }
+    address
+}
+
+fn limits(tree: &mut Tree) -> Limits {
+    const KIB: usize = 1 << 10;
+    const MIB: usize = 1 << 20;
+    let usual = Limits::default();
+    let secs = |low, high| [low, high].map(Duration::from_secs);
+    Limits {
+        body: tree.size("limits.body", KIB..=256 * MIB, usual.body),
+        head: tree.size("limits.head", 8 * KIB..=MIB, usual.head),
+        connections: tree.count("limits.connections", 1..=100_000, usual.connections),
+        waiting: tree.count("limits.waiting", 1..=100_000, usual.waiting),
+        header_time: tree.time("limits.header-time", secs(1, 60), usual.header_time),
+        body_time: tree.time("limits.body-time", secs(1, 600), usual.body_time),
+        drain_time: tree.time("limits.drain-time", secs(1, 3600), usual.drain_time),
+        deadline: tree.time("limits.deadline", secs(1, 86_400), usual.deadline),
+    }
+}
+
+fn timing(tree: &mut Tree) -> Timing {
+    let usual = Timing::default();
+    let ms = |low, high| [low, high].map(Duration::from_millis);
+    Timing {
+        heartbeat: tree.time("timing.heartbeat", ms(50, 10_000), usual.heartbeat),
+        lease: tree.time("timing.lease", ms(500, 300_000), usual.lease),
+        list: tree.time("timing.list", ms(50, 3_000), usual.list),
+        report: tree.time("timing.report", ms(50, 10_000), usual.report),
+        rules: tree.time("timing.rules", ms(50, 4_000), usual.rules),
+        connect: tree.time("timing.connect", ms(10, 30_000), usual.connect),
+        platform: tree.time("timing.platform", ms(50, 60_000), usual.platform),
+    }
+}
+
+fn check_listeners(tree: &mut Tree, settings: &Settings) {
+    let listen = &settings.listen;
+    let all = [
+        ("listen.callers", listen.callers),
+        ("listen.admin", listen.admin),
+        ("listen.peers", listen.peers),
+    ];
+    for (i, (path, address)) in all.iter().enumerate() {
+        let taken = all[..i].iter().find(|(_, a)| a == address && a.port() != 0);
+        if let Some((other, _)) = taken {
+            let found = format!("'{address}', as {other}");
+            tree.reject(path, found, "an address of its own");
+        }
+    }
+    if settings.admin.token.is_none() && !listen.admin.ip().is_loopback() {
+        let found = format!("'{}' without admin.token", listen.admin);
+        let expected = "a loopback address, such as 127.0.0.1:8081, or a token in admin.token";
+        tree.reject("listen.admin", found, expected);
+    }
+}
+
+fn check_lease(tree: &mut Tree, timing: &Timing) {
+    let least = timing.heartbeat * HEARTBEATS_PER_LEASE;
+    if timing.lease < least {
+        let found = format!("'{}'", humantime::format_duration(timing.lease));
+        let expected = format!(
+            "at least {HEARTBEATS_PER_LEASE} times timing.heartbeat, {}",
+            humantime::format_duration(least)
+        );
+        tree.reject("timing.lease", found, &expected);
+    }
+}
