Rules file: words, checks and errors with line and column

Cause: a rejected file has to say all that is wrong with it in one go. Ruled out: a parser that stops at the first error in a line; errors about references to a name whose own rule is broken, which would bury the cause. A model must fit its engines, an adapter with its base.

--- /dev/null
+++ b/src/rules/check.rs
@@ -0,0 +1,257 @@
+//! Checks of a rules file across its lines.
+
+use std::collections::BTreeMap;
+
+use bytesize::ByteSize;
+
+use super::lex::Word;
+use super::{Call, Engines, Model, RuleError, Rules, ServiceRule, Tenant, Weights};
+use crate::instances::OWN_SERVICE;
+
+/// Kinds of names; a name is unique in its kind.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+enum Kind {
+    /// Engines and services, which share the platform's instance list.
+    Service,
+    /// Models and adapters, which callers name alike.
+    Model,
+    Tenant,
+    Weigh,
+}
+
+/// A name that stands in the file, also where the rest of its rule has errors.
+#[derive(Debug)]
+struct Declared {
+    line: usize,
+    engines: bool,
+    adapter: bool,
+}
+
+/// A model or adapter whose references are not checked yet.
+#[derive(Debug)]
+struct Pending {
+    name: String,
+    model: Model,
+    parent: Word,
+    size: Word,
+}
+
+/// A call whose service is not checked yet.
+#[derive(Debug)]
+struct PendingCall {
+    service: Word,
+    rule: Option<(Call, Word)>,
+}
+
+/// The rules read so far.
+#[derive(Debug, Default)]
+pub(super) struct Draft {
+    rules: Rules,
+    declared: BTreeMap<(Kind, String), Declared>,
+    models: Vec<Pending>,
+    calls: Vec<PendingCall>,
+    /// Errors so far.
+    pub(super) errors: Vec<RuleError>,
+}
+
+impl Draft {
+    pub(super) fn engines(&mut self, name: &Word, rule: Option<Engines>) {
+        let new = self.declare_service(name, true);
+        if let (true, Some(rule)) = (new, rule) {
+            self.rules.engines.insert(name.text.clone(), rule);
+        }
+    }
+
+    pub(super) fn service(&mut self, name: &Word) {
+        if self.declare_service(name, false) {
+            let rule = ServiceRule::default();
+            self.rules.services.insert(name.text.clone(), rule);
+        }
+    }
+
+    /// Takes a model or adapter with the words of its engines or base and of its size.
+    pub(super) fn model(&mut self, name: &Word, rule: Option<(Model, Word, Word)>) {
+        let adapter = rule.as_ref().is_some_and(|(m, ..)| m.base.is_some());
+        let new = self.declare(
+            Kind::Model,
+            name,
+            Declared {
+                line: name.line,
+                engines: false,
+                adapter,
+            },
+        );
+        if let (true, Some((model, parent, size))) = (new, rule) {
+            self.models.push(Pending {
+                name: name.text.clone(),
+                model,
+                parent,
+                size,
+            });
+        }
+    }
+
+    /// Takes a call with the word of its path.
+    pub(super) fn call(&mut self, service: Word, rule: Option<(Call, Word)>) {
+        self.calls.push(PendingCall { service, rule });
+    }
+
+    pub(super) fn tenant(&mut self, name: &Word, rule: Option<Tenant>) {
+        let new = self.declare(
+            Kind::Tenant,
+            name,
+            Declared {
+                line: name.line,
+                engines: false,
+                adapter: false,
+            },
+        );
+        if let (true, Some(rule)) = (new, rule) {
+            self.rules.tenants.insert(name.text.clone(), rule);
+        }
+    }
+
+    pub(super) fn weights(&mut self, head: &Word, rule: Option<Weights>) {
+        let new = self.declare(
+            Kind::Weigh,
+            head,
+            Declared {
+                line: head.line,
+                engines: false,
+                adapter: false,
+            },
+        );
+        if let (true, Some(rule)) = (new, rule) {
+            self.rules.weights = rule;
+        }
+    }
+
+    /// The rules, if they have no error.
+    pub(super) fn finish(mut self) -> Result<Rules, Vec<RuleError>> {
+        self.check_calls();
+        self.check_models();
+        self.check_adapters();
+        if self.errors.is_empty() {
+            return Ok(self.rules);
+        }
+        self.errors.sort();
+        self.errors.dedup();
+        Err(self.errors)
+    }
+
+    fn declare_service(&mut self, name: &Word, engines: bool) -> bool {
+        if name.text == OWN_SERVICE {
+            let expected = "another name; this one is brassrack's own in the instance list";
+            self.errors.push(name.error(expected));
+            return false;
+        }
+        self.declare(
+            Kind::Service,
+            name,
+            Declared {
+                line: name.line,
+                engines,
+                adapter: false,
+            },
+        )
+    }
+
+    /// Notes a name; false where it stands in an earlier line.
+    fn declare(&mut self, kind: Kind, name: &Word, declared: Declared) -> bool {
+        let key = (kind, name.text.clone());
+        if let Some(first) = self.declared.get(&key) {
+            let expected = format!("one {kind} rule of this name; line {} has it", first.line);
+            self.errors.push(name.error(&expected));
+            return false;
+        }
+        self.declared.insert(key, declared);
+        true
+    }
+
+    fn declared(&self, kind: Kind, name: &Word) -> Option<&Declared> {
+        self.declared.get(&(kind, name.text.clone()))
+    }
+
+    fn check_calls(&mut self) {
+        for PendingCall { service, rule } in std::mem::take(&mut self.calls) {
+            let known = self.declared(Kind::Service, &service);
+            if known.is_none_or(|d| d.engines) {
+                self.errors
+                    .push(service.error("the name of a service rule"));
+            }
+            let Some((call, path)) = rule else { continue };
+            let Some(target) = self.rules.services.get_mut(&service.text) else {
+                continue;
+            };
+            // The first call that matches counts, so a later one that it covers is never used.
+            match target.calls.iter().find(|c| covers(c, &call)) {
+                Some(first) => {
+                    let expected =
+                        format!("a call that {} {} leaves over", first.method, first.path);
+                    self.errors.push(path.error(&expected));
+                }
+                None => target.calls.push(call),
+            }
+        }
+    }
+
+    fn check_models(&mut self) {
+        let (adapters, models): (Vec<_>, Vec<_>) = std::mem::take(&mut self.models)
+            .into_iter()
+            .partition(|p| p.model.base.is_some());
+        self.models = adapters;
+        for pending in models {
+            let known = self.declared(Kind::Service, &pending.parent);
+            if known.is_none_or(|d| !d.engines) {
+                let expected = "the name of an engines rule";
+                self.errors.push(pending.parent.error(expected));
+            }
+            self.check_size(&pending, pending.model.size);
+            self.rules.models.insert(pending.name, pending.model);
+        }
+    }
+
+    fn check_adapters(&mut self) {
+        for mut pending in std::mem::take(&mut self.models) {
+            let known = self.declared(Kind::Model, &pending.parent);
+            if known.is_none_or(|d| d.adapter) {
+                let expected = "the name of a model rule";
+                self.errors.push(pending.parent.error(expected));
+            }
+            if let Some(base) = self.rules.models.get(&pending.parent.text) {
+                pending.model.engines.clone_from(&base.engines);
+                let with_base = pending.model.size.saturating_add(base.size);
+                self.check_size(&pending, with_base);
+            }
+            self.rules.models.insert(pending.name, pending.model);
+        }
+    }
+
+    /// Checks that the engines can hold so many bytes.
+    fn check_size(&mut self, pending: &Pending, bytes: u64) {
+        let Some(engines) = self.rules.engines.get(&pending.model.engines) else {
+            return;
+        };
+        if bytes <= engines.memory {
+            return;
+        }
+        let memory = ByteSize(engines.memory);
+        let expected = match pending.model.base {
+            None => format!("at most the engines' memory of {memory}"),
+            Some(_) => format!("at most the engines' memory of {memory} together with its base"),
+        };
+        self.errors.push(pending.size.error(&expected));
+    }
+}
+
+/// Whether every request that the second call matches is matched by the first.
+fn covers(first: &Call, second: &Call) -> bool {
+    if first.method != second.method {
+        return false;
+    }
+    match first.path.strip_suffix('*') {
+        Some(prefix) => second.path.starts_with(prefix),
+        None => first.path == second.path,
+    }
+}
--- /dev/null
+++ b/src/rules/fields.rs
@@ -0,0 +1,230 @@
+//! The words of one rule, read by name and type.
+
+use std::ops::RangeInclusive;
+use std::time::Duration;
+
+use bytesize::ByteSize;
+use humantime::format_duration;
+
+use super::RuleError;
+use super::lex::{Lexed, Word};
+
+/// Longest time that a rule may state.
+const LONGEST_TIME: Duration = Duration::from_hours(24);
+/// Longest name, in characters.
+const LONGEST_NAME: usize = 128;
+
+/// A `key=value` word.
+#[derive(Debug)]
+struct Field {
+    key: Word,
+    value: Word,
+    used: bool,
+}
+
+/// The words of one rule and the errors found in them.
+#[derive(Debug)]
+pub(super) struct Fields {
+    plain: std::vec::IntoIter<Word>,
+    keyed: Vec<Field>,
+    keys: Vec<&'static str>,
+    end: Word,
+    /// Errors so far.
+    pub(super) errors: Vec<RuleError>,
+}
+
+impl Fields {
+    /// Sorts the words after the rule's first one.
+    pub(super) fn new(lexed: Lexed, line: usize) -> Self {
+        let mut plain = Vec::new();
+        let mut keyed = Vec::new();
+        let mut errors = Vec::new();
+        for word in lexed.words.into_iter().skip(1) {
+            let Some((key, text)) = word.text.split_once('=') else {
+                plain.push(word);
+                continue;
+            };
+            let value = Word {
+                text: text.into(),
+                line,
+                column: word.column + key.chars().count() + 1,
+            };
+            let key = Word {
+                text: key.into(),
+                ..word
+            };
+            if keyed.iter().any(|f: &Field| f.key.text == key.text) {
+                errors.push(key.error("each key once"));
+            }
+            keyed.push(Field {
+                key,
+                value,
+                used: false,
+            });
+        }
+        Self {
+            plain: plain.into_iter(),
+            keyed,
+            keys: Vec::new(),
+            end: Word {
+                text: String::new(),
+                line,
+                column: lexed.comment.map_or(lexed.end, |c| c.column),
+            },
+            errors,
+        }
+    }
+
+    /// Reports the words that no rule of this kind has.
+    pub(super) fn finish(&mut self) {
+        for word in self.plain.by_ref() {
+            self.errors.push(word.error("key=value words or a comment"));
+        }
+        let expected = match self.keys.as_slice() {
+            [] => "no key=value word here".into(),
+            keys => format!("one of the keys {}", keys.join(", ")),
+        };
+        for field in self.keyed.iter().filter(|f| !f.used) {
+            // A duplicate is already reported.
+            if !self.keys.contains(&field.key.text.as_str()) {
+                self.errors.push(field.key.error(&expected));
+            }
+        }
+    }
+
+    /// The next word without a key.
+    pub(super) fn plain(&mut self, expected: &str) -> Option<Word> {
+        let word = self.plain.next();
+        if word.is_none() {
+            self.missing(expected);
+        }
+        word
+    }
+
+    /// The next word without a key, as the name of something.
+    pub(super) fn name(&mut self, expected: &str) -> Option<Word> {
+        let word = self.plain(expected)?;
+        self.checked_name(word)
+    }
+
+    /// A reference to a name.
+    pub(super) fn reference(&mut self, key: &'static str, expected: &str) -> Option<Word> {
+        let word = self.required(key, expected)?;
+        self.checked_name(word)
+    }
+
+    fn checked_name(&mut self, word: Word) -> Option<Word> {
+        const EXPECTED: &str = "a name of 1 to 128 letters, digits, '-', '_', '.' or '/'";
+        let allowed = |c: char| c.is_ascii_alphanumeric() || "-_./".contains(c);
+        let text = &word.text;
+        let edges = text.starts_with('/') || text.ends_with('/');
+        if text.is_empty() || text.len() > LONGEST_NAME || edges || !text.chars().all(allowed) {
+            self.reject(&word, EXPECTED);
+            return None;
+        }
+        Some(word)
+    }
+
+    /// A size in bytes.
+    pub(super) fn size(&mut self, key: &'static str) -> Option<(u64, Word)> {
+        const EXPECTED: &str = "a size above zero with its unit, such as 60MiB or 13GiB";
+        let word = self.required(key, EXPECTED)?;
+        let unit = word.text.ends_with(|c: char| c.is_ascii_alphabetic());
+        match word.text.parse::<ByteSize>() {
+            Ok(size) if unit && size.as_u64() > 0 && size.as_u64() < u64::MAX => {
+                Some((size.as_u64(), word))
+            }
+            _ => {
+                self.reject(&word, EXPECTED);
+                None
+            }
+        }
+    }
+
+    /// A duration.
+    pub(super) fn time(&mut self, key: &'static str) -> Option<Duration> {
+        let expected = format!(
+            "a time above zero and at most {}, such as 500ms or 2s",
+            format_duration(LONGEST_TIME)
+        );
+        let word = self.required(key, &expected)?;
+        match humantime::parse_duration(&word.text) {
+            Ok(time) if !time.is_zero() && time <= LONGEST_TIME => Some(time),
+            _ => {
+                self.reject(&word, &expected);
+                None
+            }
+        }
+    }
+
+    /// A count.
+    pub(super) fn count(&mut self, key: &'static str, range: RangeInclusive<u32>) -> Option<u32> {
+        let expected = format!("a whole number from {} to {}", range.start(), range.end());
+        let word = self.required(key, &expected)?;
+        match word.text.parse() {
+            Ok(n) if range.contains(&n) => Some(n),
+            _ => {
+                self.reject(&word, &expected);
+                None
+            }
+        }
+    }
+
+    /// A share of one.
+    pub(super) fn share(&mut self, key: &'static str) -> Option<f64> {
+        const EXPECTED: &str = "a number from 0 to 1";
+        let word = self.required(key, EXPECTED)?;
+        match word.text.parse() {
+            Ok(x) if (0.0..=1.0).contains(&x) => Some(x),
+            _ => {
+                self.reject(&word, EXPECTED);
+                None
+            }
+        }
+    }
+
+    /// One of a closed set of names.
+    pub(super) fn choice(&mut self, key: &'static str, names: &[&str]) -> Option<String> {
+        let expected = format!("one of {}", names.join(", "));
+        let word = self.required(key, &expected)?;
+        if !names.contains(&word.text.as_str()) {
+            self.reject(&word, &expected);
+            return None;
+        }
+        Some(word.text)
+    }
+
+    /// Reports a word.
+    pub(super) fn reject(&mut self, word: &Word, expected: &str) {
+        self.errors.push(word.error(expected));
+    }
+
+    fn required(&mut self, key: &'static str, expected: &str) -> Option<Word> {
+        self.keys.push(key);
+        let Some(field) = self.keyed.iter_mut().find(|f| f.key.text == key) else {
+            self.missing(&format!("{key}= with {expected}"));
+            return None;
+        };
+        field.used = true;
+        Some(field.value.clone())
+    }
+
+    fn missing(&mut self, expected: &str) {
+        self.errors.push(self.end.error(expected));
+    }
+}
+
+impl Word {
+    /// An error at this word.
+    pub(super) fn error(&self, expected: &str) -> RuleError {
+        RuleError {
+            line: self.line,
+            column: self.column,
+            found: match self.text.as_str() {
+                "" => "nothing".into(),
+                text => format!("'{}'", text.escape_debug()),
+            },
+            expected: expected.into(),
+        }
+    }
+}
--- a/src/rules/model.rs
+++ b/src/rules/model.rs
@@ -17,6 +17,7 @@
     strum::Display,
     strum::EnumString,
     strum::EnumIter,
+    strum::VariantNames,
 )]
 #[serde(rename_all = "kebab-case")]
 #[strum(serialize_all = "kebab-case")]
@@ -41,6 +42,7 @@
     strum::Display,
     strum::EnumString,
     strum::EnumIter,
+    strum::VariantNames,
     strum::IntoStaticStr,
 )]
 #[serde(rename_all = "kebab-case")]
@@ -66,6 +68,7 @@
     strum::Display,
     strum::EnumString,
     strum::EnumIter,
+    strum::VariantNames,
 )]
 #[serde(rename_all = "kebab-case")]
 #[strum(serialize_all = "kebab-case")]
