--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod engine;
 pub mod instances;
 pub mod objects;
+pub mod policy;
 pub mod rules;
 pub mod table;
 pub mod verdict;
--- /dev/null
+++ b/src/policy/place.rs
@@ -0,0 +1,106 @@
+//! Choice of the server for a load, and of what to evict there.
+
+use std::time::Duration;
+
+use super::key::{DomainKey, ModelKey, ServerKey};
+
+/// Where a server finds a checkpoint, fastest first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, strum::Display, strum::EnumIter)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Locality {
+    /// In the server's main memory.
+    Memory,
+    /// On the server's disk.
+    Disk,
+    /// In the weight store.
+    Remote,
+}
+
+/// A server that could take a replica.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Candidate {
+    /// The server.
+    pub server: ServerKey,
+    /// Its failure domain.
+    pub domain: DomainKey,
+    /// Accelerator memory that is neither taken nor reserved, in bytes.
+    pub free: u64,
+    /// Accelerator memory of idle replicas, in bytes.
+    pub idle: u64,
+    /// Where it finds the checkpoint.
+    pub locality: Locality,
+    /// Time until the replica would be ready there, queues included.
+    pub ready: Duration,
+}
+
+/// A replica that may be evicted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Resident {
+    /// The model.
+    pub model: ModelKey,
+    /// Accelerator memory that eviction frees, in bytes.
+    pub bytes: u64,
+    /// Requests running or waiting for it.
+    pub running: u32,
+    /// Time that a later load would take.
+    pub reload: Duration,
+}
+
+/// Chooses the server that has a replica ready first, in a domain of its own where that is cheap.
+///
+/// `taken` names the failure domains that hold replicas of the model already. None is returned
+/// where no server has enough memory, free or idle.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+/// use brassrack::policy::key::{DomainKey, ServerKey};
+/// use brassrack::policy::place::{Candidate, Locality, choose_server};
+///
+/// let near = Candidate {
+///     server: ServerKey(0),
+///     domain: DomainKey(0),
+///     free: 20,
+///     idle: 0,
+///     locality: Locality::Disk,
+///     ready: Duration::from_secs(3),
+/// };
+/// let far = Candidate {
+///     server: ServerKey(1),
+///     locality: Locality::Remote,
+///     ready: Duration::from_secs(8),
+///     ..near
+/// };
+/// assert_eq!(choose_server(&[far, near], 10, &[]), Some(ServerKey(0)));
+/// assert_eq!(choose_server(&[far, near], 30, &[]), None);
+/// ```
+#[must_use]
+pub fn choose_server(
+    candidates: &[Candidate],
+    bytes: u64,
+    taken: &[DomainKey],
+) -> Option<ServerKey> {
+    candidates
+        .iter()
+        .filter(|c| c.free + c.idle >= bytes)
+        .min_by_key(|c| cost(c, bytes, taken))
+        .map(|c| c.server)
+}
+
+/// Time added to a server whose failure domain holds a replica already.
+const SHARED_DOMAIN: Duration = Duration::from_secs(10);
+/// Time added to a server that has to evict an idle replica.
+const EVICTION: Duration = Duration::from_secs(2);
+
+fn cost(c: &Candidate, bytes: u64, taken: &[DomainKey]) -> (Duration, u64, ServerKey) {
+    let mut time = c.ready;
+    if taken.contains(&c.domain) {
+        time += SHARED_DOMAIN;
+    }
+    if c.free < bytes {
+        time += EVICTION;
+    }
+    // Filling the fullest server that fits leaves room for large models elsewhere.
+    (time, c.free.saturating_sub(bytes), c.server)
+}
