--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod exit_codes;
 pub mod instances;
 pub mod objects;
+pub mod policy;
 pub mod rules;
 pub mod settings;
 pub mod table;
