--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,7 +6,9 @@
 
 pub mod clock;
 pub mod engine;
+pub mod home;
 pub mod instances;
+pub mod limits;
 pub mod objects;
 pub mod rules;
 pub mod table;
--- /dev/null
+++ b/src/limits/retries.rs
@@ -0,0 +1,83 @@
+//! Budget that bounds retries by a ratio of the requests.
+
+use std::time::Duration;
+
+/// Settings of a [`RetryBudget`].
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RetrySettings {
+    /// Retries earned by each request.
+    pub ratio: f64,
+    /// Retries a second that are allowed without any request.
+    pub floor: f64,
+    /// Most retries saved up.
+    pub burst: f64,
+}
+
+impl Default for RetrySettings {
+    fn default() -> Self {
+        Self {
+            ratio: 0.1,
+            floor: 1.0,
+            burst: 10.0,
+        }
+    }
+}
+
+/// Bounds the retries of one instance.
+///
+/// Over any span of time, the retries allowed are at most
+/// `burst + ratio * requests + floor * seconds`.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+/// use brassrack::limits::{RetryBudget, RetrySettings};
+///
+/// let settings = RetrySettings { ratio: 0.5, floor: 0.0, burst: 1.0 };
+/// let mut budget = RetryBudget::new(settings);
+/// budget.request();
+/// assert!(!budget.retry(Duration::ZERO));
+/// budget.request();
+/// assert!(budget.retry(Duration::ZERO));
+/// ```
+#[derive(Debug, Clone)]
+pub struct RetryBudget {
+    settings: RetrySettings,
+    balance: f64,
+    last: Duration,
+}
+
+impl RetryBudget {
+    /// A budget with nothing saved up.
+    #[must_use]
+    pub const fn new(settings: RetrySettings) -> Self {
+        Self {
+            settings,
+            balance: 0.0,
+            last: Duration::ZERO,
+        }
+    }
+
+    /// Counts a first attempt.
+    pub fn request(&mut self) {
+        self.earn(self.settings.ratio);
+    }
+
+    /// Spends one retry, or says that there is none to spend.
+    #[must_use]
+    pub fn retry(&mut self, now: Duration) -> bool {
+        let passed = now.saturating_sub(self.last);
+        self.last = self.last.max(now);
+        self.earn(self.settings.floor * passed.as_secs_f64());
+        if self.balance < 1.0 {
+            return false;
+        }
+        self.balance -= 1.0;
+        true
+    }
+
+    fn earn(&mut self, retries: f64) {
+        self.balance = (self.balance + retries).min(self.settings.burst);
+    }
+}
