--- a/src/rules/fields.rs
+++ b/src/rules/fields.rs
@@ -14,6 +14,9 @@
 /// Longest name, in characters.
 const LONGEST_NAME: usize = 128;
 
+/// Longest piece of a file that an error shows, in characters.
+const LONGEST_QUOTE: usize = 80;
+
 /// A `key=value` word.
 #[derive(Debug)]
 struct Field {
@@ -222,9 +225,17 @@
             column: self.column,
             found: match self.text.as_str() {
                 "" => "nothing".into(),
-                text => format!("'{}'", text.escape_debug()),
+                text => quoted(text),
             },
             expected: expected.into(),
         }
     }
 }
+
+/// The text in quotes, cut where it is long.
+fn quoted(text: &str) -> String {
+    let mut chars = text.chars();
+    let start: String = chars.by_ref().take(LONGEST_QUOTE).collect();
+    let rest = if chars.next().is_some() { ".." } else { "" };
+    format!("'{}{rest}'", start.escape_debug())
+}
--- a/src/settings/tree.rs
+++ b/src/settings/tree.rs
@@ -21,6 +21,14 @@
     pub expected: String,
 }
 
+/// A place in the file that no key accounts for.
+#[derive(Debug)]
+struct Stray {
+    path: String,
+    /// What stands in place of a section; none for an unknown key.
+    found: Option<String>,
+}
+
 /// A settings tree, the paths that were asked for and the errors so far.
 #[derive(Debug)]
 pub(super) struct Tree {
@@ -56,9 +64,13 @@
 
     /// All errors, with those of keys that were never asked for.
     pub(super) fn finish(mut self) -> Vec<SettingError> {
-        let mut paths = Vec::new();
-        leaves(&self.root, "", &self.known, &mut paths);
-        for path in paths {
+        let mut strays = Vec::new();
+        collect_strays(&self.root, "", &self.known, &mut strays);
+        for Stray { path, found } in strays {
+            if let Some(found) = found {
+                self.reject(&path, found, "keys with values");
+                continue;
+            }
             let section = path.rsplit_once('.').map_or("", |(s, _)| s);
             let expected = format!("one of {}", self.keys(section).join(", "));
             self.reject(&path, "unknown key".into(), &expected);
@@ -210,21 +222,29 @@
     }
 }
 
-/// Collects the paths of keys that are not known.
-fn leaves(value: &Value, path: &str, known: &BTreeSet<String>, out: &mut Vec<String>) {
-    let Value::Object(map) = value else {
-        return;
+/// Collects the paths of unknown keys, and of sections with what stands in their place.
+fn collect_strays(section: &Value, path: &str, known: &BTreeSet<String>, out: &mut Vec<Stray>) {
+    let map = match section {
+        Value::Object(map) => map,
+        Value::Null => return,
+        other => {
+            out.push(Stray {
+                path: path.into(),
+                found: Some(describe(other)),
+            });
+            return;
+        }
     };
     for (key, child) in map {
         let path = match path {
             "" => key.clone(),
             _ => format!("{path}.{key}"),
         };
-        let section = format!("{path}.");
-        if known.iter().any(|k| k.starts_with(&section)) {
-            leaves(child, &path, known, out);
+        let prefix = format!("{path}.");
+        if known.iter().any(|k| k.starts_with(&prefix)) {
+            collect_strays(child, &path, known, out);
         } else if !known.contains(&path) {
-            out.push(path);
+            out.push(Stray { path, found: None });
         }
     }
 }
