Decide replicas by transactions, with charts and engines in memory

Cause: several instances may decide a load of the same model at once, and an order may arrive late, twice or after its sender was replaced.

Ruled out: a lease as the guard of a decision, since its holder may be paused between the check and the write; a log of recent operation ids in each row, since every decision recognises its own id in the replica that it wrote.

Change: one transaction over the rows of the server, the model and the weight store reserves memory, counts the replica and takes a place before any order leaves. After a lost answer the rows are read again and the decision is taken anew under the same id; its compare-and-set makes a write still on its way fail. A replica's memory is counted until a report proves that it is gone: a fencing number above the one at which the unload was decided, or absence for a set time where numbers are ignored.

--- /dev/null
+++ b/src/commit.rs
@@ -0,0 +1,274 @@
+//! Transactions over the table service: read, decide, compare and set.
+//!
+//! A decision recognises its own operation id in the rows. So after a lost answer the rows are
+//! read again and the decision is taken anew: either it finds its own write, or it commits
+//! against the revisions just read, which makes a write still on its way fail its checks.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::time::{sleep, timeout};
+
+use crate::table::{Check, Commit, Read, Row, Table, TableError, Txn, Write};
+
+/// Why a transaction was not decided.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum CommitError {
+    /// The table service does not answer; nothing was written.
+    #[error("table service is down: {0}")]
+    Down(String),
+    /// The table service does not answer; a write may have taken effect.
+    #[error("outcome of a transaction is unknown: {0}")]
+    Unknown(String),
+    /// Other writers were faster each time; nothing was written.
+    #[error("too many conflicting transactions")]
+    Contended,
+    /// A row does not hold what it should; nothing was written.
+    #[error(transparent)]
+    Malformed(#[from] Malformed),
+}
+
+/// A row does not hold the record that its key promises.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("row {key} is malformed: {cause}")]
+pub struct Malformed {
+    /// Key of the row.
+    pub key: String,
+    /// What the reader found.
+    pub cause: String,
+}
+
+/// Rows that were read together.
+#[derive(Debug, Clone, Default)]
+pub struct Snapshot {
+    rows: BTreeMap<String, Row>,
+}
+
+impl Snapshot {
+    /// Revision of a row; 0 where it does not exist.
+    #[must_use]
+    pub fn revision(&self, key: &str) -> u64 {
+        self.rows.get(key).map_or(0, |r| r.revision)
+    }
+
+    /// All rows, in key order.
+    pub fn rows(&self) -> impl Iterator<Item = &Row> {
+        self.rows.values()
+    }
+
+    /// A row, where it exists.
+    #[must_use]
+    pub fn row(&self, key: &str) -> Option<&Row> {
+        self.rows.get(key)
+    }
+}
+
+impl From<Vec<Row>> for Snapshot {
+    fn from(rows: Vec<Row>) -> Self {
+        let rows = rows.into_iter().map(|r| (r.key.clone(), r)).collect();
+        Self { rows }
+    }
+}
+
+/// A record that a row holds as JSON text.
+pub trait Record: Serialize + DeserializeOwned + Default {
+    /// Reads the record under a key; the default where the row does not exist.
+    ///
+    /// # Errors
+    ///
+    /// [`Malformed`] where the row holds something else.
+    fn read(snapshot: &Snapshot, key: &str) -> Result<Self, Malformed> {
+        snapshot
+            .row(key)
+            .map_or_else(|| Ok(Self::default()), Self::parse)
+    }
+
+    /// Reads the record that a row holds.
+    ///
+    /// # Errors
+    ///
+    /// [`Malformed`] where the row holds something else.
+    fn parse(row: &Row) -> Result<Self, Malformed> {
+        serde_json::from_str(&row.value).map_err(|e| Malformed {
+            key: row.key.clone(),
+            cause: e.to_string(),
+        })
+    }
+
+    /// The write that stores the record under a key.
+    ///
+    /// # Errors
+    ///
+    /// [`Malformed`] where the record cannot be written as JSON.
+    fn write(&self, key: &str) -> Result<Write, Malformed> {
+        let value = serde_json::to_string(self).map_err(|e| Malformed {
+            key: key.into(),
+            cause: e.to_string(),
+        })?;
+        Ok(Write {
+            key: key.into(),
+            value: Some(value),
+        })
+    }
+}
+
+/// What a decision makes of a snapshot.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Plan {
+    /// Commit these writes if no row of the snapshot has changed.
+    Commit(Vec<Write>),
+    /// Nothing is left to write.
+    Settled,
+    /// Read these keys too, then decide again.
+    Widen(Vec<String>),
+}
+
+/// A decision over a snapshot; it is taken again after a conflict or a lost answer.
+pub type Decide<'a> = dyn FnMut(&Snapshot) -> Result<Plan, Malformed> + Send + 'a;
+
+/// Bounds of a transaction.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CommitSettings {
+    /// Tries before the transaction is given up.
+    pub attempts: u32,
+    /// Longest time for one answer of the table service.
+    pub timeout: Duration,
+    /// Pause before the second try; it grows with each further try.
+    pub pause: Duration,
+}
+
+impl Default for CommitSettings {
+    fn default() -> Self {
+        Self {
+            attempts: 16,
+            timeout: Duration::from_secs(5),
+            pause: Duration::from_millis(2),
+        }
+    }
+}
+
+/// Commits decisions to the table service.
+#[derive(Debug, Clone)]
+pub struct Committer {
+    table: Arc<dyn Table>,
+    settings: CommitSettings,
+}
+
+impl Committer {
+    /// A committer to a table service.
+    #[must_use]
+    pub fn new(table: Arc<dyn Table>, settings: CommitSettings) -> Self {
+        Self { table, settings }
+    }
+
+    /// Reads rows within the time limit.
+    ///
+    /// # Errors
+    ///
+    /// [`CommitError::Down`] where the table service does not answer.
+    pub async fn read(&self, read: Read) -> Result<Snapshot, CommitError> {
+        match timeout(self.settings.timeout, self.table.read(read)).await {
+            Ok(Ok(rows)) => Ok(rows.into()),
+            Ok(Err(e)) => Err(CommitError::Down(e.to_string())),
+            Err(late) => Err(CommitError::Down(late.to_string())),
+        }
+    }
+
+    /// Reads rows, decides and commits, again after each conflict or lost answer.
+    ///
+    /// Returns the revision of the write, or none where nothing was left to write.
+    ///
+    /// # Errors
+    ///
+    /// [`CommitError::Unknown`] where a write may have taken effect; taking the same decision
+    /// again later, with the same operation id, tells.
+    pub async fn transact(
+        &self,
+        keys: Vec<String>,
+        decide: &mut Decide<'_>,
+    ) -> Result<Option<u64>, CommitError> {
+        let mut keys = keys;
+        let mut lost = false;
+        for attempt in 0..self.settings.attempts {
+            sleep(self.settings.pause * attempt).await;
+            let snapshot = match self.read(Read::Keys(keys.clone())).await {
+                Err(CommitError::Down(cause)) if lost => return Err(CommitError::Unknown(cause)),
+                other => other?,
+            };
+            let writes = match decide(&snapshot)? {
+                Plan::Settled => return Ok(None),
+                Plan::Widen(more) => {
+                    keys.extend(more);
+                    continue;
+                }
+                Plan::Commit(writes) => writes,
+            };
+            match self.commit(&keys, &snapshot, writes).await {
+                Ok(Commit::Done(revision)) => return Ok(Some(revision)),
+                Ok(Commit::Conflict(_)) => {}
+                Err(TableError::Refused(cause)) if !lost => return Err(CommitError::Down(cause)),
+                Err(TableError::Refused(cause)) => return Err(CommitError::Unknown(cause)),
+                Err(TableError::Unknown(_)) => lost = true,
+            }
+        }
+        if lost {
+            return Err(CommitError::Unknown("too many tries".into()));
+        }
+        Err(CommitError::Contended)
+    }
+
+    async fn commit(
+        &self,
+        keys: &[String],
+        snapshot: &Snapshot,
+        writes: Vec<Write>,
+    ) -> Result<Commit, TableError> {
+        let checks = keys
+            .iter()
+            .map(|key| Check {
+                key: key.clone(),
+                revision: snapshot.revision(key),
+            })
+            .collect();
+        let txn = Txn { checks, writes };
+        timeout(self.settings.timeout, self.table.commit(txn))
+            .await
+            .unwrap_or_else(|late| Err(TableError::Unknown(late.to_string())))
+    }
+}
+
+/// Source of operation ids.
+#[derive(Debug)]
+pub struct Ids {
+    prefix: String,
+    next: AtomicU64,
+}
+
+impl Ids {
+    /// Ids under a prefix that no other process start ever uses.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// let ids = brassrack::commit::Ids::new("vic-1-9f3c");
+    /// assert_eq!(ids.next(), "vic-1-9f3c.1");
+    /// ```
+    #[must_use]
+    pub fn new(prefix: impl Into<String>) -> Self {
+        Self {
+            prefix: prefix.into(),
+            next: AtomicU64::new(1),
+        }
+    }
+
+    /// A fresh id.
+    #[must_use]
+    pub fn next(&self) -> String {
+        let n = self.next.fetch_add(1, Ordering::Relaxed);
+        format!("{}.{n}", self.prefix)
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,10 +4,13 @@
 //! command-line tool `brassrack`. Outside systems are met at traits: [`table::Table`],
 //! [`engine::Engine`], [`instances::Directory`] and [`objects::Objects`].
 
+pub mod chart;
 pub mod clock;
+pub mod commit;
 pub mod engine;
 pub mod instances;
 pub mod objects;
+pub mod placement;
 pub mod rules;
 pub mod table;
 pub mod verdict;
--- /dev/null
+++ b/src/placement/change.rs
@@ -0,0 +1,191 @@
+//! Changes the state of a replica that is decided.
+
+use crate::chart::{Chart, Move, Replica as ReplicaChart, ReplicaEvent, ReplicaState};
+use crate::commit::{Malformed, Plan, Record, Snapshot};
+use crate::engine::Resident;
+
+use super::rows::{ModelRow, Replica, ServerRow, StoreRow, model_key, server_key, store_key};
+use super::{PlaceError, Vacancy};
+
+/// Surroundings of a change.
+#[derive(Debug)]
+pub(super) struct Change<'a> {
+    pub(super) chart: &'a Chart<ReplicaChart>,
+    pub(super) region: &'a str,
+    pub(super) server: &'a str,
+    /// Operation id of the unload order, where the change decides one.
+    pub(super) unload: &'a str,
+    pub(super) now: u64,
+}
+
+/// Which replica a change is about.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Target<'a> {
+    pub(super) model: &'a str,
+    /// Operation id of its load; none means whichever is decided.
+    pub(super) op: Option<&'a str>,
+}
+
+/// Rows while they are changed.
+#[derive(Debug)]
+struct Draft {
+    server: ServerRow,
+    model: ModelRow,
+    store: StoreRow,
+}
+
+pub(super) type Changed = (Plan, Result<(), PlaceError>);
+
+impl Change<'_> {
+    /// Keys that a change of one model's replica reads.
+    pub(super) fn keys(&self, model: &str) -> Vec<String> {
+        vec![
+            server_key(self.server),
+            model_key(model),
+            store_key(self.region),
+        ]
+    }
+
+    /// Applies an event to one replica.
+    pub(super) fn one(
+        &self,
+        snapshot: &Snapshot,
+        target: Target<'_>,
+        event: ReplicaEvent,
+    ) -> Result<Changed, Malformed> {
+        let mut draft = self.draft(snapshot, target.model)?;
+        let found = draft.server.replica(target.model);
+        let found = found.filter(|r| target.op.is_none_or(|op| op == r.op));
+        let state = found.map_or(ReplicaState::Absent, |r| r.state);
+        let next = match self.chart.step(state, event) {
+            Move::To(next) => next,
+            Move::Ignore => return Ok((Plan::Settled, Ok(()))),
+            // A replica that is gone, or has a successor, has nothing left to release or confirm.
+            Move::Refuse if found.is_none() => {
+                return Ok((Plan::Settled, Err(PlaceError::Gone)));
+            }
+            Move::Refuse => {
+                let refused = PlaceError::NotAllowed { state, event };
+                return Ok((Plan::Settled, Err(refused)));
+            }
+        };
+        let retires = matches!(event, ReplicaEvent::Retire);
+        if retires && draft.server.carries(target.model) {
+            return Ok((Plan::Settled, Err(PlaceError::InUse)));
+        }
+        let revision = snapshot.revision(&server_key(self.server));
+        self.advance(&mut draft, target.model, next, revision);
+        Ok((Plan::Commit(self.writes(&draft, target.model)?), Ok(())))
+    }
+
+    /// Counts a replica that nothing decided.
+    pub(super) fn find(
+        &self,
+        snapshot: &Snapshot,
+        resident: &Resident,
+    ) -> Result<Changed, Malformed> {
+        let mut draft = self.draft(snapshot, &resident.model)?;
+        let found = draft.server.replica(&resident.model);
+        let state = found.map_or(ReplicaState::Absent, |r| r.state);
+        let Move::To(next) = self.chart.step(state, ReplicaEvent::Find) else {
+            return Ok((Plan::Settled, Ok(())));
+        };
+        draft.server.replicas.push(Replica {
+            model: resident.model.clone(),
+            base: None,
+            bytes: resident.bytes,
+            state: ReplicaState::Absent,
+            op: resident.op.clone(),
+            unload: None,
+            after: 0,
+            slot: None,
+            since: self.now,
+        });
+        draft.model.add(self.server);
+        let revision = snapshot.revision(&server_key(self.server));
+        self.advance(&mut draft, &resident.model, next, revision);
+        Ok((Plan::Commit(self.writes(&draft, &resident.model)?), Ok(())))
+    }
+
+    /// Applies a restart or the loss of the endpoint to all replicas of the server.
+    pub(super) fn vacate(
+        &self,
+        snapshot: &Snapshot,
+        vacancy: &Vacancy,
+    ) -> Result<Changed, Malformed> {
+        let key = server_key(self.server);
+        let revision = snapshot.revision(&key);
+        let mut server = ServerRow::read(snapshot, &key)?;
+        let before = server.clone();
+        let event = match vacancy {
+            Vacancy::Rebooted(boot) => {
+                let first = server.boot.is_empty();
+                let same = server.boot == *boot;
+                server.boot.clone_from(boot);
+                if same {
+                    return Ok((Plan::Settled, Ok(())));
+                }
+                (!first).then_some(ReplicaEvent::Reboot)
+            }
+            Vacancy::Gone => Some(ReplicaEvent::Vacate),
+        };
+        for replica in &mut server.replicas {
+            let Some(event) = event else { break };
+            if let Move::To(next) = self.chart.step(replica.state, event) {
+                self.enter(replica, next, revision);
+            }
+        }
+        if server == before {
+            return Ok((Plan::Settled, Ok(())));
+        }
+        Ok((Plan::Commit(vec![server.write(&key)?]), Ok(())))
+    }
+
+    fn draft(&self, snapshot: &Snapshot, model: &str) -> Result<Draft, Malformed> {
+        Ok(Draft {
+            server: ServerRow::read(snapshot, &server_key(self.server))?,
+            model: ModelRow::read(snapshot, &model_key(model))?,
+            store: StoreRow::read(snapshot, &store_key(self.region))?,
+        })
+    }
+
+    fn writes(&self, draft: &Draft, model: &str) -> Result<Vec<crate::table::Write>, Malformed> {
+        Ok(vec![
+            draft.server.write(&server_key(self.server))?,
+            draft.model.write(&model_key(model))?,
+            draft.store.write(&store_key(self.region))?,
+        ])
+    }
+
+    /// Moves the model's replica to a state and keeps the counts in step.
+    fn advance(&self, draft: &mut Draft, model: &str, next: ReplicaState, revision: u64) {
+        let replicas = &mut draft.server.replicas;
+        let Some(i) = replicas.iter().position(|r| r.model == model) else {
+            return;
+        };
+        if matches!(next, ReplicaState::Absent | ReplicaState::Ready) {
+            draft.store.give_back(&replicas[i].op);
+            replicas[i].slot = None;
+        }
+        if next == ReplicaState::Absent {
+            replicas.remove(i);
+            draft.model.remove(self.server);
+            return;
+        }
+        self.enter(&mut replicas[i], next, revision);
+    }
+
+    fn enter(&self, replica: &mut Replica, next: ReplicaState, revision: u64) {
+        if replica.state != next {
+            replica.since = self.now;
+        }
+        replica.state = next;
+        if matches!(next, ReplicaState::Unloading | ReplicaState::Quarantined) {
+            let unload = self.unload;
+            replica
+                .unload
+                .get_or_insert_with(|| format!("{unload}-{}", replica.model));
+            replica.after = revision;
+        }
+    }
+}
--- /dev/null
+++ b/src/placement/reconcile.rs
@@ -0,0 +1,263 @@
+//! Compares the decided replicas of a server with its engine's report.
+//!
+//! A report lags and may be older than the newest decision. Two things prove that a replica is
+//! gone and cannot come back: the report carries a fencing number above the one at which its
+//! unload was decided (engines that check), or it has been absent from every report for long
+//! enough (engines that ignore fencing numbers).
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::chart::ReplicaState;
+use crate::engine::{Action, Order, Report, Residency, Resident};
+use crate::rules::Fencing;
+
+use super::rows::{Replica, ServerRow};
+
+/// One thing to do about a server.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Step {
+    /// Send this order; the engine recognises a repeat by its operation id.
+    Send(Order),
+    /// [`confirm`](super::Placement::confirm) a load.
+    Confirm {
+        /// Model.
+        model: String,
+        /// Operation id of the load.
+        op: String,
+    },
+    /// [`fail`](super::Placement::fail) a load whose end the engine has reported.
+    Fail {
+        /// Model.
+        model: String,
+        /// Operation id of the load.
+        op: String,
+    },
+    /// [`release`](super::Placement::release) a replica that is gone.
+    Release {
+        /// Model.
+        model: String,
+        /// Operation id of the load.
+        op: String,
+    },
+    /// [`abandon`](super::Placement::abandon) a replica that the engine does not show.
+    Abandon {
+        /// Model.
+        model: String,
+        /// Operation id of the load.
+        op: String,
+    },
+    /// [`find`](super::Placement::find) a replica that nothing decided.
+    Find(Resident),
+    /// [`vacate`](super::Placement::vacate): the engine has another boot id.
+    Reboot(String),
+}
+
+/// Bounds of the comparison.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ReconcileSettings {
+    /// Longest lag of a report behind the engine's state.
+    pub lag: Duration,
+    /// Longest time from the decision to send an order to its arrival at the engine.
+    pub lifetime: Duration,
+}
+
+impl Default for ReconcileSettings {
+    fn default() -> Self {
+        Self {
+            lag: Duration::from_secs(3),
+            lifetime: Duration::from_secs(30),
+        }
+    }
+}
+
+/// Since when replicas have been absent, by the observer's own clock.
+#[derive(Debug, Clone, Default)]
+pub struct Watch {
+    absent: BTreeMap<Sighting, Duration>,
+}
+
+/// A replica in one state that is not where it should be.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+struct Sighting {
+    op: String,
+    state: ReplicaState,
+    boot: String,
+}
+
+/// An engine as it was met at one time.
+#[derive(Debug, Clone, Copy)]
+pub struct Meeting<'a> {
+    /// Decided replicas.
+    pub row: &'a ServerRow,
+    /// Revision of the row.
+    pub fence: u64,
+    /// The engine's report; none where the endpoint is gone.
+    pub report: Option<&'a Report>,
+    /// How the engine treats fencing numbers.
+    pub fencing: Fencing,
+    /// Time by the observer's clock.
+    pub now: Duration,
+}
+
+impl Watch {
+    /// Steps that bring the engine and the decided replicas together.
+    ///
+    /// The row must have been read after the report was asked for.
+    pub fn reconcile(&mut self, met: Meeting<'_>, settings: ReconcileSettings) -> Vec<Step> {
+        let Some(report) = met.report else {
+            return self.expire(met, settings);
+        };
+        if report.boot != met.row.boot {
+            return vec![Step::Reboot(report.boot.clone())];
+        }
+        let mut steps = Vec::new();
+        let mut absent = BTreeMap::new();
+        for replica in &met.row.replicas {
+            let resident = report.residents.iter().find(|r| r.model == replica.model);
+            let gone = self.absence(met, replica, resident, &mut absent);
+            let step = match replica.state {
+                ReplicaState::Absent | ReplicaState::Granted => None,
+                ReplicaState::Loading => loading(met, report, replica, resident, gone, settings),
+                ReplicaState::Ready => ready(replica, gone, settings),
+                ReplicaState::Unloading => Some(leaving(met, report, replica, gone, settings.lag)),
+                ReplicaState::Quarantined => {
+                    Some(leaving(met, report, replica, gone, settings.lifetime))
+                }
+            };
+            steps.extend(step);
+        }
+        let decided = |r: &&Resident| met.row.replica(&r.model).is_none();
+        let found = report.residents.iter().filter(decided).cloned();
+        steps.extend(found.map(Step::Find));
+        self.absent = absent;
+        steps
+    }
+
+    /// How long a replica has been absent; none while the engine shows it.
+    fn absence(
+        &self,
+        met: Meeting<'_>,
+        replica: &Replica,
+        resident: Option<&Resident>,
+        absent: &mut BTreeMap<Sighting, Duration>,
+    ) -> Option<Duration> {
+        // A load under another id does not stand for this one; what leaves goes by model.
+        let leaves = matches!(
+            replica.state,
+            ReplicaState::Unloading | ReplicaState::Quarantined
+        );
+        if resident.is_some_and(|r| leaves || r.op == replica.op) {
+            return None;
+        }
+        let sighting = Sighting {
+            op: replica.op.clone(),
+            state: replica.state,
+            boot: met.row.boot.clone(),
+        };
+        let since = self.absent.get(&sighting).copied().unwrap_or(met.now);
+        absent.insert(sighting, since);
+        Some(met.now.saturating_sub(since))
+    }
+
+    /// Steps for an endpoint that is gone: what might still arrive there is waited out.
+    fn expire(&mut self, met: Meeting<'_>, settings: ReconcileSettings) -> Vec<Step> {
+        let mut absent = BTreeMap::new();
+        let mut steps = Vec::new();
+        for replica in &met.row.replicas {
+            let gone = self.absence(met, replica, None, &mut absent);
+            let expired = gone.is_some_and(|d| d >= settings.lifetime);
+            if replica.state == ReplicaState::Quarantined && expired {
+                steps.push(release(replica));
+            }
+        }
+        self.absent = absent;
+        steps
+    }
+}
+
+fn loading(
+    met: Meeting<'_>,
+    report: &Report,
+    replica: &Replica,
+    resident: Option<&Resident>,
+    gone: Option<Duration>,
+    settings: ReconcileSettings,
+) -> Option<Step> {
+    let model = replica.model.clone();
+    let op = replica.op.clone();
+    let own = resident.filter(|r| r.op == replica.op);
+    match own.map(|r| r.state) {
+        Some(Residency::Ready) => return Some(Step::Confirm { model, op }),
+        Some(Residency::Loading | Residency::Unloading) => return None,
+        None => {}
+    }
+    if report.failed.contains(&op) {
+        return Some(Step::Fail { model, op });
+    }
+    if gone.is_some_and(|d| d >= settings.lifetime) {
+        return Some(Step::Abandon { model, op });
+    }
+    Some(Step::Send(load_order(replica, met.fence)))
+}
+
+fn ready(replica: &Replica, gone: Option<Duration>, settings: ReconcileSettings) -> Option<Step> {
+    let lost = gone.is_some_and(|d| d >= settings.lag);
+    lost.then(|| Step::Abandon {
+        model: replica.model.clone(),
+        op: replica.op.clone(),
+    })
+}
+
+/// Releases a replica whose end is proved, and orders its unload until then.
+fn leaving(
+    met: Meeting<'_>,
+    report: &Report,
+    replica: &Replica,
+    gone: Option<Duration>,
+    wait: Duration,
+) -> Step {
+    let proved = match (met.fencing, gone) {
+        (_, None) => false,
+        (Fencing::Checked, Some(_)) => report.fence > replica.after,
+        (Fencing::Ignored, Some(since)) => since >= wait,
+    };
+    if proved {
+        return release(replica);
+    }
+    Step::Send(unload_order(replica, met.fence))
+}
+
+fn release(replica: &Replica) -> Step {
+    Step::Release {
+        model: replica.model.clone(),
+        op: replica.op.clone(),
+    }
+}
+
+/// The order that loads a replica.
+#[must_use]
+pub fn load_order(replica: &Replica, fence: u64) -> Order {
+    Order {
+        op: replica.op.clone(),
+        fence,
+        action: Action::Load,
+        model: replica.model.clone(),
+        base: replica.base.clone(),
+        bytes: replica.bytes,
+    }
+}
+
+/// The order that unloads a replica.
+#[must_use]
+pub fn unload_order(replica: &Replica, fence: u64) -> Order {
+    let op = replica.unload.as_ref().unwrap_or(&replica.op);
+    Order {
+        op: op.clone(),
+        fence,
+        action: Action::Unload,
+        model: replica.model.clone(),
+        base: replica.base.clone(),
+        bytes: replica.bytes,
+    }
+}
--- /dev/null
+++ b/src/placement/rows.rs
@@ -0,0 +1,162 @@
+//! Rows of the table service that hold the decided replicas.
+
+use serde::{Deserialize, Serialize};
+
+use crate::chart::ReplicaState;
+use crate::commit::Record;
+
+/// Key of a server's row.
+#[must_use]
+pub fn server_key(server: &str) -> String {
+    format!("server/{server}")
+}
+
+/// Key of a model's row.
+#[must_use]
+pub fn model_key(model: &str) -> String {
+    format!("model/{model}")
+}
+
+/// Key of the row of a region's weight store.
+#[must_use]
+pub fn store_key(region: &str) -> String {
+    format!("store/{region}")
+}
+
+/// Place that a load takes at the weight store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Slot {
+    /// One of the loads at full speed.
+    Load,
+    /// One of the adapters in flight.
+    Adapter,
+}
+
+/// A replica decided for a server.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Replica {
+    /// Model or adapter.
+    pub model: String,
+    /// Base model of an adapter.
+    pub base: Option<String>,
+    /// Memory that it takes, in bytes.
+    pub bytes: u64,
+    /// State.
+    pub state: ReplicaState,
+    /// Operation id of the load order.
+    pub op: String,
+    /// Operation id of the unload order, once that is decided.
+    pub unload: Option<String>,
+    /// Revision of the server's row before the unload was decided; a report with a higher fencing
+    /// number was made after an order that followed the decision.
+    pub after: u64,
+    /// Place that it holds at the weight store.
+    pub slot: Option<Slot>,
+    /// Milliseconds since the Unix epoch at its last change of state; for people only.
+    pub since: u64,
+}
+
+/// Row `server/<name>`: what is decided for one server. Its revision is the fencing number of the
+/// orders that follow from it.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServerRow {
+    /// Memory in bytes.
+    pub capacity: u64,
+    /// Boot id of the engine as last reported; empty before the first report.
+    pub boot: String,
+    /// Replicas, each with its memory counted.
+    pub replicas: Vec<Replica>,
+}
+
+impl Record for ServerRow {}
+
+impl ServerRow {
+    /// Memory that is counted, in bytes.
+    #[must_use]
+    pub fn taken(&self) -> u64 {
+        self.replicas.iter().map(|r| r.bytes).sum()
+    }
+
+    /// The replica of a model.
+    #[must_use]
+    pub fn replica(&self, model: &str) -> Option<&Replica> {
+        self.replicas.iter().find(|r| r.model == model)
+    }
+
+    /// Whether an adapter of a base model is counted.
+    #[must_use]
+    pub fn carries(&self, base: &str) -> bool {
+        self.replicas
+            .iter()
+            .any(|r| r.base.as_deref() == Some(base))
+    }
+}
+
+/// Row `model/<name>`: the servers with a replica in any state.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ModelRow {
+    /// Server names.
+    pub servers: Vec<String>,
+}
+
+impl Record for ModelRow {}
+
+impl ModelRow {
+    /// Counts a replica on a server.
+    pub fn add(&mut self, server: &str) {
+        if !self.servers.iter().any(|s| s == server) {
+            self.servers.push(server.into());
+        }
+    }
+
+    /// Stops counting the replica on a server.
+    pub fn remove(&mut self, server: &str) {
+        self.servers.retain(|s| s != server);
+    }
+}
+
+/// A load that holds a place at the weight store.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Holder {
+    /// Operation id of the load.
+    pub op: String,
+    /// Server that loads.
+    pub server: String,
+}
+
+/// Row `store/<region>`: the loads in flight from a region's weight store.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoreRow {
+    /// Loads of models.
+    pub loads: Vec<Holder>,
+    /// Loads of adapters.
+    pub adapters: Vec<Holder>,
+}
+
+impl Record for StoreRow {}
+
+impl StoreRow {
+    /// Holders of one kind of place.
+    #[must_use]
+    pub fn holders(&self, slot: Slot) -> &Vec<Holder> {
+        match slot {
+            Slot::Load => &self.loads,
+            Slot::Adapter => &self.adapters,
+        }
+    }
+
+    /// Takes a place for a load.
+    pub fn take(&mut self, slot: Slot, holder: Holder) {
+        match slot {
+            Slot::Load => self.loads.push(holder),
+            Slot::Adapter => self.adapters.push(holder),
+        }
+    }
+
+    /// Gives back the place of a load.
+    pub fn give_back(&mut self, op: &str) {
+        self.loads.retain(|h| h.op != op);
+        self.adapters.retain(|h| h.op != op);
+    }
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -4,4 +4,5 @@
 //! code depends on this crate.
 
 pub mod fault;
+pub mod memory_engine;
 pub mod table;
