Rules in the platform's store: compare-and-set, races and lost answers

Cause: an accepted change must stay accepted, a lost race must be told with the winner's change, and a lost answer must not lead to a second write. Ruled out: sending the transaction again after a lost answer (a change could count twice); reporting every lost answer as unknown; reading back alone, since the transaction may arrive after the read. Change: the text goes to the object store under its digest, then one transaction writes rules/current and rules/history/N with an operation id. After a lost answer the rows are read back; where nothing shows, a write to the row rules/guard, whose revision the transaction checks, ends it for good, and the next read is final. A holder per instance takes newer versions only. Conclusion: the outcome is unknown only where the table stays away for 20 s.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1,13 +1,21 @@
 //! The configuration: what operators write in the rules file.
 
 mod check;
+mod diff;
 mod error;
 mod fields;
+mod in_force;
 mod lex;
 mod model;
 mod parse;
+mod store;
+mod version;
 
-pub use error::RuleError;
+pub use diff::{Change, Diff};
+pub use error::{ApplyError, Race, RuleError, StoreError};
+pub use in_force::{Holder, InForce, Offer, OfferError};
 pub use model::{
     Call, Class, Engines, Fencing, Model, Repeat, Rules, ServiceRule, Tenant, Weights,
 };
+pub use store::{Proposal, RulesStore, StoreSettings};
+pub use version::{CURRENT_KEY, Version, VersionText, digest, history_key, object_key};
--- /dev/null
+++ b/src/rules/diff.rs
@@ -0,0 +1,93 @@
+//! Differences between two rules files, rule by rule.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+use super::lex::split;
+
+/// One rule that differs.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Change {
+    /// Words that identify the rule, such as `model besedilo-03`.
+    pub rule: String,
+    /// Line before; none for a new rule.
+    pub old: Option<String>,
+    /// Line after; none for a removed rule.
+    pub new: Option<String>,
+}
+
+/// All rules that differ, in the order of their identifying words.
+///
+/// # Examples
+///
+/// ```
+/// use brassrack::rules::Diff;
+///
+/// let diff = Diff::between("service a # Ann: x\n", "service a # Ann: y\nservice b # Ann: x");
+/// assert_eq!(diff.changes.len(), 2);
+/// assert!(diff.to_string().starts_with("- service a # Ann: x\n+ service a # Ann: y\n"));
+/// ```
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Diff {
+    /// The changes.
+    pub changes: Vec<Change>,
+}
+
+impl Diff {
+    /// Compares two texts; lines without a rule count as they stand.
+    #[must_use]
+    pub fn between(old: &str, new: &str) -> Self {
+        let (old, new) = (lines_by_rule(old), lines_by_rule(new));
+        let mut rules: Vec<&String> = old.keys().chain(new.keys()).collect();
+        rules.sort();
+        rules.dedup();
+        let changes = rules
+            .into_iter()
+            .filter(|rule| old.get(*rule) != new.get(*rule))
+            .map(|rule| Change {
+                rule: rule.clone(),
+                old: old.get(rule).cloned(),
+                new: new.get(rule).cloned(),
+            })
+            .collect();
+        Self { changes }
+    }
+}
+
+impl fmt::Display for Diff {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for change in &self.changes {
+            if let Some(old) = &change.old {
+                writeln!(f, "- {old}")?;
+            }
+            if let Some(new) = &change.new {
+                writeln!(f, "+ {new}")?;
+            }
+        }
+        Ok(())
+    }
+}
+
+fn lines_by_rule(text: &str) -> BTreeMap<String, String> {
+    text.lines()
+        .map(str::trim)
+        .filter(|line| !line.is_empty())
+        .map(|line| (identity(line), line.into()))
+        .collect()
+}
+
+/// The keyword and the names that follow it; the whole line where there is no rule.
+fn identity(line: &str) -> String {
+    let words: Vec<String> = split(line, 1)
+        .words
+        .into_iter()
+        .map(|w| w.text)
+        .take_while(|w| !w.contains('='))
+        .collect();
+    if words.is_empty() {
+        return line.into();
+    }
+    words.join(" ")
+}
--- /dev/null
+++ b/src/rules/in_force.rs
@@ -0,0 +1,94 @@
+//! The configuration that one instance has in force; its version never goes down.
+
+use std::sync::Arc;
+
+use super::{RuleError, Rules, VersionText, digest};
+
+/// A version with its checked rules.
+#[derive(Debug, Clone, PartialEq)]
+pub struct InForce {
+    /// The version and its text, for peers that cannot fetch it themselves.
+    pub source: VersionText,
+    /// The checked rules.
+    pub rules: Rules,
+}
+
+/// What became of an offered version.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Offer {
+    /// It is in force now.
+    Taken,
+    /// It is not newer than the version in force, which stays.
+    Stale,
+}
+
+/// Why an offered version cannot be put in force; the version in force stays.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum OfferError {
+    /// The text does not have the version's digest.
+    #[error("version {0} has another digest than its text")]
+    Digest(u64),
+    /// The text has errors, as seen by this release.
+    #[error("version {0} has {n} errors, the first at {first}",
+        n = .1.len(), first = .1.first().map(ToString::to_string).unwrap_or_default())]
+    Invalid(u64, Vec<RuleError>),
+}
+
+/// Holder of the configuration in force, fed from the store and from peers.
+#[derive(Debug, Clone, Default)]
+pub struct Holder {
+    current: Option<Arc<InForce>>,
+}
+
+impl Holder {
+    /// The configuration in force; none before the first one is known.
+    #[must_use]
+    pub fn get(&self) -> Option<Arc<InForce>> {
+        self.current.as_ref().map(Arc::clone)
+    }
+
+    /// Number of the version in force; 0 before the first one is known.
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        self.current
+            .as_ref()
+            .map_or(0, |c| c.source.version.version)
+    }
+
+    /// Puts a version in force if it is newer than the one that is.
+    ///
+    /// # Errors
+    ///
+    /// [`OfferError`] where the text is damaged or has errors.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use brassrack::rules::{Holder, Offer, Version, VersionText, digest};
+    ///
+    /// let text = String::from("service a # Ann: x\n");
+    /// let version = Version {
+    ///     version: 7,
+    ///     digest: digest(&text),
+    ///     op: "op".into(),
+    ///     author: "ann".into(),
+    ///     note: String::new(),
+    ///     at: String::new(),
+    /// };
+    /// let mut holder = Holder::default();
+    /// assert_eq!(holder.offer(VersionText { version, text }), Ok(Offer::Taken));
+    /// assert_eq!(holder.version(), 7);
+    /// ```
+    pub fn offer(&mut self, source: VersionText) -> Result<Offer, OfferError> {
+        let number = source.version.version;
+        if number <= self.version() {
+            return Ok(Offer::Stale);
+        }
+        if digest(&source.text) != source.version.digest {
+            return Err(OfferError::Digest(number));
+        }
+        let rules = Rules::parse(&source.text).map_err(|e| OfferError::Invalid(number, e))?;
+        self.current = Some(Arc::new(InForce { source, rules }));
+        Ok(Offer::Taken)
+    }
+}
--- /dev/null
+++ b/src/rules/store.rs
@@ -0,0 +1,340 @@
+//! The configuration in the platform's table service and object store.
+
+use std::sync::Arc;
+use std::time::{Duration, SystemTime};
+
+use bytes::Bytes;
+use tokio::time::{sleep, timeout};
+
+use super::version::{CURRENT_KEY, history_key, object_key};
+use super::{ApplyError, Diff, Race, Rules, StoreError, Version, VersionText, digest};
+use crate::objects::Objects;
+use crate::table::{Check, Commit, Read, Row, Table, TableError, Txn, Write};
+
+/// Row whose revision ends transactions that were sent but never answered.
+const GUARD_KEY: &str = "rules/guard";
+/// Past versions that are kept.
+const HISTORY_LENGTH: u64 = 1000;
+/// Versions that one call for the history reads at most.
+const HISTORY_PAGE: u64 = 100;
+const FIRST_BACKOFF: Duration = Duration::from_millis(50);
+const LONGEST_BACKOFF: Duration = Duration::from_secs(1);
+
+/// Time limits of the store.
+#[derive(Debug, Clone)]
+pub struct StoreSettings {
+    /// Longest time for one answer of the platform.
+    pub call: Duration,
+    /// Longest time to find out whether a change without an answer took effect.
+    pub resolve: Duration,
+}
+
+impl Default for StoreSettings {
+    fn default() -> Self {
+        Self {
+            call: Duration::from_secs(2),
+            resolve: Duration::from_secs(20),
+        }
+    }
+}
+
+/// A change of the configuration.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Proposal {
+    /// Version that the change is based on; 0 where there is none.
+    pub base: u64,
+    /// Text of the rules file.
+    pub text: String,
+    /// Who applies it.
+    pub author: String,
+    /// Why, in the author's words.
+    pub note: String,
+}
+
+/// The accepted configurations.
+#[derive(Debug, Clone)]
+pub struct RulesStore {
+    table: Arc<dyn Table>,
+    objects: Arc<dyn Objects>,
+    settings: StoreSettings,
+}
+
+/// What one snapshot of the table says.
+#[derive(Debug)]
+struct Snapshot {
+    current: Option<Version>,
+    /// Operation id of the version that the change would have.
+    next: Option<String>,
+    /// Revision of the current row.
+    revision: u64,
+    /// Revision of the guard row.
+    guard: u64,
+}
+
+impl Snapshot {
+    fn number(&self) -> u64 {
+        self.current.as_ref().map_or(0, |v| v.version)
+    }
+}
+
+impl RulesStore {
+    /// A store over the platform's services.
+    #[must_use]
+    pub fn new(table: Arc<dyn Table>, objects: Arc<dyn Objects>, settings: StoreSettings) -> Self {
+        Self {
+            table,
+            objects,
+            settings,
+        }
+    }
+
+    /// The version that was accepted last, if there is one.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError::Unavailable`] where the table service does not answer.
+    pub async fn current(&self) -> Result<Option<Version>, StoreError> {
+        let rows = self.read(vec![CURRENT_KEY.into()]).await?;
+        rows.first().map(decode).transpose()
+    }
+
+    /// The version with this number and its text.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError::NotFound`] for a number that never was or is no longer kept.
+    pub async fn fetch(&self, version: u64) -> Result<VersionText, StoreError> {
+        let rows = self.read(vec![history_key(version)]).await?;
+        let row = rows.first().ok_or(StoreError::NotFound(version))?;
+        self.text(decode(row)?).await
+    }
+
+    /// A version's text from the object store.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError::Corrupt`] where the object is missing or has another digest.
+    pub async fn text(&self, version: Version) -> Result<VersionText, StoreError> {
+        let key = object_key(&version.digest);
+        let body = timeout(self.settings.call, self.objects.get(key))
+            .await
+            .map_err(|_elapsed| StoreError::Unavailable("object store did not answer".into()))?
+            .map_err(|e| StoreError::Unavailable(e.to_string()))?
+            .ok_or_else(|| StoreError::Corrupt(version.version, "text is missing".into()))?;
+        let text = String::from_utf8(body.into())
+            .map_err(|e| StoreError::Corrupt(version.version, e.to_string()))?;
+        if digest(&text) != version.digest {
+            let cause = "text has another digest".into();
+            return Err(StoreError::Corrupt(version.version, cause));
+        }
+        Ok(VersionText { version, text })
+    }
+
+    /// The latest versions, newest first; at most a hundred.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError::Unavailable`] where the table service does not answer.
+    pub async fn history(&self, count: u64) -> Result<Vec<Version>, StoreError> {
+        let Some(current) = self.current().await? else {
+            return Ok(Vec::new());
+        };
+        let last = current.version;
+        let first = last.saturating_sub(count.clamp(1, HISTORY_PAGE) - 1).max(1);
+        let keys = (first..=last).map(history_key).collect();
+        let rows = self.read(keys).await?;
+        rows.iter().rev().map(decode).collect()
+    }
+
+    /// What changed from one version to another.
+    ///
+    /// # Errors
+    ///
+    /// Those of [`RulesStore::fetch`]; version 0 is the empty file.
+    pub async fn diff(&self, from: u64, to: u64) -> Result<Diff, StoreError> {
+        let old = self.text_or_empty(from).await?;
+        let new = self.text_or_empty(to).await?;
+        Ok(Diff::between(&old, &new))
+    }
+
+    async fn text_or_empty(&self, version: u64) -> Result<String, StoreError> {
+        if version == 0 {
+            return Ok(String::new());
+        }
+        Ok(self.fetch(version).await?.text)
+    }
+
+    /// Makes a change the current version, if its base still is.
+    ///
+    /// A text that is current already is accepted as it stands, so that a repeat is harmless.
+    /// The change is one transaction with an operation id. Where its answer is lost, the rows
+    /// are read back; it is never sent a second time.
+    ///
+    /// # Errors
+    ///
+    /// [`ApplyError`] says whether the change may have been accepted.
+    pub async fn apply(&self, proposal: Proposal) -> Result<Version, ApplyError> {
+        Rules::parse(&proposal.text).map_err(ApplyError::Invalid)?;
+        let digest = digest(&proposal.text);
+        self.put_text(&digest, &proposal.text).await?;
+        let before = self
+            .snapshot(proposal.base)
+            .await
+            .map_err(|e| ApplyError::Unavailable(e.to_string()))?;
+        if let Some(current) = before.current.as_ref().filter(|c| c.digest == digest) {
+            return Ok(current.clone());
+        }
+        if before.number() != proposal.base {
+            return Err(self.raced(proposal.base, before.current).await);
+        }
+        let version = Version {
+            version: proposal.base + 1,
+            digest,
+            op: format!("{:032x}", rand::random::<u128>()),
+            author: proposal.author,
+            note: proposal.note,
+            at: humantime::format_rfc3339_seconds(SystemTime::now()).to_string(),
+        };
+        self.commit(before, version).await
+    }
+
+    async fn put_text(&self, digest: &str, text: &str) -> Result<(), ApplyError> {
+        let body = Bytes::copy_from_slice(text.as_bytes());
+        let put = self.objects.put(object_key(digest), body);
+        match timeout(self.settings.call, put).await {
+            Ok(Ok(())) => Ok(()),
+            Ok(Err(e)) => Err(ApplyError::Unavailable(e.to_string())),
+            Err(_) => Err(ApplyError::Unavailable(
+                "object store did not answer".into(),
+            )),
+        }
+    }
+
+    async fn commit(&self, before: Snapshot, version: Version) -> Result<Version, ApplyError> {
+        let txn = change(&before, &version)?;
+        match self.send(txn).await {
+            Ok(Commit::Done(_)) => Ok(version),
+            Err(TableError::Refused(cause)) => Err(ApplyError::Unavailable(cause)),
+            Ok(Commit::Conflict(_)) | Err(TableError::Unknown(_)) => {
+                let limit = self.settings.resolve;
+                match timeout(limit, self.resolve(&before, &version)).await {
+                    Ok(outcome) => outcome,
+                    Err(_) => Err(ApplyError::Unknown(version.op)),
+                }
+            }
+        }
+    }
+
+    /// Finds out whether a transaction took effect, and ends it where it is still on its way.
+    async fn resolve(&self, before: &Snapshot, version: &Version) -> Result<Version, ApplyError> {
+        let base = before.number();
+        let mut backoff = FIRST_BACKOFF;
+        loop {
+            match self.snapshot(base).await {
+                Err(_) => {
+                    sleep(backoff).await;
+                    backoff = (backoff * 2).min(LONGEST_BACKOFF);
+                }
+                Ok(now) if now.next.as_ref() == Some(&version.op) => return Ok(version.clone()),
+                Ok(now) if now.number() != base => return Err(self.raced(base, now.current).await),
+                Ok(now) if now.guard != before.guard || now.revision != before.revision => {
+                    let cause = "the transaction had no effect; apply it again";
+                    return Err(ApplyError::Unavailable(cause.into()));
+                }
+                // Nothing happened so far. Once the guard has another revision, the transaction
+                // fails its checks whenever it arrives; the next snapshot is then final.
+                Ok(now) => {
+                    let _outcome = self.send(guard(now.guard, &version.op)).await;
+                }
+            }
+        }
+    }
+
+    async fn raced(&self, base: u64, current: Option<Version>) -> ApplyError {
+        let Some(current) = current else {
+            return ApplyError::NoSuchBase(base);
+        };
+        if current.version < base {
+            return ApplyError::NoSuchBase(base);
+        }
+        let diff = self.diff(base, current.version).await.ok();
+        ApplyError::Raced(Box::new(Race {
+            base,
+            current,
+            diff,
+        }))
+    }
+
+    async fn snapshot(&self, base: u64) -> Result<Snapshot, StoreError> {
+        let next_key = history_key(base + 1);
+        let keys = vec![CURRENT_KEY.into(), GUARD_KEY.into(), next_key.clone()];
+        let rows = self.read(keys).await?;
+        let row = |key: &str| rows.iter().find(|r| r.key == key);
+        let revision = |key| row(key).map_or(0, |r| r.revision);
+        Ok(Snapshot {
+            current: row(CURRENT_KEY).map(decode).transpose()?,
+            next: row(&next_key).map(decode).transpose()?.map(|v| v.op),
+            revision: revision(CURRENT_KEY),
+            guard: revision(GUARD_KEY),
+        })
+    }
+
+    async fn read(&self, keys: Vec<String>) -> Result<Vec<Row>, StoreError> {
+        match timeout(self.settings.call, self.table.read(Read::Keys(keys))).await {
+            Ok(rows) => rows.map_err(|e| StoreError::Unavailable(e.to_string())),
+            Err(_) => Err(StoreError::Unavailable(
+                "table service did not answer".into(),
+            )),
+        }
+    }
+
+    async fn send(&self, txn: Txn) -> Result<Commit, TableError> {
+        match timeout(self.settings.call, self.table.commit(txn)).await {
+            Ok(outcome) => outcome,
+            Err(_) => Err(TableError::Unknown("no answer in time".into())),
+        }
+    }
+}
+
+/// The transaction that makes a version the current one.
+fn change(before: &Snapshot, version: &Version) -> Result<Txn, ApplyError> {
+    let value =
+        serde_json::to_string(version).map_err(|e| ApplyError::Unavailable(e.to_string()))?;
+    let check = |key: &str, revision| Check {
+        key: key.into(),
+        revision,
+    };
+    let write = |key: String, value| Write { key, value };
+    let mut writes = vec![
+        write(CURRENT_KEY.into(), Some(value.clone())),
+        write(history_key(version.version), Some(value)),
+    ];
+    if let Some(old) = version.version.checked_sub(HISTORY_LENGTH) {
+        writes.push(write(history_key(old), None));
+    }
+    Ok(Txn {
+        checks: vec![
+            check(CURRENT_KEY, before.revision),
+            check(GUARD_KEY, before.guard),
+        ],
+        writes,
+    })
+}
+
+/// The transaction that gives the guard another revision.
+fn guard(revision: u64, op: &str) -> Txn {
+    Txn {
+        checks: vec![Check {
+            key: GUARD_KEY.into(),
+            revision,
+        }],
+        writes: vec![Write {
+            key: GUARD_KEY.into(),
+            value: Some(op.into()),
+        }],
+    }
+}
+
+fn decode(row: &Row) -> Result<Version, StoreError> {
+    serde_json::from_str(&row.value).map_err(|e| StoreError::BadRow(row.key.clone(), e.to_string()))
+}
