Whole path, thin: caller to endpoint through one daemon

Cause: contracts, decisions and stand-ins exist, but no process serves a request. Ruled out: a proxy library (not allowed, and it could not tell whether a request ran); polling the table for readiness (reports show it without a table read). Change: listener for callers, completions with cold start, relay of whole events with resumption, repeatable service calls, connections with a proof of age, keeper that reconciles servers, follower of the configuration, records, metrics and log lines.

--- /dev/null
+++ b/src/gate.rs
@@ -0,0 +1,149 @@
+//! What every request of an instance is served with.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::watch;
+use xtra::Address;
+
+use crate::clock::Clock;
+use crate::fleet::{Endpoint, Fleet, Inflight, Lost, View};
+use crate::follow::RulesWatch;
+use crate::loads::Loads;
+use crate::metrics::Metrics;
+use crate::outbound::Outbound;
+use crate::records::Records;
+use crate::rules::{InForce, Rules, Tenant};
+use crate::verdict::{Cause, Refusal};
+
+/// Bounds of a request's path.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Bounds {
+    /// Largest body of a request, in bytes.
+    pub body: usize,
+    /// Longest time for the body to arrive.
+    pub arrival: Duration,
+    /// Time to the first byte of an answer where the request names none.
+    pub timeout: Duration,
+    /// Longest time to the first byte that a request may ask for.
+    pub longest: Duration,
+    /// Longest time between two parts of a stream.
+    pub gap: Duration,
+    /// Longest wait for the head of an answer on a reused connection.
+    pub reused: Duration,
+    /// Largest answer that is held whole, in bytes.
+    pub answer: usize,
+    /// Most times that one request is sent.
+    pub attempts: usize,
+}
+
+impl Default for Bounds {
+    fn default() -> Self {
+        Self {
+            body: 4 << 20,
+            arrival: Duration::from_secs(10),
+            timeout: Duration::from_secs(30),
+            longest: Duration::from_hours(24),
+            gap: Duration::from_secs(3),
+            reused: Duration::from_secs(1),
+            answer: 16 << 20,
+            attempts: 4,
+        }
+    }
+}
+
+/// Shared by all requests of an instance.
+#[derive(Debug, Clone)]
+pub struct Gate {
+    /// Name of this instance.
+    pub name: String,
+    /// Failure domain of this instance.
+    pub domain: String,
+    /// Time.
+    pub clock: Clock,
+    /// Bounds.
+    pub bounds: Bounds,
+    /// The configuration in force.
+    pub rules: RulesWatch,
+    /// The endpoints.
+    pub view: watch::Receiver<Arc<View>>,
+    /// Owner of the view.
+    pub fleet: Address<Fleet>,
+    /// Cold starts.
+    pub loads: Loads,
+    /// Connections to endpoints.
+    pub outbound: Outbound,
+    /// Requests running from here.
+    pub inflight: Inflight,
+    /// Recent requests.
+    pub records: Records,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// Whether the instance is stopping.
+    pub stopping: watch::Receiver<bool>,
+}
+
+impl Gate {
+    /// The configuration in force.
+    ///
+    /// # Errors
+    ///
+    /// [`Cause::NotReady`] before the first one is known.
+    pub fn in_force(&self) -> Result<Arc<InForce>, Refusal> {
+        self.rules.borrow().clone().ok_or_else(|| {
+            Refusal::not_run(Cause::NotReady)
+                .detail("no configuration is in force yet")
+                .retry_after(Duration::from_secs(1))
+        })
+    }
+
+    /// The rule of a tenant.
+    ///
+    /// # Errors
+    ///
+    /// [`Cause::UnknownTenant`] where no rule names it.
+    pub fn tenant<'a>(&self, rules: &'a Rules, name: &str) -> Result<&'a Tenant, Refusal> {
+        rules.tenants.get(name).ok_or_else(|| {
+            Refusal::not_run(Cause::UnknownTenant).detail(format!("no rule names tenant '{name}'"))
+        })
+    }
+
+    /// Whether new requests are taken.
+    #[must_use]
+    pub fn ready(&self) -> bool {
+        self.rules.borrow().is_some()
+            && self.view.borrow().listed.is_some()
+            && !*self.stopping.borrow()
+    }
+
+    /// The least loaded of some endpoints, one in the same failure domain first among equals.
+    #[must_use]
+    pub fn least_loaded<'a>(
+        &self,
+        endpoints: impl Iterator<Item = &'a Endpoint>,
+        model: Option<&str>,
+    ) -> Option<Endpoint> {
+        endpoints
+            .min_by_key(|e| {
+                let resident = model.and_then(|m| e.resident(m));
+                let reported = resident.map_or(0, |r| r.running + r.queued);
+                let load = self.inflight.count(&e.listed.name).max(reported);
+                (load, e.listed.domain != self.domain)
+            })
+            .cloned()
+    }
+
+    /// Tells the fleet that an endpoint could not be reached.
+    pub async fn lost(&self, endpoint: &str) {
+        if self
+            .fleet
+            .send(Lost {
+                name: endpoint.to_owned(),
+            })
+            .await
+            .is_err()
+        {
+            log::debug!("the fleet has stopped");
+        }
+    }
+}
--- /dev/null
+++ b/src/intake.rs
@@ -0,0 +1,200 @@
+//! The listener for callers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use serde::Serialize;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, watch};
+use tokio_util::task::TaskTracker;
+
+use crate::ask::{self, Ask, Prompt};
+use crate::completions::Completion;
+use crate::gate::Gate;
+use crate::http::{self, Body};
+use crate::verdict::{Cause, Refusal};
+
+/// Pause after a failed accept, such as one for want of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Bounds of the listener.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Admittance {
+    /// Most connections at once.
+    pub connections: usize,
+    /// Largest head of a request, in bytes.
+    pub head: usize,
+    /// Longest time for the head to arrive.
+    pub arrival: Duration,
+}
+
+impl Default for Admittance {
+    fn default() -> Self {
+        Self {
+            connections: 4096,
+            head: 16 << 10,
+            arrival: Duration::from_secs(5),
+        }
+    }
+}
+
+/// Accepts callers until the instance stops, then ends its connections gracefully.
+///
+/// Returns the tracker of all open connections; it is closed once none is accepted any more.
+pub async fn run(
+    listener: TcpListener,
+    gate: Gate,
+    bounds: Admittance,
+    stop: watch::Receiver<bool>,
+) {
+    let slots = Arc::new(Semaphore::new(bounds.connections));
+    let open = TaskTracker::new();
+    let mut stopping = stop.clone();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stopping.wait_for(|s| *s) => break,
+        };
+        let Ok((stream, _)) = accepted else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let Ok(slot) = Arc::clone(&slots).try_acquire_owned() else {
+            log::warn!("too many connections; one was closed");
+            continue;
+        };
+        let connection = serve(stream, gate.clone(), bounds.clone(), stop.clone());
+        open.spawn(async move {
+            connection.await;
+            drop(slot);
+        });
+    }
+    open.close();
+    open.wait().await;
+}
+
+async fn serve(stream: TcpStream, gate: Gate, bounds: Admittance, mut stop: watch::Receiver<bool>) {
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!(error:% = error; "cannot tune a caller's connection");
+    }
+    let service = service_fn(move |request| {
+        let gate = gate.clone();
+        async move { Ok::<_, std::convert::Infallible>(answer(gate, request).await) }
+    });
+    let connection = hyper::server::conn::http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(bounds.arrival)
+        .max_buf_size(bounds.head.max(8192))
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    tokio::select! {
+        ended = connection.as_mut() => return log_end(ended),
+        _ = stop.wait_for(|s| *s) => connection.as_mut().graceful_shutdown(),
+    }
+    log_end(connection.await);
+}
+
+fn log_end(ended: hyper::Result<()>) {
+    if let Err(error) = ended {
+        log::debug!(error:% = error; "a caller's connection ended");
+    }
+}
+
+/// Answers one request of a caller.
+async fn answer(gate: Gate, request: Request<Incoming>) -> Response<Body> {
+    let method = request.method().clone();
+    let path = request.uri().path().to_owned();
+    match (&method, path.as_str()) {
+        (&Method::GET, "/healthz") => Response::new(http::full("ok\n")),
+        (&Method::GET, "/readyz") => readiness(&gate),
+        (&Method::GET, "/metrics") => metrics(&gate),
+        (&Method::GET, "/v1/models") => models(&gate),
+        (&Method::POST, "/v1/chat/completions") => completion(&gate, request).await,
+        (_, path) if path.starts_with(crate::calls::PREFIX) => {
+            crate::calls::answer(&gate, request).await
+        }
+        _ => refuse(&Refusal::not_run(Cause::Unknown).detail(format!("no such path: {path}"))),
+    }
+}
+
+fn refuse(refusal: &Refusal) -> Response<Body> {
+    http::refuse(refusal, &ask::new_id())
+}
+
+fn readiness(gate: &Gate) -> Response<Body> {
+    if gate.ready() {
+        return Response::new(http::full("ready\n"));
+    }
+    refuse(&Refusal::not_run(Cause::NotReady).retry_after(Duration::from_secs(1)))
+}
+
+fn metrics(gate: &Gate) -> Response<Body> {
+    match gate.metrics.text() {
+        Ok(text) => {
+            let mut answer = Response::new(http::full(text));
+            let kind = HeaderValue::from_static("text/plain; version=0.0.4");
+            answer.headers_mut().insert(CONTENT_TYPE, kind);
+            answer
+        }
+        Err(error) => refuse(&Refusal::not_run(Cause::NotReady).detail(error.to_string())),
+    }
+}
+
+#[derive(Serialize)]
+struct ModelList {
+    object: &'static str,
+    data: Vec<ModelEntry>,
+}
+
+#[derive(Serialize)]
+struct ModelEntry {
+    id: String,
+    object: &'static str,
+    owned_by: String,
+}
+
+fn models(gate: &Gate) -> Response<Body> {
+    let rules = match gate.in_force() {
+        Ok(rules) => rules,
+        Err(refusal) => return refuse(&refusal),
+    };
+    let entry = |(id, model): (&String, &crate::rules::Model)| ModelEntry {
+        id: id.clone(),
+        object: "model",
+        owned_by: model.engines.clone(),
+    };
+    let data = rules.rules.models.iter().map(entry).collect();
+    http::json(
+        200,
+        &ModelList {
+            object: "list",
+            data,
+        },
+    )
+}
+
+async fn completion(gate: &Gate, request: Request<Incoming>) -> Response<Body> {
+    let (head, body) = request.into_parts();
+    let ask = match Ask::read(&head.headers, &gate.bounds) {
+        Ok(ask) => ask,
+        Err(refusal) => return refuse(&refusal),
+    };
+    let id = ask.id.clone();
+    match admit(gate, ask, body).await {
+        Ok(completion) => completion.serve().await,
+        Err(refusal) => http::refuse(&refusal, &id),
+    }
+}
+
+async fn admit(gate: &Gate, ask: Ask, body: Incoming) -> Result<Completion, Refusal> {
+    let rules = gate.in_force()?;
+    gate.tenant(&rules.rules, &ask.tenant)?;
+    let body = ask::read_body(body, &gate.bounds).await?;
+    let prompt = Prompt::parse(&body)?;
+    Completion::new(gate, ask, prompt, body)
+}
--- /dev/null
+++ b/src/keeper.rs
@@ -0,0 +1,293 @@
+//! Brings the engines and the decided replicas together.
+//!
+//! Any instance may tend any server: each step is either a transaction or an order that follows
+//! from one. The home of a server does it regularly; a cold start does it while it waits.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use tokio::sync::watch;
+use tokio::time::{MissedTickBehavior, interval};
+use xtra::Address;
+
+use crate::chart::ReplicaState;
+use crate::clock::Clock;
+use crate::engine::{Engine, EngineError, Order, Report, Residency};
+use crate::fleet::{Endpoint, Fleet, Lost, Reported, View};
+use crate::follow::RulesWatch;
+use crate::placement::{
+    Meeting, PlaceError, Placed, Placement, ReconcileSettings, Step, Vacancy, Watch,
+};
+use crate::rules::Fencing;
+
+/// Longest age of a row that a server without a difference is compared with.
+const ROW_AGE: Duration = Duration::from_secs(10);
+
+/// Time before the same order is sent again.
+const RESEND: Duration = Duration::from_millis(500);
+
+/// Why a server could not be tended.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum TendError {
+    /// The engine gave no report.
+    #[error(transparent)]
+    Engine(#[from] EngineError),
+    /// A decision was not taken.
+    #[error(transparent)]
+    Place(#[from] PlaceError),
+    /// No rule names the server's service as engines.
+    #[error("no rule names these engines")]
+    NoRule,
+}
+
+#[derive(Debug, Clone, Default)]
+struct Tended {
+    watch: Watch,
+    row: Option<Placed>,
+    read: Duration,
+    sent: BTreeMap<String, Duration>,
+}
+
+/// Tends servers.
+#[derive(Debug, Clone)]
+pub struct Keeper {
+    /// Decisions.
+    pub placement: Arc<Placement>,
+    /// The engines.
+    pub engines: Arc<dyn Engine>,
+    /// Owner of the view.
+    pub fleet: Address<Fleet>,
+    /// The endpoints.
+    pub view: watch::Receiver<Arc<View>>,
+    /// The configuration in force.
+    pub rules: RulesWatch,
+    /// Time.
+    pub clock: Clock,
+    /// Bounds of the comparison.
+    pub bounds: ReconcileSettings,
+    tended: Arc<Mutex<BTreeMap<String, Tended>>>,
+}
+
+/// What a keeper needs.
+#[derive(Debug, Clone)]
+pub struct KeeperParts {
+    /// Decisions.
+    pub placement: Arc<Placement>,
+    /// The engines.
+    pub engines: Arc<dyn Engine>,
+    /// Owner of the view.
+    pub fleet: Address<Fleet>,
+    /// The endpoints.
+    pub view: watch::Receiver<Arc<View>>,
+    /// The configuration in force.
+    pub rules: RulesWatch,
+    /// Time.
+    pub clock: Clock,
+}
+
+impl Keeper {
+    /// A keeper that has tended nothing yet.
+    #[must_use]
+    pub fn new(parts: KeeperParts, bounds: ReconcileSettings) -> Self {
+        let KeeperParts {
+            placement,
+            engines,
+            fleet,
+            view,
+            rules,
+            clock,
+        } = parts;
+        Self {
+            placement,
+            engines,
+            fleet,
+            view,
+            rules,
+            clock,
+            bounds,
+            tended: Arc::default(),
+        }
+    }
+
+    /// Fetches a server's report, then takes the steps that its row asks for.
+    ///
+    /// Returns the report.
+    ///
+    /// # Errors
+    ///
+    /// [`TendError`] where the engine or the table service does not answer.
+    pub async fn tend(&self, endpoint: &Endpoint) -> Result<Report, TendError> {
+        let name = &endpoint.listed.name;
+        let report = self.report(endpoint).await?;
+        let fencing = self
+            .fencing(&endpoint.listed.service)
+            .ok_or(TendError::NoRule)?;
+        let now = self.clock.now();
+        if self.settled(name, &report, now) {
+            return Ok(report);
+        }
+        let placed = self.placement.server(name).await?;
+        let meeting = |placed: &Placed| {
+            let mut tended = self.lock();
+            let tended = tended.entry(name.clone()).or_default();
+            tended.read = now;
+            tended.row = Some(placed.clone());
+            let (row, fence) = (&placed.row, placed.fence);
+            let met = Meeting {
+                row,
+                fence,
+                report: Some(&report),
+                fencing,
+                now,
+            };
+            tended.watch.reconcile(met, self.bounds)
+        };
+        for step in meeting(&placed) {
+            self.take(endpoint, step).await?;
+        }
+        Ok(report)
+    }
+
+    /// Sends an order, unless it was sent a short time ago.
+    async fn order(&self, endpoint: &Endpoint, order: Order) -> Result<(), EngineError> {
+        let now = self.clock.now();
+        if let Some(tended) = self.lock().get_mut(&endpoint.listed.name) {
+            tended.sent.retain(|_, at| now.saturating_sub(*at) < RESEND);
+            if tended.sent.contains_key(&order.op) {
+                return Ok(());
+            }
+            tended.sent.insert(order.op.clone(), now);
+        }
+        log::info!(endpoint = endpoint.listed.name, model = order.model, op = order.op; "order {}", order.action);
+        self.engines.order(endpoint.listed.address, order).await
+    }
+
+    /// Tends the servers that `mine` picks, at intervals, until the process ends.
+    pub async fn run(self, every: Duration, mine: Arc<dyn Fn(&str) -> bool + Send + Sync>) {
+        let mut ticks = interval(every);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            let mut round = tokio::task::JoinSet::new();
+            for endpoint in self.servers().into_iter().filter(|e| mine(&e.listed.name)) {
+                let keeper = self.clone();
+                round.spawn(async move {
+                    if let Err(error) = keeper.tend(&endpoint).await {
+                        log::warn!(endpoint = endpoint.listed.name, error:% = error; "cannot tend");
+                    }
+                });
+            }
+            round.join_all().await;
+        }
+    }
+
+    /// The decided replicas of a server as last read, with their counted memory.
+    #[must_use]
+    pub fn row(&self, server: &str) -> Option<Placed> {
+        self.lock().get(server).and_then(|t| t.row.clone())
+    }
+
+    /// Listed engines.
+    #[must_use]
+    pub fn servers(&self) -> Vec<Endpoint> {
+        let rules = self.rules.borrow().clone();
+        let view = self.view.borrow();
+        let engines = |e: &&Endpoint| {
+            rules
+                .as_ref()
+                .is_some_and(|r| r.rules.engines.contains_key(&e.listed.service))
+        };
+        view.endpoints.values().filter(engines).cloned().collect()
+    }
+
+    fn fencing(&self, service: &str) -> Option<Fencing> {
+        let rules = self.rules.borrow();
+        rules.as_ref()?.rules.engines.get(service).map(|e| e.orders)
+    }
+
+    async fn report(&self, endpoint: &Endpoint) -> Result<Report, EngineError> {
+        let name = endpoint.listed.name.clone();
+        let report = self.engines.report(endpoint.listed.address).await;
+        let told = match &report {
+            Ok(report) => {
+                let (report, now) = (report.clone(), self.clock.now());
+                self.fleet.send(Reported { name, report, now }).await
+            }
+            Err(_) => self.fleet.send(Lost { name }).await,
+        };
+        if told.is_err() {
+            log::debug!("the fleet has stopped");
+        }
+        report
+    }
+
+    /// Whether a row read a short time ago shows no difference to the report.
+    fn settled(&self, name: &str, report: &Report, now: Duration) -> bool {
+        let tended = self.lock();
+        let Some(tended) = tended.get(name) else {
+            return false;
+        };
+        let Some(placed) = &tended.row else {
+            return false;
+        };
+        let fresh = now.saturating_sub(tended.read) < ROW_AGE;
+        fresh && placed.row.boot == report.boot && agrees(placed, report)
+    }
+
+    async fn take(&self, endpoint: &Endpoint, step: Step) -> Result<(), TendError> {
+        let server = endpoint.listed.name.as_str();
+        self.forget_row(server);
+        match step {
+            Step::Send(order) => self.order(endpoint, order).await?,
+            Step::Confirm { model, op } => self.placement.confirm(server, &model, &op).await?,
+            Step::Fail { model, op } => self.placement.fail(server, &model, &op).await?,
+            Step::Release { model, op } => self.placement.release(server, &model, &op).await?,
+            Step::Abandon { model, op } => self.placement.abandon(server, &model, &op).await?,
+            Step::Find(resident) => self.placement.find(server, &resident).await?,
+            Step::Reboot(boot) => {
+                self.placement
+                    .vacate(server, &Vacancy::Rebooted(boot))
+                    .await?;
+            }
+        }
+        Ok(())
+    }
+
+    fn forget_row(&self, server: &str) {
+        if let Some(tended) = self.lock().get_mut(server) {
+            tended.row = None;
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<String, Tended>> {
+        self.tended.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Whether all decided replicas are in the report as they should be, and nothing else is.
+fn agrees(placed: &Placed, report: &Report) -> bool {
+    let settled = placed
+        .row
+        .replicas
+        .iter()
+        .all(|replica| match replica.state {
+            ReplicaState::Granted => true,
+            ReplicaState::Ready => shows(report, &replica.op, Residency::Ready),
+            ReplicaState::Loading => shows(report, &replica.op, Residency::Loading),
+            ReplicaState::Unloading => shows(report, &replica.op, Residency::Unloading),
+            ReplicaState::Absent | ReplicaState::Quarantined => false,
+        });
+    settled
+        && report
+            .residents
+            .iter()
+            .all(|r| placed.row.replica(&r.model).is_some())
+}
+
+fn shows(report: &Report, op: &str, state: Residency) -> bool {
+    report
+        .residents
+        .iter()
+        .any(|r| r.op == op && r.state == state)
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,18 +4,36 @@
 //! command-line tool `brassrack`. Outside systems are met at traits: [`table::Table`],
 //! [`engine::Engine`], [`instances::Directory`] and [`objects::Objects`].
 
+pub mod ask;
+pub mod calls;
 pub mod chart;
 pub mod cli;
 pub mod clock;
 pub mod commit;
+pub mod completions;
+pub mod daemon;
 pub mod engine;
 pub mod exit_codes;
+pub mod fleet;
+pub mod follow;
+pub mod gate;
 pub mod home;
+pub mod http;
 pub mod instances;
+pub mod intake;
+pub mod keeper;
 pub mod limits;
+pub mod loads;
+pub mod logs;
+pub mod metrics;
 pub mod objects;
+pub mod outbound;
 pub mod placement;
+pub mod platform;
 pub mod policy;
+pub mod poll;
+pub mod records;
+pub mod relay;
 pub mod rules;
 pub mod settings;
 pub mod table;
--- /dev/null
+++ b/src/outbound.rs
@@ -0,0 +1,349 @@
+//! HTTP connections to endpoints and to the platform.
+//!
+//! Idle connections are kept for a short time only: one that something between the two ends has
+//! lost track of looks like any other, so age is the only proof that it still works.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::net::TcpStream;
+use tokio::time::{Instant, timeout};
+
+use crate::verdict::Verdict;
+
+/// Bounds of outgoing connections.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct OutboundSettings {
+    /// Longest time to open a connection.
+    pub connect: Duration,
+    /// Longest time that an idle connection counts as proved.
+    pub idle: Duration,
+    /// Most idle connections to one address.
+    pub kept: usize,
+    /// Longest time that sent bytes may stay unacknowledged.
+    pub unacked: Duration,
+}
+
+impl Default for OutboundSettings {
+    fn default() -> Self {
+        Self {
+            connect: Duration::from_secs(1),
+            idle: Duration::from_secs(1),
+            kept: 32,
+            unacked: Duration::from_secs(3),
+        }
+    }
+}
+
+/// Which connection a request may travel on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Freshness {
+    /// One that carried an answer a short time ago, or a new one.
+    Proved,
+    /// A new one.
+    Fresh,
+}
+
+/// Why a request has no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum SendFault {
+    /// No connection could be opened.
+    Connect,
+    /// The connection closed before the request was sent.
+    NotSent,
+    /// The connection closed after the request was sent.
+    Closed,
+    /// The head of the answer did not come in time.
+    Silent,
+    /// The answer belongs to another request.
+    Crossed,
+    /// The body of the answer ended early or was too large.
+    Body,
+}
+
+/// A request that has no whole answer.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("{fault} at {to}: {detail}")]
+pub struct SendError {
+    /// What happened.
+    pub fault: SendFault,
+    /// The other end.
+    pub to: SocketAddr,
+    /// Text of the underlying error.
+    pub detail: String,
+}
+
+impl SendError {
+    fn new(fault: SendFault, to: SocketAddr, detail: &dyn ToString) -> Self {
+        Self {
+            fault,
+            to,
+            detail: detail.to_string(),
+        }
+    }
+
+    /// Whether the request may have run.
+    #[must_use]
+    pub const fn verdict(&self) -> Verdict {
+        match self.fault {
+            SendFault::Connect | SendFault::NotSent => Verdict::NotRun,
+            SendFault::Closed | SendFault::Silent | SendFault::Crossed => Verdict::MayHaveRun,
+            SendFault::Body => Verdict::Ran,
+        }
+    }
+}
+
+/// The sending side of a connection.
+pub type Sender = SendRequest<Full<Bytes>>;
+
+#[derive(Debug)]
+struct Idle {
+    sender: Sender,
+    since: Instant,
+}
+
+/// Opens, keeps and reuses connections.
+#[derive(Debug, Clone, Default)]
+pub struct Outbound {
+    settings: OutboundSettings,
+    idle: Arc<Mutex<BTreeMap<SocketAddr, Vec<Idle>>>>,
+}
+
+/// An open connection that carries no request yet.
+#[derive(Debug)]
+pub struct Link {
+    sender: Sender,
+    to: SocketAddr,
+    reused: bool,
+}
+
+/// An answer whose body is still to be read.
+#[derive(Debug)]
+pub struct Reply {
+    /// Head and body.
+    pub response: Response<Incoming>,
+    /// The other end.
+    pub from: SocketAddr,
+    sender: Sender,
+}
+
+/// A whole answer.
+#[derive(Debug, Clone)]
+pub struct Answer {
+    /// Head.
+    pub head: hyper::http::response::Parts,
+    /// Body.
+    pub body: Bytes,
+}
+
+impl Outbound {
+    /// Connections with these bounds.
+    #[must_use]
+    pub fn new(settings: OutboundSettings) -> Self {
+        Self {
+            settings,
+            idle: Arc::default(),
+        }
+    }
+
+    /// A connection for one request.
+    ///
+    /// # Errors
+    ///
+    /// [`SendFault::Connect`] where none can be opened.
+    pub async fn open(&self, to: SocketAddr, freshness: Freshness) -> Result<Link, SendError> {
+        let pooled = match freshness {
+            Freshness::Proved => self.take(to),
+            Freshness::Fresh => None,
+        };
+        match pooled {
+            Some(sender) => Ok(Link {
+                sender,
+                to,
+                reused: true,
+            }),
+            None => Ok(Link {
+                sender: self.connect(to).await?,
+                to,
+                reused: false,
+            }),
+        }
+    }
+
+    /// Sends a request and waits for the head of the answer.
+    ///
+    /// # Errors
+    ///
+    /// [`SendError`], whose verdict tells whether the request may have run.
+    pub async fn send(
+        &self,
+        to: SocketAddr,
+        request: Request<Full<Bytes>>,
+        freshness: Freshness,
+        head: Duration,
+    ) -> Result<Reply, SendError> {
+        self.open(to, freshness).await?.send(request, head).await
+    }
+
+    /// Sends a request and reads the whole answer of at most `most` bytes.
+    ///
+    /// # Errors
+    ///
+    /// [`SendError`], whose verdict tells whether the request may have run.
+    pub async fn call(
+        &self,
+        to: SocketAddr,
+        request: Request<Full<Bytes>>,
+        freshness: Freshness,
+        limit: Duration,
+        most: usize,
+    ) -> Result<Answer, SendError> {
+        let end = Instant::now() + limit;
+        let reply = self.send(to, request, freshness, limit).await?;
+        let read = reply.read(self, most);
+        tokio::time::timeout_at(end, read)
+            .await
+            .map_err(|late| SendError::new(SendFault::Body, to, &late))?
+    }
+
+    /// Puts a connection back whose answer was read to its end.
+    pub fn put(&self, to: SocketAddr, sender: Sender) {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let list = idle.entry(to).or_default();
+        list.retain(|i| !i.sender.is_closed() && i.since.elapsed() < self.settings.idle);
+        if list.len() < self.settings.kept {
+            list.push(Idle {
+                sender,
+                since: Instant::now(),
+            });
+        }
+    }
+
+    fn take(&self, to: SocketAddr) -> Option<Sender> {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let list = idle.get_mut(&to)?;
+        while let Some(last) = list.pop() {
+            if last.since.elapsed() < self.settings.idle && last.sender.is_ready() {
+                return Some(last.sender);
+            }
+        }
+        None
+    }
+
+    async fn connect(&self, to: SocketAddr) -> Result<Sender, SendError> {
+        let failed = |e: String| SendError::new(SendFault::Connect, to, &e);
+        let stream = timeout(self.settings.connect, TcpStream::connect(to))
+            .await
+            .map_err(|late| failed(late.to_string()))?
+            .map_err(|e| failed(e.to_string()))?;
+        self.tune(&stream).map_err(|e| failed(e.to_string()))?;
+        let (sender, connection) = handshake(TokioIo::new(stream))
+            .await
+            .map_err(|e| failed(e.to_string()))?;
+        tokio::spawn(async move {
+            if let Err(error) = connection.await {
+                log::debug!(to:% = to, error:% = error; "connection ended");
+            }
+        });
+        Ok(sender)
+    }
+
+    fn tune(&self, stream: &TcpStream) -> std::io::Result<()> {
+        stream.set_nodelay(true)?;
+        let socket = SockRef::from(stream);
+        socket.set_tcp_user_timeout(Some(self.settings.unacked))?;
+        let probes = TcpKeepalive::new()
+            .with_time(self.settings.unacked)
+            .with_interval(self.settings.connect)
+            .with_retries(2);
+        socket.set_tcp_keepalive(&probes)
+    }
+}
+
+impl Reply {
+    /// Takes the answer apart; the sender keeps the connection open.
+    #[must_use]
+    pub fn into_parts(self) -> (Response<Incoming>, Sender) {
+        (self.response, self.sender)
+    }
+
+    /// Reads the whole body and gives the connection back.
+    ///
+    /// # Errors
+    ///
+    /// [`SendFault::Body`] where the body ends early or is larger than `most` bytes.
+    pub async fn read(self, pool: &Outbound, most: usize) -> Result<Answer, SendError> {
+        let from = self.from;
+        let (head, body) = self.response.into_parts();
+        let body = Limited::new(body, most)
+            .collect()
+            .await
+            .map_err(|e| SendError::new(SendFault::Body, from, &e))?
+            .to_bytes();
+        pool.put(from, self.sender);
+        Ok(Answer { head, body })
+    }
+}
+
+impl Link {
+    /// Whether the connection carried a request before.
+    #[must_use]
+    pub const fn reused(&self) -> bool {
+        self.reused
+    }
+
+    /// Sends a request and waits for the head of the answer for at most `head`.
+    ///
+    /// # Errors
+    ///
+    /// [`SendError`], whose verdict tells whether the request may have run.
+    pub async fn send(
+        self,
+        request: Request<Full<Bytes>>,
+        head: Duration,
+    ) -> Result<Reply, SendError> {
+        let to = self.to;
+        timeout(head, self.exchange(request))
+            .await
+            .map_err(|late| SendError::new(SendFault::Silent, to, &late))?
+    }
+
+    async fn exchange(mut self, mut request: Request<Full<Bytes>>) -> Result<Reply, SendError> {
+        let to = self.to;
+        crate::http::set_host(request.headers_mut(), to);
+        let asked = request.headers().get(crate::http::REQUEST_ID).cloned();
+        let response = self
+            .sender
+            .try_send_request(request)
+            .await
+            .map_err(|mut e| {
+                let unsent = e.take_message().is_some();
+                let fault = if unsent {
+                    SendFault::NotSent
+                } else {
+                    SendFault::Closed
+                };
+                SendError::new(fault, to, &e.into_error())
+            })?;
+        let echoed = response.headers().get(crate::http::REQUEST_ID);
+        if asked.is_some() && asked.as_ref() != echoed {
+            let detail = format!("the answer carries the request id {echoed:?}");
+            return Err(SendError::new(SendFault::Crossed, to, &detail));
+        }
+        Ok(Reply {
+            response,
+            from: to,
+            sender: self.sender,
+        })
+    }
+}
--- /dev/null
+++ b/src/relay.rs
@@ -0,0 +1,163 @@
+//! Passes an event stream on to its caller and resumes it where it breaks.
+//!
+//! Only whole events are passed on, so that a stream that breaks can go on at another endpoint
+//! with the next event. A stream is whole only after its end marker.
+
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Frame, Incoming};
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+
+use crate::http::Body;
+
+/// Header that asks an engine to go on after this many events.
+pub const RESUME: &str = "brassrack-resume";
+/// Last event of a whole stream.
+const END: &[u8] = b"data: [DONE]";
+/// Parts of a stream that wait for a slow caller.
+const QUEUED_PARTS: usize = 32;
+/// Largest single event, in bytes.
+const EVENT_BYTES: usize = 1 << 20;
+
+/// How one endpoint's part of a stream ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum End {
+    /// The end marker was passed on.
+    Whole,
+    /// The caller closed its connection.
+    CallerGone,
+    /// The endpoint's connection ended early.
+    Cut,
+    /// Nothing came for longer than the limit.
+    Silent,
+}
+
+/// Splits bytes into whole events.
+#[derive(Debug, Default)]
+pub struct Events {
+    rest: BytesMut,
+}
+
+impl Events {
+    /// Adds bytes and takes all events that are whole now.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// let mut events = brassrack::relay::Events::default();
+    /// assert!(events.push(b"data: a\n").is_empty());
+    /// assert_eq!(events.push(b"\ndata").as_ref(), b"data: a\n\n");
+    /// ```
+    pub fn push(&mut self, part: &[u8]) -> Bytes {
+        self.rest.extend_from_slice(part);
+        match ends(&self.rest).last() {
+            Some(end) => self.rest.split_to(end).freeze(),
+            None => Bytes::new(),
+        }
+    }
+
+    /// Bytes of an event that is not whole yet.
+    #[must_use]
+    pub fn pending(&self) -> usize {
+        self.rest.len()
+    }
+}
+
+/// Offsets right behind each blank line, which ends an event.
+fn ends(bytes: &[u8]) -> impl Iterator<Item = usize> + '_ {
+    bytes
+        .iter()
+        .enumerate()
+        .filter(|(_, b)| **b == b'\n')
+        .filter_map(|(at, _)| {
+            let rest = bytes.get(at + 1..)?;
+            match rest {
+                [b'\n', ..] => Some(at + 2),
+                [b'\r', b'\n', ..] => Some(at + 3),
+                _ => None,
+            }
+        })
+}
+
+/// The caller's side of a stream.
+#[derive(Debug)]
+pub struct Outlet {
+    parts: mpsc::Sender<Result<Frame<Bytes>, std::io::Error>>,
+    passed: u64,
+    whole: bool,
+}
+
+impl Outlet {
+    /// An outlet and the body that the caller reads.
+    #[must_use]
+    pub fn new() -> (Self, Body) {
+        let (parts, queue) = mpsc::channel(QUEUED_PARTS);
+        let stream = futures_util::stream::unfold(queue, |mut queue| async move {
+            queue.recv().await.map(|part| (part, queue))
+        });
+        let body = StreamBody::new(stream).boxed_unsync();
+        (
+            Self {
+                parts,
+                passed: 0,
+                whole: false,
+            },
+            body,
+        )
+    }
+
+    /// Events passed on so far.
+    #[must_use]
+    pub const fn passed(&self) -> u64 {
+        self.passed
+    }
+
+    /// Passes whole events on; false where the caller is gone.
+    pub async fn pass(&mut self, events: Bytes) -> bool {
+        self.passed += ends(&events).count() as u64;
+        self.whole |= events.windows(END.len()).any(|w| w == END);
+        self.parts.send(Ok(Frame::data(events))).await.is_ok()
+    }
+
+    /// Waits until the caller closes its connection.
+    pub async fn closed(&self) {
+        self.parts.closed().await;
+    }
+
+    /// Reads one endpoint's body to its end.
+    ///
+    /// `on_gap` is told the time between parts.
+    pub async fn pump(
+        &mut self,
+        body: &mut Incoming,
+        limit: Duration,
+        on_gap: &(dyn Fn(Duration) + Send + Sync),
+    ) -> End {
+        let mut events = Events::default();
+        loop {
+            let since = tokio::time::Instant::now();
+            let frame = tokio::select! {
+                frame = timeout(limit, body.frame()) => frame,
+                () = self.parts.closed() => return End::CallerGone,
+            };
+            let part = match frame {
+                Err(_late) => return End::Silent,
+                Ok(None) if self.whole => return End::Whole,
+                Ok(None | Some(Err(_))) => return End::Cut,
+                Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
+            };
+            on_gap(since.elapsed());
+            let whole = events.push(&part);
+            if events.pending() > EVENT_BYTES {
+                return End::Cut;
+            }
+            if !whole.is_empty() && !self.pass(whole).await {
+                return End::CallerGone;
+            }
+        }
+    }
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -13,12 +13,12 @@
     u64::try_from(brassrack::clock::Clock::Boot.now().as_millis()).unwrap_or(u64::MAX)
 }
 
-mod line;
 pub mod answer;
 pub mod client;
 pub mod engine;
 pub mod fault;
 pub mod http;
+mod line;
 pub mod list;
 pub mod memory_engine;
 pub mod process;
