--- a/standins/src/client.rs
+++ b/standins/src/client.rs
@@ -12,6 +12,8 @@
 use serde_json::Value;
 use tokio::net::TcpStream;
 
+use crate::fault::Fault;
+
 /// Longest time that a call may take.
 const CALL_LIMIT: Duration = Duration::from_mins(1);
 
@@ -30,6 +32,9 @@
     /// The answer did not come in time.
     #[error("no answer in time")]
     Timeout(#[from] tokio::time::error::Elapsed),
+    /// The other side refused.
+    #[error("refused: {0}")]
+    Refused(String),
 }
 
 /// A request to send.
@@ -192,3 +197,26 @@
     })
     .await?
 }
+
+/// Sets a fault at a stand-in; the query limits it, such as `path=/v1/orders&count=1`.
+///
+/// # Errors
+///
+/// [`CallError`] where the stand-in does not confirm.
+pub async fn set_fault(to: SocketAddr, query: &str, fault: Fault) -> Result<(), CallError> {
+    let body = serde_json::json!(fault).to_string();
+    let reply = call(to, &Ask::put(format!("/fault?{query}"), body)).await?;
+    if reply.status == StatusCode::OK {
+        return Ok(());
+    }
+    Err(CallError::Refused(reply.text()))
+}
+
+/// Fetches what really happened at a stand-in, as its ledger's JSON.
+///
+/// # Errors
+///
+/// [`CallError`] where the stand-in does not answer.
+pub async fn ledger(to: SocketAddr) -> Result<Value, CallError> {
+    Ok(call(to, &Ask::get("/ledger")).await?.json())
+}
--- a/standins/src/engine.rs
+++ b/standins/src/engine.rs
@@ -1,5 +1,6 @@
 //! Model engine over HTTP.
 
+mod ledger;
 mod state;
 
 use std::net::SocketAddr;
@@ -16,7 +17,7 @@
 use serde_json::{Value, json};
 use tokio::sync::{Semaphore, SemaphorePermit, mpsc};
 
-pub use state::{Change, End, Ledger, Ordered, Outcome, Run, Step};
+pub use ledger::{Change, End, Ledger, Ordered, Outcome, Run, Step};
 use state::{State, Ticket};
 
 use crate::answer::Prompt;
--- a/standins/src/process.rs
+++ b/standins/src/process.rs
@@ -54,7 +54,7 @@
     ///
     /// [`ProcessError`] where it does not get ready.
     pub fn spawn(program: &str, args: &[&str]) -> Result<Self, ProcessError> {
-        let mut child = Command::new(find(program)?)
+        let mut child = Command::new(self::program(program)?)
             .args(args)
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
@@ -239,13 +239,17 @@
 }
 
 /// Finds a program beside the current one or, for a test, one folder above.
-fn find(program: &str) -> Result<PathBuf, ProcessError> {
+///
+/// # Errors
+///
+/// [`ProcessError::Missing`] where it is not built.
+pub fn program(name: &str) -> Result<PathBuf, ProcessError> {
     let current = std::env::current_exe()?;
     current
         .ancestors()
         .skip(1)
         .take(2)
-        .map(|folder| folder.join(program))
+        .map(|folder| folder.join(name))
         .find(|path| path.is_file())
-        .ok_or_else(|| ProcessError::Missing(program.to_owned()))
+        .ok_or_else(|| ProcessError::Missing(name.to_owned()))
 }
--- a/tests/engine_contract.rs
+++ b/tests/engine_contract.rs
@@ -7,8 +7,9 @@
 
 use brassrack::engine::{Action, Order, Report, Residency};
 use brassrack_standins::answer::Prompt;
-use brassrack_standins::client::{Ask, Connection, Reply, call};
+use brassrack_standins::client::{self, Ask, Connection, Reply, call, set_fault};
 use brassrack_standins::engine::{End, Engine, Ledger, Settings, Step};
+use brassrack_standins::fault::Fault;
 use brassrack_standins::server::{Server, Standin};
 
 const GB: u64 = 1_000_000_000;
@@ -49,13 +50,7 @@
 }
 
 async fn ledger(to: SocketAddr) -> Ledger {
-    let reply = call(to, &Ask::get("/ledger")).await.unwrap();
-    serde_json::from_slice(&reply.body).unwrap()
-}
-
-async fn fault(to: SocketAddr, query: &str, fault: &str) {
-    let ask = Ask::put(format!("/fault?{query}"), fault.to_owned());
-    assert_eq!(call(to, &ask).await.unwrap().status, 200);
+    serde_json::from_value(client::ledger(to).await.unwrap()).unwrap()
 }
 
 async fn ready(to: SocketAddr, model: &str) {
@@ -223,36 +218,41 @@
 async fn faults_of_a_request() {
     // Fault, whether the request runs, and whether the caller has a whole answer of its own.
     let cases = [
-        (r#""none""#, true, true),
-        (r#""down""#, false, false),
-        (r#"{"slow":20}"#, true, true),
-        (r#""lose-answer""#, true, false),
-        (r#"{"lose-next":1}"#, true, false),
-        (r#""silent""#, false, false),
-        (r#""mute""#, true, false),
-        (r#"{"cut-after":0}"#, true, false),
-        (r#"{"cut-after":3}"#, true, false),
-        (r#""cross""#, true, false),
+        (Fault::None, true, true),
+        (Fault::Down, false, false),
+        (Fault::Slow(20), true, true),
+        (Fault::LoseAnswer, true, false),
+        (Fault::LoseNext(1), true, false),
+        (Fault::Silent, false, false),
+        (Fault::Mute, true, false),
+        (Fault::CutAfter(0), true, false),
+        (Fault::CutAfter(3), true, false),
+        (Fault::Cross, true, false),
     ];
-    for (name, runs, whole) in cases {
+    for (fault, runs, whole) in cases {
         let server = loaded(quick()).await;
         let prompt = prompt("x", true);
-        fault(server.address, "path=/v1/chat", name).await;
+        set_fault(server.address, "path=/v1/chat", fault)
+            .await
+            .unwrap();
         let ask = chat(&prompt, "r-1");
         let limit = Duration::from_secs(1);
         let reply = tokio::time::timeout(limit, call(server.address, &ask)).await;
         let own = matches!(reply, Ok(Ok(reply))
             if reply.text() == prompt.bytes() && reply.header("x-request-id") == "r-1");
-        assert_eq!(own, whole, "{name}");
+        assert_eq!(own, whole, "{fault:?}");
         let ran = !ledger(server.address).await.runs.is_empty();
-        assert_eq!(ran, runs, "{name}");
+        assert_eq!(ran, runs, "{fault:?}");
     }
 }
 
 #[tokio::test]
 async fn late_order_takes_effect_after_the_cut() {
     let server = start(quick()).await;
-    fault(server.address, "path=/v1/orders&count=1", r#"{"late":500}"#).await;
+    let once = "path=/v1/orders&count=1";
+    set_fault(server.address, once, Fault::Late(500))
+        .await
+        .unwrap();
     let body = serde_json::to_string(&order("a", 1, Action::Load, "m")).unwrap();
     let reply = call(server.address, &Ask::post("/v1/orders", body)).await;
     reply.unwrap_err();
@@ -263,7 +263,9 @@
 #[tokio::test]
 async fn crossed_answers_are_swapped() {
     let server = loaded(quick()).await;
-    fault(server.address, "path=/v1/chat", r#""cross""#).await;
+    set_fault(server.address, "path=/v1/chat", Fault::Cross)
+        .await
+        .unwrap();
     let (one, two) = (prompt("one", false), prompt("two", false));
     let (ask, other) = (chat(&one, "r-1"), chat(&two, "r-2"));
     let (first, second) = tokio::join!(call(server.address, &ask), call(server.address, &other));
@@ -279,7 +281,9 @@
     let ask = chat(&prompt("x", false), "r-1");
     let mut old = Connection::open(server.address).await.unwrap();
     assert_eq!(old.call(&ask).await.unwrap().status, 200);
-    fault(server.address, "", r#""silent-open""#).await;
+    set_fault(server.address, "", Fault::SilentOpen)
+        .await
+        .unwrap();
     let limit = Duration::from_millis(100);
     let silent = tokio::time::timeout(limit, old.call(&ask)).await;
     silent.unwrap_err();
--- a/tests/service_contract.rs
+++ b/tests/service_contract.rs
@@ -5,7 +5,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use brassrack_standins::client::{Ask, call};
+use brassrack_standins::client::{self, Ask, call, set_fault};
+use brassrack_standins::fault::Fault;
 use brassrack_standins::server::{Server, Standin};
 use brassrack_standins::service::{Ledger, Service, look_up};
 
@@ -16,8 +17,7 @@
 }
 
 async fn ledger(to: SocketAddr) -> Ledger {
-    let reply = call(to, &Ask::get("/ledger")).await.unwrap();
-    serde_json::from_slice(&reply.body).unwrap()
+    serde_json::from_value(client::ledger(to).await.unwrap()).unwrap()
 }
 
 fn order(key: &str) -> Ask {
@@ -62,24 +62,25 @@
 async fn faults_of_an_order() {
     // Fault, how often the order runs, and whether the caller has an answer with the result.
     let cases = [
-        (r#""none""#, 1, true),
-        (r#""down""#, 0, false),
-        (r#"{"slow":20}"#, 1, true),
-        (r#""lose-answer""#, 1, false),
-        (r#""silent""#, 0, false),
-        (r#""mute""#, 1, false),
-        (r#"{"cut-after":0}"#, 1, false),
-        (r#"{"late":800}"#, 0, false),
+        (Fault::None, 1, true),
+        (Fault::Down, 0, false),
+        (Fault::Slow(20), 1, true),
+        (Fault::LoseAnswer, 1, false),
+        (Fault::Silent, 0, false),
+        (Fault::Mute, 1, false),
+        (Fault::CutAfter(0), 1, false),
+        (Fault::Late(800), 0, false),
     ];
     for (fault, runs, answered) in cases {
         let server = start(false).await;
-        let ask = Ask::put("/fault?path=/orders", fault);
-        assert_eq!(call(server.address, &ask).await.unwrap().status, 200);
+        set_fault(server.address, "path=/orders", fault)
+            .await
+            .unwrap();
         let limit = Duration::from_millis(400);
         let reply = tokio::time::timeout(limit, call(server.address, &order("k"))).await;
         let done = matches!(reply, Ok(Ok(reply)) if reply.status == 201);
-        assert_eq!(done, answered, "{fault}");
+        assert_eq!(done, answered, "{fault:?}");
         let ran = ledger(server.address).await.runs("/orders", "k");
-        assert_eq!(ran, runs, "{fault}");
+        assert_eq!(ran, runs, "{fault:?}");
     }
 }
