Engine stand-in resumes a stream after a number of events

Cause: a stream that breaks is to go on at another endpoint without a repeated token. Ruled out: resuming by token offset in the body (the body goes to the engine unread). Change: `brassrack-resume: N` skips the first N events; the rack's daemons log warnings only. Conclusion: a resumed stream can be checked for every byte.

--- a/standins/src/engine.rs
+++ b/standins/src/engine.rs
@@ -22,7 +22,7 @@
 
 use crate::answer::Prompt;
 use crate::client::{Ask, call};
-use crate::http::{Answer, Call, REQUEST_ID, answer, failure, json_answer, not_run};
+use crate::http::{Answer, Call, REQUEST_ID, RESUME, answer, failure, json_answer, not_run};
 use crate::server::lock;
 use crate::weights::nanos;
 
@@ -163,7 +163,9 @@
             end: End::Cut,
         };
         if prompt.stream {
-            return stream(seat, &prompt);
+            let skipped = call.header(&RESUME).parse().unwrap_or_default();
+            let events = prompt.events().into_iter().skip(skipped).collect();
+            return stream(seat, events);
         }
         plain(seat, &prompt).await
     }
@@ -216,9 +218,9 @@
     answer(StatusCode::OK, "application/json", prompt.plain().into())
 }
 
-fn stream(seat: Seat, prompt: &Prompt) -> Answer {
+fn stream(seat: Seat, events: Vec<String>) -> Answer {
     let (sender, mut receiver) = mpsc::channel(1);
-    tokio::spawn(generate(seat, prompt.events(), sender));
+    tokio::spawn(generate(seat, events, sender));
     let frames = poll_fn(move |cx| receiver.poll_recv(cx).map(|event| event.map(Ok)));
     let mut answer = Response::new(StreamBody::new(frames).boxed_unsync());
     answer
--- a/standins/src/http.rs
+++ b/standins/src/http.rs
@@ -11,6 +11,8 @@
 pub const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
 /// Header that carries the key of a call that may run only once.
 pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+/// Header that asks an engine to go on with a stream after this many events.
+pub const RESUME: HeaderName = HeaderName::from_static("brassrack-resume");
 /// Header that tells whether a failed request may have run.
 pub const VERDICT: HeaderName = HeaderName::from_static("brassrack-verdict");
 
--- a/standins/src/process.rs
+++ b/standins/src/process.rs
@@ -201,13 +201,13 @@
     /// # Errors
     ///
     /// [`ProcessError::StillRuns`] where it has not ended within the limit.
-    pub fn wait(&mut self, limit: Duration) -> Result<ExitStatus, ProcessError> {
+    pub async fn wait(&mut self, limit: Duration) -> Result<ExitStatus, ProcessError> {
         let end = Instant::now() + limit;
         while Instant::now() < end {
             if let Some(status) = self.child.try_wait()? {
                 return Ok(status);
             }
-            thread::sleep(EXIT_POLL);
+            tokio::time::sleep(EXIT_POLL).await;
         }
         Err(ProcessError::StillRuns)
     }
--- a/standins/src/rack.rs
+++ b/standins/src/rack.rs
@@ -152,6 +152,7 @@
             "name: {name}\n\
              region: {REGION}\n\
              domain: {}\n\
+             log:\n  level: warn\n\
              listen:\n  callers: 127.0.0.1:0\n  admin: 127.0.0.1:0\n  peers: 127.0.0.1:0\n\
              platform:\n  table: {}\n  list: {}\n  objects: {}\n{}",
             domain(name),
--- a/standins/src/rack/smoke.rs
+++ b/standins/src/rack/smoke.rs
@@ -6,7 +6,7 @@
 use crate::service::look_up;
 
 /// Header that names the tenant of a request.
-pub const TENANT: &str = "x-tenant";
+pub const TENANT: &str = "brassrack-tenant";
 /// Characters of an answer that are printed.
 const SHOWN: usize = 100;
 
--- a/tests/engine_contract.rs
+++ b/tests/engine_contract.rs
@@ -130,6 +130,15 @@
     }
 }
 
+#[tokio::test]
+async fn stream_goes_on_after_an_event() {
+    let server = loaded(quick()).await;
+    let prompt = prompt("a wording", true);
+    let ask = chat(&prompt, "r-1").header("brassrack-resume", "5");
+    let reply = call(server.address, &ask).await.unwrap();
+    assert_eq!(reply.text(), prompt.events()[5..].concat());
+}
+
 #[tokio::test]
 async fn model_that_is_not_ready_does_not_run() {
     let server = start(quick()).await;
