--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,14 +4,17 @@
 //! command-line tool `brassrack`. Outside systems are met at traits: [`table::Table`],
 //! [`engine::Engine`], [`instances::Directory`] and [`objects::Objects`].
 
+pub mod chart;
 pub mod cli;
 pub mod clock;
+pub mod commit;
 pub mod engine;
 pub mod exit_codes;
 pub mod home;
 pub mod instances;
 pub mod limits;
 pub mod objects;
+pub mod placement;
 pub mod policy;
 pub mod rules;
 pub mod settings;
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -15,6 +15,7 @@
 mod line;
 pub mod list;
 pub mod load;
+pub mod memory_engine;
 pub mod process;
 pub mod rack;
 pub mod server;
