--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -13,15 +13,24 @@
     u64::try_from(brassrack::clock::Clock::Boot.now().as_millis()).unwrap_or(u64::MAX)
 }
 
+
+/// Milliseconds since the machine's boot; the same in every process of the machine.
+#[must_use]
+pub fn now_ms() -> u64 {
+    u64::try_from(brassrack::clock::Clock::Boot.now().as_millis()).unwrap_or(u64::MAX)
+}
+
+mod line;
 pub mod answer;
 pub mod client;
 pub mod engine;
 pub mod fault;
 pub mod http;
-mod line;
 pub mod list;
+pub mod load;
 pub mod memory_engine;
 pub mod process;
+pub mod rack;
 pub mod server;
 pub mod service;
 pub mod store;
