--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! command-line tool `brassrack`. Outside systems are met at traits: [`table::Table`],
 //! [`engine::Engine`], [`instances::Directory`] and [`objects::Objects`].
 
+pub mod admin;
 pub mod cli;
 pub mod clock;
 pub mod engine;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -17,5 +17,5 @@
 pub use model::{
     Call, Class, Engines, Fencing, Model, Repeat, Rules, ServiceRule, Tenant, Weights,
 };
-pub use store::{Proposal, RulesStore, StoreSettings};
+pub use store::{Proposal, RulesStore, StoreSettings, operation_id};
 pub use version::{CURRENT_KEY, Version, VersionText, digest, history_key, object_key};
--- a/src/rules/store.rs
+++ b/src/rules/store.rs
@@ -49,6 +49,8 @@
     pub author: String,
     /// Why, in the author's words.
     pub note: String,
+    /// Operation id; one is made up where it is empty.
+    pub op: String,
 }
 
 /// The accepted configurations.
@@ -63,8 +65,8 @@
 #[derive(Debug)]
 struct Snapshot {
     current: Option<Version>,
-    /// Operation id of the version that the change would have.
-    next: Option<String>,
+    /// The version that follows the base.
+    next: Option<Version>,
     /// Revision of the current row.
     revision: u64,
     /// Revision of the guard row.
@@ -75,6 +77,11 @@
     fn number(&self) -> u64 {
         self.current.as_ref().map_or(0, |v| v.version)
     }
+
+    /// Whether the operation made the version that follows the base.
+    fn has(&self, op: &str) -> bool {
+        self.next.as_ref().is_some_and(|v| v.op == op)
+    }
 }
 
 impl RulesStore {
@@ -166,14 +173,18 @@
 
     /// Makes a change the current version, if its base still is.
     ///
-    /// A text that is current already is accepted as it stands, so that a repeat is harmless.
+    /// A text that is current already and an operation that was accepted before are answered
+    /// with the version that they have, so that a repeat is harmless.
     /// The change is one transaction with an operation id. Where its answer is lost, the rows
     /// are read back; it is never sent a second time.
     ///
     /// # Errors
     ///
     /// [`ApplyError`] says whether the change may have been accepted.
-    pub async fn apply(&self, proposal: Proposal) -> Result<Version, ApplyError> {
+    pub async fn apply(&self, mut proposal: Proposal) -> Result<Version, ApplyError> {
+        if proposal.op.is_empty() {
+            proposal.op = operation_id();
+        }
         Rules::parse(&proposal.text).map_err(ApplyError::Invalid)?;
         let digest = digest(&proposal.text);
         self.put_text(&digest, &proposal.text).await?;
@@ -181,8 +192,10 @@
             .snapshot(proposal.base)
             .await
             .map_err(|e| ApplyError::Unavailable(e.to_string()))?;
-        if let Some(current) = before.current.as_ref().filter(|c| c.digest == digest) {
-            return Ok(current.clone());
+        let known = before.next.as_ref().filter(|v| v.op == proposal.op);
+        let same = before.current.as_ref().filter(|v| v.digest == digest);
+        if let Some(version) = known.or(same) {
+            return Ok(version.clone());
         }
         if before.number() != proposal.base {
             return Err(self.raced(proposal.base, before.current).await);
@@ -190,7 +203,7 @@
         let version = Version {
             version: proposal.base + 1,
             digest,
-            op: format!("{:032x}", rand::random::<u128>()),
+            op: proposal.op,
             author: proposal.author,
             note: proposal.note,
             at: humantime::format_rfc3339_seconds(SystemTime::now()).to_string(),
@@ -235,7 +248,7 @@
                     sleep(backoff).await;
                     backoff = (backoff * 2).min(LONGEST_BACKOFF);
                 }
-                Ok(now) if now.next.as_ref() == Some(&version.op) => return Ok(version.clone()),
+                Ok(now) if now.has(&version.op) => return Ok(version.clone()),
                 Ok(now) if now.number() != base => return Err(self.raced(base, now.current).await),
                 Ok(now) if now.guard != before.guard || now.revision != before.revision => {
                     let cause = "the transaction had no effect; apply it again";
@@ -273,7 +286,7 @@
         let revision = |key| row(key).map_or(0, |r| r.revision);
         Ok(Snapshot {
             current: row(CURRENT_KEY).map(decode).transpose()?,
-            next: row(&next_key).map(decode).transpose()?.map(|v| v.op),
+            next: row(&next_key).map(decode).transpose()?,
             revision: revision(CURRENT_KEY),
             guard: revision(GUARD_KEY),
         })
@@ -296,6 +309,20 @@
     }
 }
 
+/// A new operation id.
+///
+/// # Examples
+///
+/// ```
+/// use brassrack::rules::operation_id;
+///
+/// assert_ne!(operation_id(), operation_id());
+/// ```
+#[must_use]
+pub fn operation_id() -> String {
+    format!("{:032x}", rand::random::<u128>())
+}
+
 /// The transaction that makes a version the current one.
 fn change(before: &Snapshot, version: &Version) -> Result<Txn, ApplyError> {
     let value =
