Add membership and the peer protocol

Cause: instances have to agree soon on who is live and which rules are in force, without a coordination service and within the control budget of a node. Ruled out: a full mesh of heartbeats at any size (the traffic of a node grows with the number of instances); one-directional links with an acknowledgement for each message (twice the messages); taking a peer's word for a death (two parts that lost each other would empty each other's views when they meet again; a death told by others is a suspicion that the member can object to). Change: a pure roster with incarnations, suspicion and objection; a ring of near and far neighbours; links framed with a length and Protocol Buffers; an actor that spreads changes, replaces silent links, sends requests again on a fresh link, and passes endpoint loads from the poller over the home of a model to the instances that want them.

--- /dev/null
+++ b/src/peers.rs
@@ -0,0 +1,23 @@
+//! Protocol between the instances: messages, links, and the actor that owns them.
+//!
+//! Each instance keeps links to a few neighbours, see [`crate::members::neighbours`]. Changes of
+//! the membership and of the version of the rules are passed on over these links; requests for
+//! one peer and endpoint loads go over a direct link, which is opened on demand.
+
+mod codec;
+mod dial;
+mod fleet;
+mod handle;
+mod inbox;
+mod link;
+mod mesh;
+pub mod message;
+mod receive;
+mod traffic;
+mod upkeep;
+
+pub use codec::{Frames, MAX_FRAME, frames};
+pub use fleet::{Fleet, FleetDelta, Load, ResidentLoad};
+pub use handle::{Inbound, MeshHandle, PeerError, Request};
+pub use mesh::{Mesh, MeshConfig, MeshSettings};
+pub use traffic::TrafficCount;
--- /dev/null
+++ b/src/peers/dial.rs
@@ -0,0 +1,137 @@
+//! Opening connections: dialing peers and accepting them.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::{SinkExt, StreamExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::time::{sleep, timeout};
+use xtra::WeakAddress;
+
+use super::codec::{Frames, HEADER, decode, encode, frames};
+use super::mesh::Mesh;
+use super::message::{Body, Frame, Hello, PROTOCOL};
+use super::traffic::Traffic;
+
+/// Longest time for a connection to open.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Longest time for the peer's first message.
+const HELLO_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Handshakes of accepted connections at once.
+const HANDSHAKES: usize = 64;
+
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
+/// Why a peer could not be dialed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum DialError {
+    /// Nobody listens at the address.
+    Refused,
+    /// No connection or no greeting in time.
+    NoAnswer,
+}
+
+/// Outcome of a dial.
+#[derive(Debug)]
+pub(super) struct Dialed {
+    pub(super) peer: String,
+    pub(super) result: Result<(Frames, Hello), DialError>,
+}
+
+/// A connection from a peer that has introduced itself.
+#[derive(Debug)]
+pub(super) struct Accepted {
+    pub(super) frames: Frames,
+    pub(super) hello: Hello,
+}
+
+/// Opens a connection and exchanges greetings.
+pub(super) async fn dial(
+    peer: String,
+    address: SocketAddr,
+    hello: Hello,
+    mesh: WeakAddress<Mesh>,
+    traffic: Traffic,
+) {
+    let result = connect(address, hello, &traffic).await;
+    drop(mesh.send(Dialed { peer, result }).detach().await);
+}
+
+async fn connect(
+    address: SocketAddr,
+    hello: Hello,
+    traffic: &Traffic,
+) -> Result<(Frames, Hello), DialError> {
+    let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
+            return Err(DialError::Refused);
+        }
+        Ok(Err(_)) | Err(_) => return Err(DialError::NoAnswer),
+    };
+    let mut frames = framed(stream).ok_or(DialError::NoAnswer)?;
+    let bytes = encode(&Frame::from(Body::Hello(hello)));
+    traffic.sent(bytes.len() + HEADER);
+    let greeting = async {
+        frames.send(bytes).await.ok()?;
+        read_hello(&mut frames, traffic).await
+    };
+    let hello = timeout(HELLO_TIMEOUT, greeting).await.unwrap_or_default();
+    hello
+        .map(|hello| (frames, hello))
+        .ok_or(DialError::NoAnswer)
+}
+
+/// Accepts connections for as long as the mesh lives.
+pub(super) async fn accept(listener: TcpListener, mesh: WeakAddress<Mesh>, traffic: Traffic) {
+    let slots = Arc::new(Semaphore::new(HANDSHAKES));
+    loop {
+        let Ok(slot) = Arc::clone(&slots).acquire_owned().await else {
+            return;
+        };
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::spawn(greet(stream, mesh.clone(), traffic.clone(), slot));
+            }
+            Err(error) => {
+                log::warn!("cannot accept a peer's connection: {error}");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn greet(
+    stream: TcpStream,
+    mesh: WeakAddress<Mesh>,
+    traffic: Traffic,
+    slot: OwnedSemaphorePermit,
+) {
+    let Some(mut frames) = framed(stream) else {
+        return;
+    };
+    let hello = timeout(HELLO_TIMEOUT, read_hello(&mut frames, &traffic)).await;
+    drop(slot);
+    if let Ok(Some(hello)) = hello {
+        drop(mesh.send(Accepted { frames, hello }).detach().await);
+    }
+}
+
+fn framed(stream: TcpStream) -> Option<Frames> {
+    stream.set_nodelay(true).ok()?;
+    Some(frames(stream))
+}
+
+async fn read_hello(frames: &mut Frames, traffic: &Traffic) -> Option<Hello> {
+    let bytes = frames.next().await?.ok()?;
+    traffic.received(bytes.len() + HEADER);
+    match decode(bytes)?.body? {
+        Body::Hello(hello) if hello.protocol == PROTOCOL => Some(hello),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/src/peers/fleet.rs
@@ -0,0 +1,317 @@
+//! Loads of endpoints: published by the instance that polls a server, collected at the home
+//! instance of each model, and passed on to the instances that have traffic for the model.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use super::message::{FleetUpdate, LoadUpdate};
+use crate::engine::Residency;
+use crate::home::home;
+
+/// Age after which a load that was not refreshed is dropped.
+const LOAD_AGE: Duration = Duration::from_secs(15);
+
+/// Time after which an unchanged load is sent again.
+const LOAD_REFRESH: Duration = Duration::from_secs(5);
+
+/// Age after which an interest that was not refreshed is dropped.
+const INTEREST_AGE: Duration = Duration::from_secs(30);
+
+/// State of a replica that its server holds no more.
+const GONE: u32 = 3;
+
+/// Load of one model on a polled server.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ResidentLoad {
+    /// Model or adapter.
+    pub model: String,
+    /// State.
+    pub state: Residency,
+    /// Requests running.
+    pub running: u32,
+    /// Requests queued in the engine.
+    pub queued: u32,
+}
+
+/// What the instance that polls a server reports of it; the whole list of residents each time.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct FleetDelta {
+    /// Server.
+    pub server: String,
+    /// Boot of the engine process.
+    pub boot: String,
+    /// All replicas on it.
+    pub residents: Vec<ResidentLoad>,
+}
+
+/// Load of a model on one server, as last heard.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Load {
+    /// Boot of the engine process.
+    pub boot: String,
+    /// State.
+    pub state: Residency,
+    /// Requests running.
+    pub running: u32,
+    /// Requests queued in the engine.
+    pub queued: u32,
+    /// Time at which it was heard, since the clock's origin.
+    pub heard: Duration,
+}
+
+/// Loads of the models of interest, by model and server; a hint that lags.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Fleet {
+    /// Loads.
+    pub models: BTreeMap<String, BTreeMap<String, Load>>,
+}
+
+#[derive(Debug, Clone)]
+struct Known {
+    load: LoadUpdate,
+    heard: Duration,
+}
+
+/// A model and a server that holds it.
+type Place = (String, String);
+
+/// Loads and interests at one instance.
+#[derive(Debug, Clone, Default)]
+pub(super) struct FleetTable {
+    me: String,
+    sequence: u64,
+    interest: BTreeSet<String>,
+    loads: BTreeMap<String, BTreeMap<String, Known>>,
+    subscribers: BTreeMap<String, BTreeMap<String, Duration>>,
+    published: BTreeMap<Place, (LoadUpdate, Duration)>,
+    outbox: BTreeMap<String, BTreeMap<Place, LoadUpdate>>,
+    changed: bool,
+}
+
+impl FleetTable {
+    /// An empty table; the first sequence number must grow with each start of the instance.
+    pub(super) fn new(me: String, sequence: u64) -> Self {
+        Self {
+            me,
+            sequence,
+            ..Self::default()
+        }
+    }
+
+    pub(super) fn set_interest(&mut self, models: BTreeSet<String>) {
+        self.changed |= self.interest != models;
+        self.interest = models;
+    }
+
+    /// Interests to send, by the home instance of the models.
+    pub(super) fn interests(&self, live: &BTreeSet<String>) -> BTreeMap<String, FleetUpdate> {
+        let mut by_home: BTreeMap<String, FleetUpdate> = BTreeMap::new();
+        for model in &self.interest {
+            let Some(peer) = home(&model_key(model), live).filter(|peer| **peer != self.me) else {
+                continue;
+            };
+            let update = by_home.entry(peer.clone()).or_default();
+            update.interest.push(model.clone());
+        }
+        by_home
+    }
+
+    /// Publishes the loads of a polled server that changed or are due for a refresh.
+    pub(super) fn publish(&mut self, delta: &FleetDelta, live: &BTreeSet<String>, now: Duration) {
+        self.sequence += 1;
+        let mut updates: Vec<LoadUpdate> = Vec::new();
+        for resident in &delta.residents {
+            updates.push(self.update_of(delta, resident));
+        }
+        for (place, (load, _)) in &self.published {
+            let kept = delta.residents.iter().any(|r| r.model == place.0);
+            if place.1 == delta.server && !kept {
+                updates.push(LoadUpdate {
+                    sequence: self.sequence,
+                    state: GONE,
+                    ..load.clone()
+                });
+            }
+        }
+        for update in updates {
+            self.publish_one(update, live, now);
+        }
+    }
+
+    /// Takes a load in and passes it on to those who want it.
+    pub(super) fn take(&mut self, load: &LoadUpdate, now: Duration) {
+        let servers = self.loads.entry(load.model.clone()).or_default();
+        let stale = servers.get(&load.server).is_some_and(|known| {
+            known.load.origin == load.origin && known.load.sequence >= load.sequence
+        });
+        if stale {
+            return;
+        }
+        if load.state == GONE {
+            servers.remove(&load.server);
+        } else {
+            let known = Known {
+                load: load.clone(),
+                heard: now,
+            };
+            servers.insert(load.server.clone(), known);
+        }
+        self.changed |= self.interest.contains(&load.model);
+        let peers: Vec<String> = self
+            .subscribers
+            .get(&load.model)
+            .map_or_else(Vec::new, |s| s.keys().cloned().collect());
+        for peer in peers.into_iter().filter(|peer| *peer != load.origin) {
+            self.queue(peer, load.clone());
+        }
+    }
+
+    /// Notes the interest of a peer; loads that it does not know yet follow.
+    pub(super) fn subscribe(&mut self, peer: &str, models: Vec<String>, now: Duration) {
+        for model in models {
+            let subscribers = self.subscribers.entry(model.clone()).or_default();
+            if subscribers.insert(peer.to_string(), now).is_some() {
+                continue;
+            }
+            let known: Vec<LoadUpdate> = self.loads.get(&model).map_or_else(Vec::new, |servers| {
+                servers.values().map(|known| known.load.clone()).collect()
+            });
+            for load in known {
+                self.queue(peer.to_string(), load);
+            }
+        }
+    }
+
+    /// Loads to send, by peer; those to peers that are not live are dropped.
+    pub(super) fn drain(&mut self, live: &BTreeSet<String>) -> BTreeMap<String, FleetUpdate> {
+        std::mem::take(&mut self.outbox)
+            .into_iter()
+            .filter(|(peer, loads)| live.contains(peer) && !loads.is_empty())
+            .map(|(peer, loads)| {
+                let update = FleetUpdate {
+                    interest: Vec::new(),
+                    loads: loads.into_values().collect(),
+                };
+                (peer, update)
+            })
+            .collect()
+    }
+
+    /// Puts back what could not be sent, unless something newer waits.
+    pub(super) fn restore(&mut self, peer: &str, update: FleetUpdate) {
+        if update.loads.is_empty() {
+            return;
+        }
+        let outbox = self.outbox.entry(peer.to_string()).or_default();
+        for load in update.loads {
+            let place = (load.model.clone(), load.server.clone());
+            outbox.entry(place).or_insert(load);
+        }
+    }
+
+    /// Drops what was not refreshed.
+    pub(super) fn expire(&mut self, now: Duration) {
+        let old = |at: Duration, age: Duration| now.saturating_sub(at) > age;
+        for servers in self.loads.values_mut() {
+            let before = servers.len();
+            servers.retain(|_, known| !old(known.heard, LOAD_AGE));
+            self.changed |= servers.len() != before;
+        }
+        for peers in self.subscribers.values_mut() {
+            peers.retain(|_, at| !old(*at, INTEREST_AGE));
+        }
+        self.loads.retain(|_, servers| !servers.is_empty());
+        self.subscribers.retain(|_, peers| !peers.is_empty());
+        self.published.retain(|_, (_, at)| !old(*at, LOAD_AGE));
+    }
+
+    /// The view of the models of interest, where it changed since the last call.
+    pub(super) fn changed_view(&mut self) -> Option<Fleet> {
+        std::mem::take(&mut self.changed).then(|| self.view())
+    }
+
+    fn view(&self) -> Fleet {
+        let wanted = self
+            .loads
+            .iter()
+            .filter(|(model, _)| self.interest.contains(*model));
+        let models = wanted
+            .map(|(model, servers)| {
+                let loads = servers
+                    .iter()
+                    .filter_map(|(server, known)| Some((server.clone(), load_of(known)?)));
+                (model.clone(), loads.collect())
+            })
+            .collect();
+        Fleet { models }
+    }
+
+    fn publish_one(&mut self, update: LoadUpdate, live: &BTreeSet<String>, now: Duration) {
+        let place = (update.model.clone(), update.server.clone());
+        let fresh = self.published.get(&place).is_some_and(|(sent, at)| {
+            let sequence = update.sequence;
+            let same = LoadUpdate {
+                sequence,
+                ..sent.clone()
+            } == update;
+            same && now.saturating_sub(*at) < LOAD_REFRESH
+        });
+        if fresh {
+            return;
+        }
+        if update.state == GONE {
+            self.published.remove(&place);
+        } else {
+            self.published.insert(place, (update.clone(), now));
+        }
+        self.take(&update, now);
+        if let Some(peer) = home(&model_key(&update.model), live) {
+            self.queue(peer.clone(), update);
+        }
+    }
+
+    fn queue(&mut self, peer: String, load: LoadUpdate) {
+        if peer == self.me {
+            return;
+        }
+        let place = (load.model.clone(), load.server.clone());
+        self.outbox.entry(peer).or_default().insert(place, load);
+    }
+
+    fn update_of(&self, delta: &FleetDelta, resident: &ResidentLoad) -> LoadUpdate {
+        LoadUpdate {
+            origin: self.me.clone(),
+            sequence: self.sequence,
+            server: delta.server.clone(),
+            boot: delta.boot.clone(),
+            model: resident.model.clone(),
+            state: match resident.state {
+                Residency::Loading => 0,
+                Residency::Ready => 1,
+                Residency::Unloading => 2,
+            },
+            running: resident.running,
+            queued: resident.queued,
+        }
+    }
+}
+
+fn load_of(known: &Known) -> Option<Load> {
+    let state = match known.load.state {
+        0 => Residency::Loading,
+        1 => Residency::Ready,
+        2 => Residency::Unloading,
+        _ => return None,
+    };
+    Some(Load {
+        boot: known.load.boot.clone(),
+        state,
+        running: known.load.running,
+        queued: known.load.queued,
+        heard: known.heard,
+    })
+}
+
+fn model_key(model: &str) -> String {
+    format!("model/{model}")
+}
--- /dev/null
+++ b/src/peers/inbox.rs
@@ -0,0 +1,158 @@
+//! Messages that the actor handles.
+
+use std::time::Duration;
+
+use xtra::{Context, Handler};
+
+use super::dial::{Accepted, DialError, Dialed};
+use super::handle::{Announce, Ask, Leave, PeerError, Publish, SetInterest};
+use super::link::{Arrived, Closed};
+use super::mesh::{Mesh, Pending};
+use super::message::Frame;
+use super::receive::Answer;
+use super::upkeep::{Seeded, Tick};
+
+/// Open requests to peers at most.
+const OPEN_ASKS: usize = 4096;
+
+/// Time after which a request on a link that went quiet is sent again on a fresh one.
+const RESEND: Duration = Duration::from_secs(1);
+
+impl Handler<Accepted> for Mesh {
+    type Return = ();
+
+    async fn handle(&mut self, message: Accepted, _: &mut Context<Self>) {
+        self.add_link(message.frames, message.hello, false);
+    }
+}
+
+impl Handler<Dialed> for Mesh {
+    type Return = ();
+
+    async fn handle(&mut self, message: Dialed, _: &mut Context<Self>) {
+        let result = message.result.map(|(frames, hello)| {
+            let name = hello.member.as_ref().map(|m| m.name.clone());
+            self.add_link(frames, hello, true);
+            name
+        });
+        match result {
+            Ok(name) if name.as_ref() == Some(&message.peer) => {
+                self.dials.remove(&message.peer);
+            }
+            Ok(_) => self.dial_failed(&message.peer, DialError::Refused),
+            Err(error) => self.dial_failed(&message.peer, error),
+        }
+    }
+}
+
+impl Handler<Arrived> for Mesh {
+    type Return = ();
+
+    async fn handle(&mut self, message: Arrived, _: &mut Context<Self>) {
+        self.receive(message.link, message.frame);
+    }
+}
+
+impl Handler<Closed> for Mesh {
+    type Return = ();
+
+    async fn handle(&mut self, message: Closed, _: &mut Context<Self>) {
+        self.drop_link(message.0);
+    }
+}
+
+impl Handler<Tick> for Mesh {
+    type Return = ();
+
+    async fn handle(&mut self, _: Tick, _: &mut Context<Self>) {
+        self.upkeep();
+    }
+}
+
+impl Handler<Seeded> for Mesh {
+    type Return = ();
+
+    async fn handle(&mut self, message: Seeded, _: &mut Context<Self>) {
+        let changed = self.roster.seed(&message.0, self.clock.now());
+        self.spread(&changed, None);
+    }
+}
+
+impl Handler<Answer> for Mesh {
+    type Return = ();
+
+    async fn handle(&mut self, message: Answer, _: &mut Context<Self>) {
+        self.answer(message.link, message.call, message.body);
+    }
+}
+
+impl Handler<Ask> for Mesh {
+    type Return = ();
+
+    async fn handle(&mut self, message: Ask, _: &mut Context<Self>) {
+        let refusal =
+            if message.peer == self.roster.me().name || self.roster.get(&message.peer).is_none() {
+                Some(PeerError::Unknown)
+            } else {
+                (self.pending.len() >= OPEN_ASKS).then_some(PeerError::Overload)
+            };
+        if let Some(error) = refusal {
+            drop(message.reply.send(Err(error)));
+            return;
+        }
+        let now = self.clock.now();
+        self.last_call += 1;
+        let call = self.last_call;
+        let body = Some(message.body);
+        let pending = Pending {
+            peer: message.peer,
+            frame: Frame { call, body },
+            reply: message.reply,
+            sent: None,
+            tried: false,
+            resend: RESEND.min(message.timeout / 2),
+            expires: now + message.timeout,
+        };
+        self.pending.insert(call, pending);
+        self.resend();
+    }
+}
+
+impl Handler<Publish> for Mesh {
+    type Return = ();
+
+    async fn handle(&mut self, message: Publish, _: &mut Context<Self>) {
+        self.fleet.publish(&message.0, &self.live, self.clock.now());
+    }
+}
+
+impl Handler<SetInterest> for Mesh {
+    type Return = ();
+
+    async fn handle(&mut self, message: SetInterest, _: &mut Context<Self>) {
+        self.fleet.set_interest(message.0);
+        self.interest_due = Duration::ZERO;
+    }
+}
+
+impl Handler<Announce> for Mesh {
+    type Return = ();
+
+    async fn handle(&mut self, message: Announce, _: &mut Context<Self>) {
+        self.learn_rules(&message.0, None);
+        if self.roster.set_rules(message.0.version) {
+            let me = self.roster.me().name.clone();
+            self.spread(&[me], None);
+        }
+    }
+}
+
+impl Handler<Leave> for Mesh {
+    type Return = ();
+
+    async fn handle(&mut self, _: Leave, _: &mut Context<Self>) {
+        self.roster.leave();
+        let me = self.roster.me().name.clone();
+        self.spread(&[me], None);
+    }
+}
--- /dev/null
+++ b/src/peers/receive.rs
@@ -0,0 +1,176 @@
+//! What the mesh does with connections and frames that arrive.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::oneshot;
+
+use super::codec::Frames;
+use super::handle::{Inbound, Request};
+use super::link::{Connection, Link, LinkId};
+use super::mesh::Mesh;
+use super::message::{Body, Frame, Hello, MemberUpdate, Members, RulesFetch, Wake, WakeReply};
+use crate::members::Member;
+use crate::verdict::Cause;
+
+/// Requests of peers that the daemon works on at most.
+const ANSWERING: usize = 1024;
+
+/// Longest time for which the daemon may work on a request of a peer.
+const ANSWER_TIMEOUT: Duration = Duration::from_mins(2);
+
+/// Answer of the daemon to a request of a peer.
+#[derive(Debug)]
+pub(super) struct Answer {
+    pub(super) link: LinkId,
+    pub(super) call: u64,
+    pub(super) body: Body,
+}
+
+impl Mesh {
+    /// Takes a connection over whose peer has introduced itself.
+    pub(super) fn add_link(&mut self, frames: Frames, hello: Hello, dialed: bool) {
+        let now = self.clock.now();
+        let update = hello.member.and_then(MemberUpdate::into_member);
+        let Some(member) = update.filter(|m| m.name != self.roster.me().name) else {
+            return;
+        };
+        self.last_link += 1;
+        let id = LinkId(self.last_link);
+        let conn = Connection {
+            frames,
+            mesh: self.address.clone(),
+            traffic: self.traffic.clone(),
+        };
+        let peer = member.name.clone();
+        let mut link = Link::open(id, peer.clone(), dialed, conn, now);
+        if !dialed {
+            link.send(Body::Hello(self.hello()).into());
+        }
+        let shares = self.ring.contains(&peer) || !self.live.contains(&peer);
+        let known = self.roster.get(&peer).map_or(0, |m| m.incarnation);
+        let outdated = member.incarnation < known;
+        let changed = self.roster.merge(member, now);
+        if !outdated {
+            self.roster.hear(&peer, now);
+        }
+        if shares && hello.digest != self.roster.digest() {
+            link.dirty = self.roster.all().map(|m| m.name.clone()).collect();
+        }
+        let known = self.rules.borrow().clone();
+        if known.version > 0 {
+            link.send(Body::Rules(known).into());
+        }
+        self.links.insert(id, link);
+        if changed {
+            self.spread(&[peer], Some(id));
+        }
+        self.resend();
+        self.flush(now);
+    }
+
+    /// Works on a frame that arrived.
+    pub(super) fn receive(&mut self, id: LinkId, frame: Frame) {
+        let now = self.clock.now();
+        let Some(link) = self.links.get_mut(&id) else {
+            return;
+        };
+        link.heard = now;
+        let peer = link.peer.clone();
+        self.roster.hear(&peer, now);
+        let Some(body) = frame.body else {
+            return;
+        };
+        if !matches!(body, Body::Heartbeat(_)) {
+            link.used = now;
+        }
+        match body {
+            Body::Hello(_) => {}
+            Body::Heartbeat(beat) => self.on_heartbeat(id, &beat),
+            Body::Members(members) => self.on_members(id, members, now),
+            Body::Rules(version) => self.learn_rules(&version, Some(id)),
+            Body::Fleet(update) => {
+                self.fleet.subscribe(&peer, update.interest, now);
+                for load in &update.loads {
+                    self.fleet.take(load, now);
+                }
+            }
+            Body::Wake(wake) => self.on_wake(id, frame.call, peer, wake),
+            Body::RulesFetch(fetch) => self.on_fetch(id, frame.call, peer, fetch),
+            Body::WakeReply(_) | Body::RulesText(_) => self.on_reply(frame.call, &peer, body),
+        }
+    }
+
+    fn on_members(&mut self, id: LinkId, members: Members, now: Duration) {
+        let updates = members.members.into_iter();
+        let changed: Vec<String> = updates
+            .filter_map(MemberUpdate::into_member)
+            .filter_map(|member: Member| {
+                let name = member.name.clone();
+                self.roster.merge(member, now).then_some(name)
+            })
+            .collect();
+        let objects = changed.contains(&self.roster.me().name);
+        self.spread(&changed, (!objects).then_some(id));
+    }
+
+    fn on_fetch(&self, id: LinkId, call: u64, from: String, fetch: RulesFetch) {
+        let (reply, answer) = oneshot::channel();
+        let request = Request::Rules(fetch, reply);
+        if self.admit(Inbound { from, request }) {
+            self.answer_later(id, call, async { answer.await.ok().map(Body::RulesText) });
+        }
+    }
+
+    fn on_reply(&mut self, call: u64, peer: &str, body: Body) {
+        if self.pending.get(&call).is_none_or(|p| p.peer != *peer) {
+            return;
+        }
+        if let Some(pending) = self.pending.remove(&call) {
+            drop(pending.reply.send(Ok(body)));
+        }
+    }
+
+    fn on_wake(&mut self, id: LinkId, call: u64, from: String, wake: Wake) {
+        let (reply, answer) = oneshot::channel();
+        let request = Request::Wake(wake, reply);
+        if self.admit(Inbound { from, request }) {
+            self.answer_later(id, call, async { answer.await.ok().map(Body::WakeReply) });
+            return;
+        }
+        let refusal = WakeReply {
+            cause: Cause::Overload.to_string(),
+            ..WakeReply::default()
+        };
+        self.answer(id, call, Body::WakeReply(refusal));
+    }
+
+    /// Hands a request to the daemon, unless it has too many.
+    fn admit(&self, inbound: Inbound) -> bool {
+        Arc::strong_count(&self.answering) <= ANSWERING && self.inbound.try_send(inbound).is_ok()
+    }
+
+    fn answer_later(
+        &self,
+        link: LinkId,
+        call: u64,
+        answer: impl Future<Output = Option<Body>> + Send + 'static,
+    ) {
+        let mesh = self.address.clone();
+        let slot = Arc::clone(&self.answering);
+        tokio::spawn(async move {
+            if let Ok(Some(body)) = tokio::time::timeout(ANSWER_TIMEOUT, answer).await {
+                drop(mesh.send(Answer { link, call, body }).detach().await);
+            }
+            drop(slot);
+        });
+    }
+
+    /// Sends the answer to a request of a peer.
+    pub(super) fn answer(&self, link: LinkId, call: u64, body: Body) {
+        let body = Some(body);
+        if let Some(link) = self.links.get(&link) {
+            link.send(Frame { call, body });
+        }
+    }
+}
