--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod list;
 pub mod load;
 pub mod memory_engine;
+pub mod meshes;
 pub mod process;
 pub mod rack;
 pub mod server;
