--- a/src/placement/change.rs
+++ b/src/placement/change.rs
@@ -54,8 +54,11 @@
         event: ReplicaEvent,
     ) -> Result<Changed, Malformed> {
         let mut draft = self.draft(snapshot, target.model)?;
-        let found = draft.server.replica(target.model);
-        let found = found.filter(|r| target.op.is_none_or(|op| op == r.op));
+        let found = match target.op {
+            Some(op) => draft.server.by_op(op),
+            None => draft.server.replica(target.model),
+        };
+        let op = found.map(|r| r.op.clone()).unwrap_or_default();
         let state = found.map_or(ReplicaState::Absent, |r| r.state);
         let next = match self.chart.step(state, event) {
             Move::To(next) => next,
@@ -74,7 +77,7 @@
             return Ok((Plan::Settled, Err(PlaceError::InUse)));
         }
         let revision = snapshot.revision(&server_key(self.server));
-        self.advance(&mut draft, target.model, next, revision);
+        self.advance(&mut draft, &op, next, revision);
         Ok((Plan::Commit(self.writes(&draft, target.model)?), Ok(())))
     }
 
@@ -85,7 +88,7 @@
         resident: &Resident,
     ) -> Result<Changed, Malformed> {
         let mut draft = self.draft(snapshot, &resident.model)?;
-        let found = draft.server.replica(&resident.model);
+        let found = draft.server.by_op(&resident.op);
         let state = found.map_or(ReplicaState::Absent, |r| r.state);
         let Move::To(next) = self.chart.step(state, ReplicaEvent::Find) else {
             return Ok((Plan::Settled, Ok(())));
@@ -103,7 +106,7 @@
         });
         draft.model.add(self.server);
         let revision = snapshot.revision(&server_key(self.server));
-        self.advance(&mut draft, &resident.model, next, revision);
+        self.advance(&mut draft, &resident.op, next, revision);
         Ok((Plan::Commit(self.writes(&draft, &resident.model)?), Ok(())))
     }
 
@@ -157,22 +160,24 @@
         ])
     }
 
-    /// Moves the model's replica to a state and keeps the counts in step.
-    fn advance(&self, draft: &mut Draft, model: &str, next: ReplicaState, revision: u64) {
+    /// Moves a replica to a state and keeps the counts in step.
+    fn advance(&self, draft: &mut Draft, op: &str, next: ReplicaState, revision: u64) {
         let replicas = &mut draft.server.replicas;
-        let Some(i) = replicas.iter().position(|r| r.model == model) else {
+        let Some(i) = replicas.iter().position(|r| r.op == op) else {
             return;
         };
         if matches!(next, ReplicaState::Absent | ReplicaState::Ready) {
-            draft.store.give_back(&replicas[i].op);
+            draft.store.give_back(op);
             replicas[i].slot = None;
         }
-        if next == ReplicaState::Absent {
-            replicas.remove(i);
-            draft.model.remove(self.server);
+        if next != ReplicaState::Absent {
+            self.enter(&mut replicas[i], next, revision);
             return;
         }
-        self.enter(&mut replicas[i], next, revision);
+        let model = replicas.remove(i).model;
+        if replicas.iter().all(|r| r.model != model) {
+            draft.model.remove(self.server);
+        }
     }
 
     fn enter(&self, replica: &mut Replica, next: ReplicaState, revision: u64) {
@@ -184,7 +189,7 @@
             let unload = self.unload;
             replica
                 .unload
-                .get_or_insert_with(|| format!("{unload}-{}", replica.model));
+                .get_or_insert_with(|| format!("{unload}-{}", replica.op));
             replica.after = revision;
         }
     }
--- a/standins/src/memory_engine.rs
+++ b/standins/src/memory_engine.rs
@@ -224,9 +224,6 @@
         let Some(endpoint) = self.endpoints.get_mut(&address) else {
             return;
         };
-        if endpoint.residents.iter().any(|r| r.model == order.model) {
-            return;
-        }
         endpoint.residents.push(Resident {
             model: order.model.clone(),
             op: order.op.clone(),
@@ -234,6 +231,7 @@
             bytes: order.bytes,
             running: 0,
             queued: 0,
+            served: 0,
         });
         let boot = endpoint.boot_id();
         let used: u64 = endpoint.residents.iter().map(|r| r.bytes).sum();
@@ -266,47 +264,63 @@
     }
 }
 
+impl MemoryEngines {
+    async fn take_order(&self, to: SocketAddr, order: Order) -> Result<(), EngineError> {
+        let effect = self.switch.next();
+        match effect {
+            Effect::Refuse => return Err(EngineError::Unreachable("fault switch".into())),
+            Effect::Hang => return std::future::pending().await,
+            _ if self.held_back(to, &order) => {
+                return Err(EngineError::Unknown("held back".into()));
+            }
+            _ => {}
+        }
+        let answer = self.lock().accept(to, &order);
+        answered(effect).await?;
+        answer
+    }
+
+    fn held_back(&self, to: SocketAddr, order: &Order) -> bool {
+        let mut state = self.lock();
+        if state.hold {
+            state.held.push((to, order.clone()));
+        }
+        state.hold
+    }
+
+    fn report_now(&self, from: SocketAddr) -> Result<Report, EngineError> {
+        let state = self.lock();
+        let endpoint = state.endpoints.get(&from).filter(|e| e.up);
+        let endpoint = endpoint.ok_or_else(|| EngineError::Unreachable("no engine".into()))?;
+        Ok(endpoint.stale.clone().unwrap_or_else(|| endpoint.report()))
+    }
+}
+
+/// What becomes of the answer to a call that took effect.
+async fn answered(effect: Effect) -> Result<(), EngineError> {
+    match effect {
+        Effect::Answer | Effect::Cross => Ok(()),
+        Effect::Refuse => Err(EngineError::Unreachable("fault switch".into())),
+        Effect::Delay(delay) => {
+            tokio::time::sleep(delay).await;
+            Ok(())
+        }
+        Effect::Lose | Effect::Late(_) | Effect::CutAfter(_) => {
+            Err(EngineError::Unknown("fault switch".into()))
+        }
+        Effect::Hang | Effect::Mute => std::future::pending().await,
+    }
+}
+
 impl Engine for MemoryEngines {
     fn order(&self, to: SocketAddr, order: Order) -> BoxFuture<'_, Result<(), EngineError>> {
-        Box::pin(async move {
-            let effect = self.switch.next();
-            match effect {
-                Effect::Refuse => return Err(EngineError::Unreachable("fault switch".into())),
-                Effect::Hang => return std::future::pending().await,
-                Effect::Answer | Effect::Delay(_) | Effect::Lose => {}
-            }
-            {
-                let mut state = self.lock();
-                if state.hold {
-                    state.held.push((to, order));
-                    return Err(EngineError::Unknown("held back".into()));
-                }
-            }
-            let answer = self.lock().accept(to, &order);
-            match effect {
-                Effect::Lose => Err(EngineError::Unknown("fault switch".into())),
-                Effect::Delay(delay) => {
-                    tokio::time::sleep(delay).await;
-                    answer
-                }
-                _ => answer,
-            }
-        })
+        Box::pin(self.take_order(to, order))
     }
 
     fn report(&self, from: SocketAddr) -> BoxFuture<'_, Result<Report, EngineError>> {
         Box::pin(async move {
-            match self.switch.next() {
-                Effect::Refuse => return Err(EngineError::Unreachable("fault switch".into())),
-                Effect::Hang => return std::future::pending().await,
-                Effect::Lose => return Err(EngineError::Unknown("fault switch".into())),
-                Effect::Delay(delay) => tokio::time::sleep(delay).await,
-                Effect::Answer => {}
-            }
-            let state = self.lock();
-            let endpoint = state.endpoints.get(&from).filter(|e| e.up);
-            let endpoint = endpoint.ok_or_else(|| EngineError::Unreachable("no engine".into()))?;
-            Ok(endpoint.stale.clone().unwrap_or_else(|| endpoint.report()))
+            answered(self.switch.next()).await?;
+            self.report_now(from)
         })
     }
 }
