--- a/src/placement/reconcile.rs
+++ b/src/placement/reconcile.rs
@@ -71,10 +71,15 @@
     }
 }
 
-/// Since when replicas have been absent, by the observer's own clock.
+/// What one observer saw in a server's reports, by its own clock.
 #[derive(Debug, Clone, Default)]
 pub struct Watch {
+    /// Boot id in the last report.
+    boot: String,
+    /// Since when decided replicas have been absent.
     absent: BTreeMap<Sighting, Duration>,
+    /// Since when undecided replicas have been there, by operation id.
+    strange: BTreeMap<String, Duration>,
 }
 
 /// A replica in one state that is not where it should be.
@@ -109,12 +114,13 @@
             return self.expire(met, settings);
         };
         if report.boot != met.row.boot {
-            return vec![Step::Reboot(report.boot.clone())];
+            return self.reboot(met, report);
         }
+        self.boot.clone_from(&report.boot);
         let mut steps = Vec::new();
         let mut absent = BTreeMap::new();
         for replica in &met.row.replicas {
-            let resident = report.residents.iter().find(|r| r.model == replica.model);
+            let resident = report.residents.iter().find(|r| r.op == replica.op);
             let gone = self.absence(met, replica, resident, &mut absent);
             let step = match replica.state {
                 ReplicaState::Absent | ReplicaState::Granted => None,
@@ -127,10 +133,45 @@
             };
             steps.extend(step);
         }
-        let decided = |r: &&Resident| met.row.replica(&r.model).is_none();
-        let found = report.residents.iter().filter(decided).cloned();
-        steps.extend(found.map(Step::Find));
         self.absent = absent;
+        steps.extend(self.strangers(met, report, settings));
+        steps
+    }
+
+    /// A changed boot id must stand in two reports, as one may be older than the row.
+    fn reboot(&mut self, met: Meeting<'_>, report: &Report) -> Vec<Step> {
+        let again = self.boot == report.boot;
+        self.boot.clone_from(&report.boot);
+        if again || met.row.boot.is_empty() {
+            return vec![Step::Reboot(report.boot.clone())];
+        }
+        Vec::new()
+    }
+
+    /// Replicas that nothing decided.
+    ///
+    /// Their unload goes by model; so beside a decided replica of the same model one must be seen
+    /// for longer than a report may lag, lest an old report costs a good replica.
+    fn strangers(
+        &mut self,
+        met: Meeting<'_>,
+        report: &Report,
+        settings: ReconcileSettings,
+    ) -> Vec<Step> {
+        let mut strange = BTreeMap::new();
+        let mut steps = Vec::new();
+        for resident in &report.residents {
+            if met.row.by_op(&resident.op).is_some() {
+                continue;
+            }
+            let since = self.strange.get(&resident.op).copied().unwrap_or(met.now);
+            strange.insert(resident.op.clone(), since);
+            let alone = met.row.replica(&resident.model).is_none();
+            if alone || met.now.saturating_sub(since) > settings.lag {
+                steps.push(Step::Find(resident.clone()));
+            }
+        }
+        self.strange = strange;
         steps
     }
 
@@ -142,12 +183,7 @@
         resident: Option<&Resident>,
         absent: &mut BTreeMap<Sighting, Duration>,
     ) -> Option<Duration> {
-        // A load under another id does not stand for this one; what leaves goes by model.
-        let leaves = matches!(
-            replica.state,
-            ReplicaState::Unloading | ReplicaState::Quarantined
-        );
-        if resident.is_some_and(|r| leaves || r.op == replica.op) {
+        if resident.is_some() {
             return None;
         }
         let sighting = Sighting {
@@ -186,8 +222,7 @@
 ) -> Option<Step> {
     let model = replica.model.clone();
     let op = replica.op.clone();
-    let own = resident.filter(|r| r.op == replica.op);
-    match own.map(|r| r.state) {
+    match resident.map(|r| r.state) {
         Some(Residency::Ready) => return Some(Step::Confirm { model, op }),
         Some(Residency::Loading | Residency::Unloading) => return None,
         None => {}
--- a/src/placement/rows.rs
+++ b/src/placement/rows.rs
@@ -78,10 +78,24 @@
         self.replicas.iter().map(|r| r.bytes).sum()
     }
 
-    /// The replica of a model.
+    /// The replica of a model that serves now or soonest.
     #[must_use]
     pub fn replica(&self, model: &str) -> Option<&Replica> {
-        self.replicas.iter().find(|r| r.model == model)
+        let usable = |state| match state {
+            ReplicaState::Ready => 4,
+            ReplicaState::Loading => 3,
+            ReplicaState::Granted => 2,
+            ReplicaState::Unloading => 1,
+            ReplicaState::Absent | ReplicaState::Quarantined => 0,
+        };
+        let of_model = self.replicas.iter().filter(|r| r.model == model);
+        of_model.max_by_key(|r| usable(r.state))
+    }
+
+    /// The replica that a load order brought or is to bring.
+    #[must_use]
+    pub fn by_op(&self, op: &str) -> Option<&Replica> {
+        self.replicas.iter().find(|r| r.op == op)
     }
 
     /// Whether an adapter of a base model is counted.
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -7,25 +7,12 @@
 //! [`fault::Fault`] as JSON for the next `N` calls (all, without a count) under the path prefix
 //! (any, without one), and `GET /ledger`, which tells what really happened.
 
-/// Milliseconds since the machine's boot; the same in every process of the machine.
-#[must_use]
-pub fn now_ms() -> u64 {
-    u64::try_from(brassrack::clock::Clock::Boot.now().as_millis()).unwrap_or(u64::MAX)
-}
-
-
-/// Milliseconds since the machine's boot; the same in every process of the machine.
-#[must_use]
-pub fn now_ms() -> u64 {
-    u64::try_from(brassrack::clock::Clock::Boot.now().as_millis()).unwrap_or(u64::MAX)
-}
-
-mod line;
 pub mod answer;
 pub mod client;
 pub mod engine;
 pub mod fault;
 pub mod http;
+mod line;
 pub mod list;
 pub mod load;
 pub mod memory_engine;
@@ -37,3 +24,9 @@
 pub mod store;
 pub mod table;
 pub mod weights;
+
+/// Milliseconds since the machine's boot; the same in every process of the machine.
+#[must_use]
+pub fn now_ms() -> u64 {
+    u64::try_from(brassrack::clock::Clock::Boot.now().as_millis()).unwrap_or(u64::MAX)
+}
