Order a load right after its decision

Cause: the keeper compares a report with a cached row for up to 10 s; a decision taken by a cold start of the same instance left that row in place, so row and report agreed and no step was due. Ruled out: a slow table service (commits took under 1 ms) and a slow engine (the transfer took 0.9 s once ordered). Change: a reservation drops the cached row of its server.

--- a/src/keeper.rs
+++ b/src/keeper.rs
@@ -188,6 +188,13 @@
         self.lock().get(server).and_then(|t| t.row.clone())
     }
 
+    /// Reads the server's row again the next time, because a decision has changed it.
+    pub fn forget_row(&self, server: &str) {
+        if let Some(tended) = self.lock().get_mut(server) {
+            tended.row = None;
+        }
+    }
+
     /// Listed engines.
     #[must_use]
     pub fn servers(&self) -> Vec<Endpoint> {
@@ -254,12 +261,6 @@
         Ok(())
     }
 
-    fn forget_row(&self, server: &str) {
-        if let Some(tended) = self.lock().get_mut(server) {
-            tended.row = None;
-        }
-    }
-
     fn lock(&self) -> MutexGuard<'_, BTreeMap<String, Tended>> {
         self.tended.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/src/loads/job.rs
+++ b/src/loads/job.rs
@@ -118,7 +118,10 @@
                 adapters: rules.weights.adapters,
             };
             match self.placement.reserve(&ask).await {
-                Ok(reserved) => return self.locate(reserved),
+                Ok(reserved) => {
+                    self.keeper.forget_row(&reserved.server);
+                    return self.locate(reserved);
+                }
                 Err(error @ (PlaceError::NoMemory | PlaceError::NoBase)) => last = error,
                 Err(error) => return Err(refusal(&error)),
             }
