--- a/standins/src/process.rs
+++ b/standins/src/process.rs
@@ -54,7 +54,7 @@
     ///
     /// [`ProcessError`] where it does not get ready.
     pub fn spawn(program: &str, args: &[&str]) -> Result<Self, ProcessError> {
-        let mut child = Command::new(find(program)?)
+        let mut child = Command::new(self::program(program)?)
             .args(args)
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
@@ -201,13 +201,13 @@
     /// # Errors
     ///
     /// [`ProcessError::StillRuns`] where it has not ended within the limit.
-    pub fn wait(&mut self, limit: Duration) -> Result<ExitStatus, ProcessError> {
+    pub async fn wait(&mut self, limit: Duration) -> Result<ExitStatus, ProcessError> {
         let end = Instant::now() + limit;
         while Instant::now() < end {
             if let Some(status) = self.child.try_wait()? {
                 return Ok(status);
             }
-            thread::sleep(EXIT_POLL);
+            tokio::time::sleep(EXIT_POLL).await;
         }
         Err(ProcessError::StillRuns)
     }
@@ -239,13 +239,17 @@
 }
 
 /// Finds a program beside the current one or, for a test, one folder above.
-fn find(program: &str) -> Result<PathBuf, ProcessError> {
+///
+/// # Errors
+///
+/// [`ProcessError::Missing`] where it is not built.
+pub fn program(name: &str) -> Result<PathBuf, ProcessError> {
     let current = std::env::current_exe()?;
     current
         .ancestors()
         .skip(1)
         .take(2)
-        .map(|folder| folder.join(program))
+        .map(|folder| folder.join(name))
         .find(|path| path.is_file())
-        .ok_or_else(|| ProcessError::Missing(program.to_owned()))
+        .ok_or_else(|| ProcessError::Missing(name.to_owned()))
 }
