Instances share cold starts, fleet, rules and status over the mesh

Cause: each instance polled every engine and decided alone; bursts at several instances cost one transaction race each, and polling grows with instances times engines. Ruled out: trusting a peer's word over an own report always, or never: with reports first, an instance that was home for a moment at its start kept an outdated report for 5 s and asked the home some 100 times a second (seen with three instances); what was heard last of all now counts, and an answer that shows no endpoint is followed by a pause. Conclusion: one decision a wake, one poller a server.

--- a/src/bin/brassrackd.rs
+++ b/src/bin/brassrackd.rs
@@ -61,7 +61,7 @@
 }
 
 async fn run(settings: Settings) -> ExitCode {
-    let (tell, stop) = watch::channel(false);
+    let (tell, _stop) = watch::channel(false);
     let signals = (
         signal(SignalKind::terminate()),
         signal(SignalKind::interrupt()),
@@ -78,7 +78,7 @@
         Ok(line) => println!("{line}"),
         Err(error) => return failed(&error),
     }
-    let running = daemon::run(settings, listeners, stop);
+    let running = daemon::run(settings, listeners, tell.clone());
     tokio::select! {
         ended = running => match ended {
             Ok(false) => ExitCode::Success,
--- a/src/calls.rs
+++ b/src/calls.rs
@@ -39,7 +39,6 @@
     pub(crate) body: Bytes,
     pub(crate) class: Class,
     pub(crate) record: Record,
-    pub(crate) started: Instant,
 }
 
 /// Answers a call to a plain service.
@@ -75,13 +74,9 @@
             due: ask.due.min(Instant::now() + rule.timeout),
             ..ask
         };
-        let record = Record {
-            id: ask.id.clone(),
-            tenant: ask.tenant.clone(),
-            target: format!("{service} {} {}", rule.method, rule.path),
-            ..Record::default()
-        };
         let class = tenant.class;
+        let target = format!("{service} {} {}", rule.method, rule.path);
+        let record = Record::new(&gate.name, &ask, class, target);
         let body = ask::read_body(body, &gate.bounds).await?;
         Ok(Self {
             gate: gate.clone(),
@@ -94,7 +89,6 @@
             body,
             class,
             record,
-            started: Instant::now(),
         })
     }
 
@@ -142,11 +136,14 @@
             let view = Arc::clone(&self.gate.view.borrow());
             let members = view.members(&self.service);
             let untried = members.filter(|e| !tried.contains(&e.listed.name));
-            let endpoint = self.gate.least_loaded(untried, None).ok_or_else(|| {
-                Refusal::not_run(Cause::NoEndpoint)
-                    .detail(format!("no endpoint of '{}' can be reached", self.service))
-                    .retry_after(Duration::from_secs(1))
-            })?;
+            let endpoint = self
+                .gate
+                .least_loaded(untried.map(|e| (e, 0)))
+                .ok_or_else(|| {
+                    Refusal::not_run(Cause::NoEndpoint)
+                        .detail(format!("no endpoint of '{}' can be reached", self.service))
+                        .retry_after(Duration::from_secs(1))
+                })?;
             let name = endpoint.listed.name.clone();
             match self
                 .gate
@@ -155,7 +152,7 @@
                 .await
             {
                 Ok(link) => {
-                    self.record.endpoints.push(name.clone());
+                    self.record.sent(&name);
                     let running = self.gate.inflight.start(&name);
                     return Ok((endpoint, link, running));
                 }
@@ -185,8 +182,9 @@
             })?
     }
 
-    async fn note(&self, endpoint: &Endpoint, error: &SendError, tried: &mut BTreeSet<String>) {
+    async fn note(&mut self, endpoint: &Endpoint, error: &SendError, tried: &mut BTreeSet<String>) {
         log::info!(id = self.ask.id, endpoint = endpoint.listed.name, error:% = error; "attempt failed");
+        self.record.step("failed", error.to_string());
         if error.fault == SendFault::Silent {
             return;
         }
@@ -216,26 +214,24 @@
 
     /// The answer for the caller; closes the record.
     pub(crate) fn respond(&mut self, outcome: Result<Answer, Refusal>) -> Response<Body> {
-        let elapsed = self.started.elapsed();
-        self.record.total_ms = elapsed.as_millis().try_into().unwrap_or(u64::MAX);
-        self.record.first_ms = self.record.total_ms;
-        let response = match outcome {
+        let first = self.record.answering();
+        let (response, status, refusal) = match outcome {
             Ok(answer) => {
-                self.record.status = answer.head.status.as_u16();
-                self.gate
-                    .metrics
-                    .first(&self.ask.tenant, self.class, elapsed);
+                self.gate.metrics.first(&self.ask.tenant, self.class, first);
                 self.gate.metrics.answered(&self.ask.tenant);
-                whole(&answer, &self.ask.id)
+                (
+                    whole(&answer, &self.ask.id),
+                    answer.head.status.as_u16(),
+                    None,
+                )
             }
             Err(refusal) => {
-                self.record.refuse(&refusal);
                 self.gate.metrics.refused(&self.ask.tenant, &refusal);
-                http::refuse(&refusal, &self.ask.id)
+                (http::refuse(&refusal, &self.ask.id), 0, Some(refusal))
             }
         };
-        crate::logs::request(&self.record);
-        self.gate.records.push(std::mem::take(&mut self.record));
+        let record = self.record.clone().close(status, refusal.as_ref());
+        self.gate.records.push(record);
         response
     }
 }
--- a/src/completions.rs
+++ b/src/completions.rs
@@ -9,19 +9,22 @@
 use http_body_util::Full;
 use hyper::header::{ACCEPT, CONTENT_TYPE, HeaderValue};
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::ask::{Ask, Prompt};
-use crate::fleet::{Endpoint, Running};
+use crate::fleet::{Endpoint, NotHeld, Running};
 use crate::gate::Gate;
 use crate::http::{self, Body};
-use crate::loads::Phase;
+use crate::loads::{Decider, Phase};
 use crate::outbound::{Freshness, Reply, SendError, SendFault};
 use crate::records::Record;
 use crate::relay::{End, Outlet, RESUME};
 use crate::rules::Class;
 use crate::verdict::{Cause, Refusal, Verdict};
 
+/// Pause where a replica is ready but its endpoint is not known here yet.
+const NEWS_PAUSE: Duration = Duration::from_millis(50);
+
 /// One completion on its way.
 #[derive(Debug)]
 pub struct Completion {
@@ -30,7 +33,6 @@
     prompt: Prompt,
     class: Class,
     body: Bytes,
-    started: Instant,
     tried: BTreeSet<String>,
     attempts: usize,
     worst: Verdict,
@@ -56,20 +58,14 @@
             Refusal::not_run(Cause::Unknown)
                 .detail(format!("no rule names model '{}'", prompt.model))
         })?;
-        let record = Record {
-            id: ask.id.clone(),
-            tenant: ask.tenant.clone(),
-            target: prompt.model.clone(),
-            ..Record::default()
-        };
         let class = model.class;
+        let record = Record::new(&gate.name, &ask, class, prompt.model.clone());
         Ok(Self {
             gate: gate.clone(),
             ask,
             prompt,
             class,
             body,
-            started: Instant::now(),
             tried: BTreeSet::new(),
             attempts: 0,
             worst: Verdict::NotRun,
@@ -89,7 +85,7 @@
             Err(refusal) => {
                 let refusal = self.weigh(refusal);
                 let answer = http::refuse(&refusal, &self.ask.id);
-                self.close(Some(&refusal));
+                self.close(StatusCode::OK, Some(&refusal));
                 answer
             }
         }
@@ -105,7 +101,7 @@
             }
             match self.send(&endpoint, passed).await {
                 Ok(source) if refused_before_run(&source.reply) => {
-                    self.tried.insert(endpoint.listed.name);
+                    self.not_held(endpoint.listed.name).await;
                 }
                 Ok(source) => return Ok(source),
                 Err(error) => {
@@ -116,8 +112,27 @@
         Err(self.exhausted())
     }
 
+    async fn not_held(&mut self, name: String) {
+        self.record
+            .step("refused", format!("{name} does not hold the model"));
+        let model = self.prompt.model.clone();
+        let told = self
+            .gate
+            .fleet
+            .send(NotHeld {
+                name: name.clone(),
+                model,
+            })
+            .await;
+        if told.is_err() {
+            log::debug!("the fleet has stopped");
+        }
+        self.tried.insert(name);
+    }
+
     async fn note(&mut self, endpoint: &Endpoint, error: &SendError) {
         log::info!(id = self.ask.id, endpoint = endpoint.listed.name, error:% = error; "attempt failed");
+        self.record.step("failed", error.to_string());
         self.worst = self.worst.max(error.verdict());
         match error.fault {
             SendFault::Connect | SendFault::Closed | SendFault::NotSent => {
@@ -132,15 +147,23 @@
     async fn endpoint(&mut self) -> Result<Endpoint, Refusal> {
         loop {
             if let Some(endpoint) = self.pick() {
+                self.gate
+                    .interest
+                    .touch(&self.prompt.model, self.gate.clock.now());
                 return Ok(endpoint);
             }
             if self.ask.left().is_zero() {
                 return Err(late());
             }
             let waited = Instant::now();
+            self.record.step("waiting", "for a replica");
             self.wake().await?;
+            self.tried.clear();
+            if self.pick().is_none() {
+                sleep(NEWS_PAUSE).await;
+            }
             let wait = waited.elapsed();
-            self.record.wait_ms += millis(wait);
+            self.record.wait += wait;
             self.gate.metrics.wait(&self.ask.tenant, self.class, wait);
         }
     }
@@ -152,13 +175,22 @@
             .holders(model)
             .filter(|e| !self.tried.contains(&e.listed.name));
         self.gate
-            .least_loaded(untried, Some(model))
-            .or_else(|| self.gate.least_loaded(view.holders(model), Some(model)))
+            .least_loaded(untried.map(|e| (e, view.load(e, model))))
     }
 
     /// Waits for a cold start, or refuses where it takes longer than the time left.
     async fn wake(&self) -> Result<(), Refusal> {
-        let mut phase = self.gate.loads.wake(&self.prompt.model).await?;
+        if self.gate.waiting() >= self.gate.bounds.waiting {
+            return Err(Refusal::not_run(Cause::Overload)
+                .detail("too many requests wait for a replica")
+                .retry_after(Duration::from_secs(1)));
+        }
+        let _waiting = self.gate.loads.waiters().start(&self.prompt.model);
+        let mut phase = self
+            .gate
+            .loads
+            .wake(&self.prompt.model, Decider::Home)
+            .await?;
         loop {
             let now = phase.borrow_and_update().clone();
             match now {
@@ -185,7 +217,7 @@
 
     async fn send(&mut self, endpoint: &Endpoint, passed: u64) -> Result<Source, SendError> {
         let name = &endpoint.listed.name;
-        self.record.endpoints.push(name.clone());
+        self.record.sent(name);
         let running = self.gate.inflight.start(name);
         let link = self
             .gate
@@ -237,11 +269,8 @@
                 .read(&self.gate.outbound, self.gate.bounds.answer);
             match timeout(self.ask.left(), read).await {
                 Ok(Ok(answer)) => {
-                    self.record.first_ms = millis(self.started.elapsed());
-                    self.gate
-                        .metrics
-                        .first(&self.ask.tenant, self.class, self.started.elapsed());
-                    self.close(None);
+                    self.answering();
+                    self.close(answer.head.status, None);
                     let mut response = Response::new(http::full(answer.body));
                     copy_head(&mut response, answer.head.status, &answer.head.headers);
                     http::stamp(response.headers_mut(), &self.ask.id);
@@ -279,7 +308,7 @@
             let from = source.reply.from;
             match self.pump(source, &mut outlet).await {
                 End::Whole => break None,
-                End::CallerGone => return self.close(None),
+                End::CallerGone => return self.close(StatusCode::OK, None),
                 End::Cut | End::Silent => {
                     log::info!(id = self.ask.id, passed = outlet.passed(); "stream broke at {from}");
                 }
@@ -298,7 +327,7 @@
             );
             outlet.pass(event.into()).await;
         }
-        self.close(refusal.as_ref());
+        self.close(StatusCode::OK, refusal.as_ref());
     }
 
     async fn pump(&mut self, source: Source, outlet: &mut Outlet) -> End {
@@ -306,10 +335,7 @@
         let (response, sender) = source.reply.into_parts();
         let mut body = response.into_body();
         if outlet.passed() == 0 {
-            self.record.first_ms = millis(self.started.elapsed());
-            self.gate
-                .metrics
-                .first(&self.ask.tenant, self.class, self.started.elapsed());
+            self.answering();
         }
         let (metrics, tenant, class) = (
             self.gate.metrics.clone(),
@@ -338,19 +364,19 @@
         }
     }
 
+    fn answering(&mut self) {
+        let first = self.record.answering();
+        self.gate.metrics.first(&self.ask.tenant, self.class, first);
+    }
+
     /// Writes the record, the log line and the metrics of the finished request.
-    fn close(&mut self, refusal: Option<&Refusal>) {
-        self.record.status = StatusCode::OK.as_u16();
-        self.record.total_ms = millis(self.started.elapsed());
+    fn close(&self, status: StatusCode, refusal: Option<&Refusal>) {
         match refusal {
-            Some(refusal) => {
-                self.record.refuse(refusal);
-                self.gate.metrics.refused(&self.ask.tenant, refusal);
-            }
+            Some(refusal) => self.gate.metrics.refused(&self.ask.tenant, refusal),
             None => self.gate.metrics.answered(&self.ask.tenant),
         }
-        crate::logs::request(&self.record);
-        self.gate.records.push(std::mem::take(&mut self.record));
+        let record = self.record.clone().close(status.as_u16(), refusal);
+        self.gate.records.push(record);
     }
 }
 
@@ -372,7 +398,3 @@
         response.headers_mut().insert(CONTENT_TYPE, kind.clone());
     }
 }
-
-fn millis(time: Duration) -> u64 {
-    time.as_millis().try_into().unwrap_or(u64::MAX)
-}
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -1,6 +1,6 @@
 //! What an instance knows of the endpoints.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -9,6 +9,14 @@
 
 use crate::engine::{Report, Residency, Resident};
 use crate::instances::{Listed, OWN_SERVICE, Standing};
+use crate::peers::{Fleet as Loads, Load};
+
+/// Age after which a report no longer counts.
+const REPORT_AGE: Duration = Duration::from_secs(5);
+/// Age after which a hint no longer counts.
+const HINT_AGE: Duration = Duration::from_secs(10);
+/// Time for which an endpoint that could not be reached is avoided.
+const AVOID: Duration = Duration::from_secs(1);
 
 /// An endpoint and what was last heard of it.
 #[derive(Debug, Clone)]
@@ -19,11 +27,23 @@
     pub report: Option<Report>,
     /// When the report came.
     pub seen: Duration,
-    /// Whether the last attempt to reach it failed.
+    /// Until when it is avoided after an attempt to reach it failed.
+    pub avoid: Duration,
+    /// Whether it is avoided now.
     pub lost: bool,
 }
 
 impl Endpoint {
+    const fn new(listed: Listed, now: Duration) -> Self {
+        Self {
+            listed,
+            report: None,
+            seen: now,
+            avoid: Duration::ZERO,
+            lost: false,
+        }
+    }
+
     /// Whether new work may go there.
     #[must_use]
     pub fn takes_work(&self) -> bool {
@@ -57,6 +77,19 @@
     pub instances: BTreeMap<String, Listed>,
     /// When the instance list was last read; none before the first time.
     pub listed: Option<Duration>,
+    /// Loads of servers that other instances poll.
+    pub heard: Arc<Loads>,
+    /// Servers on which a model was ready a short time ago, by model.
+    pub hints: BTreeMap<String, Hint>,
+}
+
+/// Servers that a model's home named.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Hint {
+    /// Server names.
+    pub servers: BTreeSet<String>,
+    /// When they were named.
+    pub at: Duration,
 }
 
 impl View {
@@ -71,7 +104,42 @@
     pub fn holders<'a>(&'a self, model: &'a str) -> impl Iterator<Item = &'a Endpoint> {
         self.endpoints
             .values()
-            .filter(move |e| e.takes_work() && e.holds(model))
+            .filter(move |e| e.takes_work() && self.shows(e, model))
+    }
+
+    /// Requests that an endpoint has running and queued for a model, as last heard.
+    #[must_use]
+    pub fn load(&self, endpoint: &Endpoint, model: &str) -> u32 {
+        let own = endpoint
+            .resident(model)
+            .map(|r| (endpoint.seen, r.running + r.queued));
+        let told = self
+            .told(endpoint, model)
+            .map(|l| (l.heard, l.running + l.queued));
+        own.max(told).map_or(0, |(_, load)| load)
+    }
+
+    /// Whether a model is ready, by what was heard last of all.
+    fn shows(&self, endpoint: &Endpoint, model: &str) -> bool {
+        let own = endpoint
+            .report
+            .as_ref()
+            .map(|_| (endpoint.seen, endpoint.holds(model)));
+        let told = self
+            .told(endpoint, model)
+            .map(|l| (l.heard, l.state == Residency::Ready));
+        let hint = self
+            .hints
+            .get(model)
+            .filter(|h| h.servers.contains(&endpoint.listed.name));
+        own.max(told)
+            .max(hint.map(|h| (h.at, true)))
+            .is_some_and(|(_, ready)| ready)
+    }
+
+    /// What a peer told of a model on an endpoint.
+    fn told(&self, endpoint: &Endpoint, model: &str) -> Option<&Load> {
+        self.heard.models.get(model)?.get(&endpoint.listed.name)
     }
 }
 
@@ -110,11 +178,37 @@
     pub now: Duration,
 }
 
-/// An endpoint that could not be reached.
+/// An endpoint that could not be reached at `now`.
 #[derive(Debug)]
 pub struct Lost {
     /// Name of the endpoint.
     pub name: String,
+    /// Time of the attempt.
+    pub now: Duration,
+}
+
+/// Loads of servers that other instances poll.
+#[derive(Debug)]
+pub struct Heard(pub Arc<Loads>);
+
+/// A model's home named servers at `now` on which it is ready.
+#[derive(Debug)]
+pub struct Hinted {
+    /// Model or adapter.
+    pub model: String,
+    /// Servers.
+    pub servers: BTreeSet<String>,
+    /// Time of the answer.
+    pub now: Duration,
+}
+
+/// An engine said that a model is not ready there.
+#[derive(Debug)]
+pub struct NotHeld {
+    /// Name of the endpoint.
+    pub name: String,
+    /// Model or adapter.
+    pub model: String,
 }
 
 impl Handler<Listing> for Fleet {
@@ -142,11 +236,44 @@
         self.view.send_modify(|view| {
             if let Some(endpoint) = Arc::make_mut(view).endpoints.get_mut(&message.name) {
                 endpoint.lost = true;
+                endpoint.avoid = message.now + AVOID;
             }
         });
     }
 }
 
+impl Handler<Heard> for Fleet {
+    type Return = ();
+
+    async fn handle(&mut self, message: Heard, _ctx: &mut Context<Self>) {
+        self.view
+            .send_modify(|view| Arc::make_mut(view).heard = message.0);
+    }
+}
+
+impl Handler<Hinted> for Fleet {
+    type Return = ();
+
+    async fn handle(&mut self, message: Hinted, _ctx: &mut Context<Self>) {
+        let hint = Hint {
+            servers: message.servers,
+            at: message.now,
+        };
+        self.view.send_modify(|view| {
+            Arc::make_mut(view).hints.insert(message.model, hint);
+        });
+    }
+}
+
+impl Handler<NotHeld> for Fleet {
+    type Return = ();
+
+    async fn handle(&mut self, message: NotHeld, _ctx: &mut Context<Self>) {
+        self.view
+            .send_modify(|view| Arc::make_mut(view).not_held(&message));
+    }
+}
+
 impl View {
     fn list(&mut self, listing: Listing) {
         self.listed = Some(listing.now);
@@ -161,16 +288,41 @@
                 Some(known) if known.listed.address == listed.address => {
                     Endpoint { listed, ..known }
                 }
-                _ => Endpoint {
-                    listed,
-                    report: None,
-                    seen: listing.now,
-                    lost: false,
-                },
+                _ => Endpoint::new(listed, listing.now),
             };
             self.endpoints
                 .insert(endpoint.listed.name.clone(), endpoint);
         }
+        self.expire(listing.now);
+    }
+
+    /// Drops what is too old to count.
+    fn expire(&mut self, now: Duration) {
+        for endpoint in self.endpoints.values_mut() {
+            if now.saturating_sub(endpoint.seen) > REPORT_AGE {
+                endpoint.report = None;
+            }
+            endpoint.lost &= now < endpoint.avoid;
+        }
+        self.hints
+            .retain(|_, hint| now.saturating_sub(hint.at) <= HINT_AGE);
+    }
+
+    fn not_held(&mut self, at: &NotHeld) {
+        if let Some(hint) = self.hints.get_mut(&at.model) {
+            hint.servers.remove(&at.name);
+        }
+        if let Some(report) = self
+            .endpoints
+            .get_mut(&at.name)
+            .and_then(|e| e.report.as_mut())
+        {
+            report.residents.retain(|r| r.model != at.model);
+        }
+        let heard = Arc::make_mut(&mut self.heard);
+        if let Some(servers) = heard.models.get_mut(&at.model) {
+            servers.remove(&at.name);
+        }
     }
 
     fn report(&mut self, heard: Reported) {
@@ -210,6 +362,12 @@
         self.lock().get(endpoint).copied().unwrap_or_default()
     }
 
+    /// Requests running at all endpoints.
+    #[must_use]
+    pub fn total(&self) -> u32 {
+        self.lock().values().sum()
+    }
+
     fn lock(&self) -> std::sync::MutexGuard<'_, BTreeMap<String, u32>> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/src/follow.rs
+++ b/src/follow.rs
@@ -7,7 +7,15 @@
 use tokio::time::{MissedTickBehavior, interval};
 use xtra::prelude::*;
 
-use crate::rules::{Holder, InForce, Offer, RulesStore, VersionText};
+use crate::peers::MeshHandle;
+use crate::rules::{CURRENT_KEY, Holder, InForce, Offer, RulesStore, Version, VersionText};
+
+/// Intervals between two reads of an instance that is not home of the configuration.
+const SELDOM: u32 = 10;
+/// Longest time for a peer to send the text.
+const PEER_ANSWER: Duration = Duration::from_secs(1);
+/// Pause before a version that no one gave is asked for again.
+const FETCH_PAUSE: Duration = Duration::from_millis(200);
 
 /// The configuration in force; none before the first one is known.
 pub type RulesWatch = watch::Receiver<Option<Arc<InForce>>>;
@@ -52,13 +60,15 @@
     }
 }
 
-/// Reads the accepted version from the platform at intervals.
+/// Learns of accepted versions from the platform and from peers.
 #[derive(Debug, Clone)]
 pub struct Follow {
     /// The accepted configurations.
     pub store: RulesStore,
     /// Owner of the configuration in force.
     pub keep: Address<Keep>,
+    /// The other instances.
+    pub mesh: MeshHandle,
     /// What is in force.
     pub seen: RulesWatch,
     /// Time between two reads.
@@ -66,13 +76,83 @@
 }
 
 impl Follow {
-    /// Follows until the process ends.
+    /// Reads the accepted version from the platform until the process ends.
+    ///
+    /// The home of the configuration reads often; it and the instance that accepts a change tell
+    /// the others, which read seldom.
     pub async fn run(self) {
         let mut ticks = interval(self.every);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut round = 0_u32;
         loop {
             ticks.tick().await;
-            self.look().await;
+            let home = self.mesh.home(CURRENT_KEY).is_none();
+            if home || round.is_multiple_of(SELDOM) || in_force(&self.seen) == 0 {
+                self.look().await;
+            }
+            round = round.wrapping_add(1);
+        }
+    }
+
+    /// Tells peers what is in force, until the process ends.
+    pub async fn announce(self) {
+        let mut seen = self.seen.clone();
+        while seen.changed().await.is_ok() {
+            let source = seen
+                .borrow_and_update()
+                .as_ref()
+                .map(|r| r.source.version.clone());
+            if let Some(version) = source {
+                self.mesh
+                    .announce_rules(version.version, version.digest)
+                    .await;
+            }
+        }
+    }
+
+    /// Takes newer versions from peers, until the process ends.
+    pub async fn listen(self) {
+        let mut told = self.mesh.rules();
+        while told.changed().await.is_ok() {
+            loop {
+                let version = told.borrow_and_update().version;
+                if version <= in_force(&self.seen) || self.fetch(version).await {
+                    break;
+                }
+                tokio::time::sleep(FETCH_PAUSE).await;
+            }
+        }
+    }
+
+    /// Fetches a version from a peer, or else from the platform; true where it is in force then.
+    async fn fetch(&self, version: u64) -> bool {
+        match self.mesh.fetch_rules(version, PEER_ANSWER).await {
+            Ok(told) => {
+                let version = Version {
+                    version: told.version,
+                    digest: told.digest,
+                    op: String::new(),
+                    author: String::new(),
+                    note: String::new(),
+                    at: String::new(),
+                };
+                self.offer(VersionText {
+                    version,
+                    text: told.text,
+                })
+                .await;
+            }
+            Err(error) => {
+                log::info!(version = version, error:% = error; "no peer gives the text");
+                self.look().await;
+            }
+        }
+        in_force(&self.seen) >= version
+    }
+
+    async fn offer(&self, text: VersionText) {
+        if self.keep.send(Offered(text)).await.is_err() {
+            log::debug!("the configuration's owner has stopped");
         }
     }
 
@@ -87,11 +167,7 @@
             return;
         }
         match self.store.text(accepted).await {
-            Ok(text) => {
-                if self.keep.send(Offered(text)).await.is_err() {
-                    log::debug!("the configuration's owner has stopped");
-                }
-            }
+            Ok(text) => self.offer(text).await,
             Err(error) => log::warn!(error:% = error; "cannot read the accepted text"),
         }
     }
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -9,6 +9,7 @@
 use crate::clock::Clock;
 use crate::fleet::{Endpoint, Fleet, Inflight, Lost, View};
 use crate::follow::RulesWatch;
+use crate::interest::Interest;
 use crate::loads::Loads;
 use crate::metrics::Metrics;
 use crate::outbound::Outbound;
@@ -35,6 +36,8 @@
     pub answer: usize,
     /// Most times that one request is sent.
     pub attempts: usize,
+    /// Most requests that wait for a replica at once.
+    pub waiting: u64,
 }
 
 impl Default for Bounds {
@@ -48,6 +51,7 @@
             reused: Duration::from_secs(1),
             answer: 16 << 20,
             attempts: 4,
+            waiting: 2048,
         }
     }
 }
@@ -71,6 +75,8 @@
     pub fleet: Address<Fleet>,
     /// Cold starts.
     pub loads: Loads,
+    /// Models that this instance has traffic for.
+    pub interest: Interest,
     /// Connections to endpoints.
     pub outbound: Outbound,
     /// Requests running from here.
@@ -116,21 +122,23 @@
             && !*self.stopping.borrow()
     }
 
+    /// Requests that wait for a replica.
+    #[must_use]
+    pub fn waiting(&self) -> u64 {
+        u64::from(self.loads.waiters().total())
+    }
+
     /// The least loaded of some endpoints, one in the same failure domain first among equals.
     #[must_use]
     pub fn least_loaded<'a>(
         &self,
-        endpoints: impl Iterator<Item = &'a Endpoint>,
-        model: Option<&str>,
+        endpoints: impl Iterator<Item = (&'a Endpoint, u32)>,
     ) -> Option<Endpoint> {
-        endpoints
-            .min_by_key(|e| {
-                let resident = model.and_then(|m| e.resident(m));
-                let reported = resident.map_or(0, |r| r.running + r.queued);
-                let load = self.inflight.count(&e.listed.name).max(reported);
-                (load, e.listed.domain != self.domain)
-            })
-            .cloned()
+        let key = |(e, reported): &(&Endpoint, u32)| {
+            let load = self.inflight.count(&e.listed.name).max(*reported);
+            (load, e.listed.domain != self.domain)
+        };
+        endpoints.min_by_key(key).map(|(e, _)| e.clone())
     }
 
     /// Tells the fleet that an endpoint could not be reached.
@@ -139,6 +147,7 @@
             .fleet
             .send(Lost {
                 name: endpoint.to_owned(),
+                now: self.clock.now(),
             })
             .await
             .is_err()
--- /dev/null
+++ b/src/interest.rs
@@ -0,0 +1,63 @@
+//! Models that this instance has traffic for, of whose replicas it wants to hear.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use crate::clock::Clock;
+use crate::peers::MeshHandle;
+
+/// Time after its last request for which a model is of interest.
+const KEPT: Duration = Duration::from_mins(1);
+/// Time between two refreshes.
+const REFRESH: Duration = Duration::from_secs(5);
+
+/// Models of interest, each with its last use.
+#[derive(Debug, Clone)]
+pub struct Interest {
+    used: Arc<Mutex<BTreeMap<String, Duration>>>,
+    mesh: MeshHandle,
+}
+
+impl Interest {
+    /// No interest yet.
+    #[must_use]
+    pub fn new(mesh: MeshHandle) -> Self {
+        Self {
+            used: Arc::default(),
+            mesh,
+        }
+    }
+
+    /// Notes the use of a model; peers are told at once where it is new.
+    pub async fn note(&self, model: &str, now: Duration) {
+        if self.lock().insert(model.to_owned(), now).is_none() {
+            self.tell().await;
+        }
+    }
+
+    /// Notes the use of a model that is of interest already.
+    pub fn touch(&self, model: &str, now: Duration) {
+        self.lock().insert(model.to_owned(), now);
+    }
+
+    /// Drops models without use and tells peers, at intervals.
+    pub async fn run(self, clock: Clock) {
+        loop {
+            tokio::time::sleep(REFRESH).await;
+            let now = clock.now();
+            self.lock()
+                .retain(|_, used| now.saturating_sub(*used) < KEPT);
+            self.tell().await;
+        }
+    }
+
+    async fn tell(&self) {
+        let models = self.lock().keys().cloned().collect();
+        self.mesh.set_interest(models).await;
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<String, Duration>> {
+        self.used.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/src/keeper.rs
+++ b/src/keeper.rs
@@ -13,9 +13,10 @@
 
 use crate::chart::ReplicaState;
 use crate::clock::Clock;
-use crate::engine::{Engine, EngineError, Order, Report, Residency};
+use crate::engine::{Engine, EngineError, Order, Report, Residency, Resident};
 use crate::fleet::{Endpoint, Fleet, Lost, Reported, View};
 use crate::follow::RulesWatch;
+use crate::peers::{FleetDelta, MeshHandle, ResidentLoad};
 use crate::placement::{
     Meeting, PlaceError, Placed, Placement, ReconcileSettings, Step, Vacancy, Watch,
 };
@@ -62,6 +63,8 @@
     pub view: watch::Receiver<Arc<View>>,
     /// The configuration in force.
     pub rules: RulesWatch,
+    /// The other instances.
+    pub mesh: MeshHandle,
     /// Time.
     pub clock: Clock,
     /// Bounds of the comparison.
@@ -82,6 +85,8 @@
     pub view: watch::Receiver<Arc<View>>,
     /// The configuration in force.
     pub rules: RulesWatch,
+    /// The other instances.
+    pub mesh: MeshHandle,
     /// Time.
     pub clock: Clock,
 }
@@ -96,17 +101,20 @@
             fleet,
             view,
             rules,
+            mesh,
             clock,
         } = parts;
+        let tended = Arc::default();
         Self {
             placement,
             engines,
             fleet,
             view,
             rules,
+            mesh,
             clock,
             bounds,
-            tended: Arc::default(),
+            tended,
         }
     }
 
@@ -163,25 +171,38 @@
         self.engines.order(endpoint.listed.address, order).await
     }
 
-    /// Tends the servers that `mine` picks, at intervals, until the process ends.
-    pub async fn run(self, every: Duration, mine: Arc<dyn Fn(&str) -> bool + Send + Sync>) {
+    /// Tends the servers whose home this instance is, at intervals, until the process ends.
+    pub async fn run(self, every: Duration) {
         let mut ticks = interval(every);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             ticks.tick().await;
             let mut round = tokio::task::JoinSet::new();
-            for endpoint in self.servers().into_iter().filter(|e| mine(&e.listed.name)) {
+            for endpoint in self.servers() {
+                let home = self.mesh.home(&format!("server/{}", endpoint.listed.name));
+                if home.is_some() {
+                    continue;
+                }
                 let keeper = self.clone();
-                round.spawn(async move {
-                    if let Err(error) = keeper.tend(&endpoint).await {
-                        log::warn!(endpoint = endpoint.listed.name, error:% = error; "cannot tend");
-                    }
-                });
+                round.spawn(async move { keeper.tend_home(&endpoint).await });
             }
             round.join_all().await;
         }
     }
 
+    async fn tend_home(&self, endpoint: &Endpoint) {
+        match self.tend(endpoint).await {
+            Ok(report) => {
+                self.mesh
+                    .publish(delta(&endpoint.listed.name, &report))
+                    .await;
+            }
+            Err(error) => {
+                log::warn!(endpoint = endpoint.listed.name, error:% = error; "cannot tend");
+            }
+        }
+    }
+
     /// The decided replicas of a server as last read, with their counted memory.
     #[must_use]
     pub fn row(&self, server: &str) -> Option<Placed> {
@@ -221,7 +242,14 @@
                 let (report, now) = (report.clone(), self.clock.now());
                 self.fleet.send(Reported { name, report, now }).await
             }
-            Err(_) => self.fleet.send(Lost { name }).await,
+            Err(_) => {
+                self.fleet
+                    .send(Lost {
+                        name,
+                        now: self.clock.now(),
+                    })
+                    .await
+            }
         };
         if told.is_err() {
             log::debug!("the fleet has stopped");
@@ -292,3 +320,17 @@
         .iter()
         .any(|r| r.op == op && r.state == state)
 }
+
+fn delta(server: &str, report: &Report) -> FleetDelta {
+    let load = |r: &Resident| ResidentLoad {
+        model: r.model.clone(),
+        state: r.state,
+        running: r.running,
+        queued: r.queued,
+    };
+    FleetDelta {
+        server: server.to_owned(),
+        boot: report.boot.clone(),
+        residents: report.residents.iter().map(load).collect(),
+    }
+}
--- a/src/loads.rs
+++ b/src/loads.rs
@@ -1,5 +1,6 @@
-//! Cold starts of this instance: one at a time for each model.
+//! Cold starts: one at a time for each model, decided at the model's home.
 
+mod ask;
 mod job;
 
 use std::collections::BTreeMap;
@@ -9,8 +10,10 @@
 use tokio::sync::watch;
 use xtra::prelude::*;
 
+pub use ask::Answering;
 pub use job::{LoadContext, LoadSettings};
 
+use crate::fleet::Inflight;
 use crate::verdict::{Cause, Refusal};
 
 /// How far a cold start has come.
@@ -27,38 +30,61 @@
     Failed(Refusal),
 }
 
+/// Who decides a cold start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Decider {
+    /// The home of the model, or this instance where the home does not answer.
+    Home,
+    /// This instance, whoever is home.
+    Here,
+}
+
 /// Handle of the actor that owns the cold starts.
 #[derive(Debug, Clone)]
-pub struct Loads(Address<Loader>);
+pub struct Loads {
+    loader: Address<Loader>,
+    waiters: Inflight,
+}
 
 /// Actor that owns the cold starts of this instance.
 #[derive(Debug, Actor)]
 pub struct Loader {
     context: Arc<LoadContext>,
-    running: BTreeMap<String, watch::Receiver<Phase>>,
+    waiters: Inflight,
+    running: BTreeMap<Wake, watch::Receiver<Phase>>,
 }
 
 /// Asks for a replica of a model.
-#[derive(Debug)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 struct Wake {
     model: String,
+    decider: Decider,
 }
 
 /// A cold start has ended.
 #[derive(Debug)]
-struct Finished {
-    model: String,
-}
+struct Finished(Wake);
 
 impl Loads {
     /// Starts the actor.
     #[must_use]
     pub fn start(context: LoadContext) -> Self {
+        let waiters = Inflight::default();
         let loader = Loader {
             context: Arc::new(context),
+            waiters: waiters.clone(),
             running: BTreeMap::new(),
         };
-        Self(xtra::spawn_tokio(loader, Mailbox::unbounded()))
+        Self {
+            loader: xtra::spawn_tokio(loader, Mailbox::unbounded()),
+            waiters,
+        }
+    }
+
+    /// Requests that wait for a replica, by model.
+    #[must_use]
+    pub const fn waiters(&self) -> &Inflight {
+        &self.waiters
     }
 
     /// Asks for a replica of a model; a cold start that is under way is joined.
@@ -66,15 +92,16 @@
     /// # Errors
     ///
     /// [`Cause::Stopping`] where the actor has stopped.
-    pub async fn wake(&self, model: &str) -> Result<watch::Receiver<Phase>, Refusal> {
+    pub async fn wake(
+        &self,
+        model: &str,
+        decider: Decider,
+    ) -> Result<watch::Receiver<Phase>, Refusal> {
         let wake = Wake {
             model: model.to_owned(),
+            decider,
         };
-        self.0.send(wake).await.map_err(|_stopped| {
-            Refusal::not_run(Cause::Stopping)
-                .detail("the instance is stopping")
-                .retry_after(Duration::from_secs(1))
-        })
+        self.loader.send(wake).await.map_err(|_stopped| stopping())
     }
 
     /// Waits until a replica of a model is ready.
@@ -82,17 +109,15 @@
     /// # Errors
     ///
     /// The refusal that the cold start ended with.
-    pub async fn ready(&self, model: &str) -> Result<(), Refusal> {
-        let mut phase = self.wake(model).await?;
+    pub async fn ready(&self, model: &str, decider: Decider) -> Result<(), Refusal> {
+        let mut phase = self.wake(model, decider).await?;
         loop {
             match phase.borrow_and_update().clone() {
                 Phase::Ready => return Ok(()),
                 Phase::Failed(refusal) => return Err(refusal),
                 Phase::Loading { .. } => {}
             }
-            if phase.changed().await.is_err() {
-                return Err(Refusal::not_run(Cause::Stopping));
-            }
+            phase.changed().await.map_err(|_closed| stopping())?;
         }
     }
 }
@@ -101,26 +126,26 @@
     type Return = watch::Receiver<Phase>;
 
     async fn handle(&mut self, message: Wake, ctx: &mut Context<Self>) -> Self::Return {
-        if let Some(phase) = self.running.get(&message.model) {
+        if let Some(phase) = self.running.get(&message) {
             return phase.clone();
         }
         let left = self.context.estimate(&message.model);
         let (tell, phase) = watch::channel(Phase::Loading { left });
-        self.running.insert(message.model.clone(), phase.clone());
-        let Some(address) = ctx.mailbox().address().try_upgrade() else {
+        let Some(loader) = ctx.mailbox().address().try_upgrade() else {
             return phase;
         };
-        let loads = Loads(address);
+        self.running.insert(message.clone(), phase.clone());
+        let loads = Loads {
+            loader,
+            waiters: self.waiters.clone(),
+        };
         let context = Arc::clone(&self.context);
         tokio::spawn(async move {
-            let end = match context.load(&message.model, &loads, &tell).await {
+            let end = match context.run(&message, &loads, &tell).await {
                 Ok(()) => Phase::Ready,
                 Err(refusal) => Phase::Failed(refusal),
             };
-            let finished = Finished {
-                model: message.model,
-            };
-            if loads.0.send(finished).await.is_err() {
+            if loads.loader.send(Finished(message)).await.is_err() {
                 log::debug!("the loader has stopped");
             }
             tell.send_replace(end);
@@ -133,6 +158,12 @@
     type Return = ();
 
     async fn handle(&mut self, message: Finished, _ctx: &mut Context<Self>) {
-        self.running.remove(&message.model);
+        self.running.remove(&message.0);
     }
 }
+
+fn stopping() -> Refusal {
+    Refusal::not_run(Cause::Stopping)
+        .detail("the instance is stopping")
+        .retry_after(Duration::from_secs(1))
+}
--- /dev/null
+++ b/src/loads/ask.rs
@@ -0,0 +1,152 @@
+//! Asks the home of a model for a replica, and answers peers that ask.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use tokio::sync::{mpsc, watch};
+
+use super::job::LoadContext;
+use super::{Decider, Loads, Phase, Wake};
+use crate::fleet::Hinted;
+use crate::follow::RulesWatch;
+use crate::peers::message::{RulesText, Wake as WakeMessage, WakeReply};
+use crate::peers::{Inbound, Request};
+use crate::verdict::{Cause, Refusal};
+
+/// Longest time that a model's home may take to answer.
+const HOME_ANSWER: Duration = Duration::from_mins(1);
+
+impl LoadContext {
+    /// Gets a replica, decided by the model's home or by this instance.
+    pub(super) async fn run(
+        &self,
+        wake: &Wake,
+        loads: &Loads,
+        tell: &watch::Sender<Phase>,
+    ) -> Result<(), Refusal> {
+        self.interest
+            .note(&wake.model, self.keeper.clock.now())
+            .await;
+        let home = match wake.decider {
+            Decider::Home => self.keeper.mesh.home(&format!("model/{}", wake.model)),
+            Decider::Here => None,
+        };
+        let Some(home) = home else {
+            return self.load(&wake.model, loads, tell).await;
+        };
+        match self.ask(&home, &wake.model).await {
+            Some(answer) => answer,
+            None => self.load(&wake.model, loads, tell).await,
+        }
+    }
+
+    /// Asks the home; none where it does not answer, so that this instance may decide itself.
+    async fn ask(&self, home: &str, model: &str) -> Option<Result<(), Refusal>> {
+        let wake = WakeMessage {
+            id: crate::ask::new_id(),
+            model: model.to_owned(),
+            deadline: HOME_ANSWER.as_millis().try_into().unwrap_or(u64::MAX),
+        };
+        match self.keeper.mesh.ask(home, wake, HOME_ANSWER).await {
+            Ok(reply) if reply.servers.is_empty() => Some(Err(refusal(&reply))),
+            Ok(reply) => {
+                let servers = reply.servers.into_iter().collect();
+                self.hint(model, servers).await;
+                Some(Ok(()))
+            }
+            Err(error) => {
+                log::info!(home = home, model = model, error:% = error; "home does not answer");
+                None
+            }
+        }
+    }
+
+    async fn hint(&self, model: &str, servers: BTreeSet<String>) {
+        let now = self.keeper.clock.now();
+        let hinted = Hinted {
+            model: model.to_owned(),
+            servers,
+            now,
+        };
+        if self.keeper.fleet.send(hinted).await.is_err() {
+            log::debug!("the fleet has stopped");
+        }
+    }
+}
+
+fn refusal(reply: &WakeReply) -> Refusal {
+    let cause = reply.cause.parse().unwrap_or(Cause::NoCapacity);
+    let refusal = Refusal::not_run(cause).detail("the model's home refused");
+    if reply.retry == 0 {
+        return refusal;
+    }
+    refusal.retry_after(Duration::from_millis(reply.retry))
+}
+
+/// Answers requests of peers until the mesh stops.
+#[derive(Debug)]
+pub struct Answering {
+    /// Cold starts.
+    pub loads: Loads,
+    /// The configuration in force.
+    pub rules: RulesWatch,
+    /// The endpoints, to name those that hold a model.
+    pub view: watch::Receiver<std::sync::Arc<crate::fleet::View>>,
+}
+
+impl Answering {
+    /// Answers until the mesh stops.
+    pub async fn run(self, mut requests: mpsc::Receiver<Inbound>) {
+        while let Some(inbound) = requests.recv().await {
+            match inbound.request {
+                Request::Wake(wake, reply) => {
+                    let (loads, view) = (self.loads.clone(), self.view.clone());
+                    tokio::spawn(async move {
+                        let answer = wake_reply(&loads, &view, &wake.model).await;
+                        drop(reply.send(answer));
+                    });
+                }
+                Request::Rules(_, reply) => drop(reply.send(self.rules_text())),
+            }
+        }
+    }
+
+    fn rules_text(&self) -> RulesText {
+        let rules = self.rules.borrow();
+        let Some(in_force) = rules.as_ref() else {
+            return RulesText::default();
+        };
+        RulesText {
+            version: in_force.source.version.version,
+            digest: in_force.source.version.digest.clone(),
+            text: in_force.source.text.clone(),
+        }
+    }
+}
+
+async fn wake_reply(
+    loads: &Loads,
+    view: &watch::Receiver<std::sync::Arc<crate::fleet::View>>,
+    model: &str,
+) -> WakeReply {
+    if let Err(refusal) = loads.ready(model, Decider::Here).await {
+        let cause: &str = refusal.cause.into();
+        let retry = refusal
+            .retry
+            .map_or(0, |r| r.as_millis().try_into().unwrap_or(u64::MAX));
+        return WakeReply {
+            servers: Vec::new(),
+            cause: cause.to_owned(),
+            retry,
+        };
+    }
+    let servers = view
+        .borrow()
+        .holders(model)
+        .map(|e| e.listed.name.clone())
+        .collect();
+    WakeReply {
+        servers,
+        ..WakeReply::default()
+    }
+}
--- a/src/loads/job.rs
+++ b/src/loads/job.rs
@@ -6,9 +6,10 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep};
 
-use super::{Loads, Phase};
+use super::{Decider, Loads, Phase};
 use crate::chart::ReplicaState;
 use crate::fleet::Endpoint;
+use crate::interest::Interest;
 use crate::keeper::Keeper;
 use crate::metrics::Metrics;
 use crate::placement::{Ask, PlaceError, Placement, Reserved};
@@ -48,6 +49,8 @@
     pub placement: Arc<Placement>,
     /// Tends the servers.
     pub keeper: Keeper,
+    /// Models that this instance has traffic for.
+    pub interest: Interest,
     /// Metrics.
     pub metrics: Metrics,
 }
@@ -84,7 +87,7 @@
             Refusal::not_run(Cause::Unknown).detail(format!("no rule names model '{model}'"))
         })?;
         if let Some(base) = &rule.base {
-            Box::pin(loads.ready(base)).await?;
+            Box::pin(loads.ready(base, Decider::Home)).await?;
         }
         let (endpoint, reserved) = self.decide(model, rule, &rules.rules).await?;
         self.await_ready(model, &endpoint, &reserved, started, tell)
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -1,5 +1,7 @@
 //! Log lines, as JSON on standard error.
 
+use std::time::Duration;
+
 use flexi_logger::{FlexiLoggerError, LogSpecification, Logger, LoggerHandle};
 use log::LevelFilter;
 
@@ -19,18 +21,23 @@
 
 /// Logs one finished request.
 pub fn request(record: &Record) {
-    let verdict: &str = record.verdict.map_or("", Into::into);
-    let cause: &str = record.cause.map_or("", Into::into);
+    let kept = record.kept();
+    let verdict: &str = kept.verdict.map_or("", Into::into);
+    let cause: &str = kept.cause.map_or("", Into::into);
     log::info!(
-        id = record.id,
-        tenant = record.tenant,
-        target_name = record.target,
-        status = record.status,
+        id = kept.id,
+        tenant = kept.tenant,
+        target_name = kept.target,
+        status = kept.status.unwrap_or_default(),
         verdict = verdict,
         cause = cause,
-        wait_ms = record.wait_ms,
-        first_ms = record.first_ms,
-        total_ms = record.total_ms;
+        wait_ms = millis(record.wait),
+        first_ms = millis(record.first.unwrap_or_default()),
+        total_ms = millis(record.elapsed());
         "request finished"
     );
 }
+
+fn millis(time: Duration) -> u64 {
+    time.as_millis().try_into().unwrap_or(u64::MAX)
+}
--- a/src/peers/handle.rs
+++ b/src/peers/handle.rs
@@ -83,6 +83,7 @@
 /// Handle of a running [`Mesh`]; the mesh stops when the last clone is dropped.
 #[derive(Debug, Clone)]
 pub struct MeshHandle {
+    pub(super) me: String,
     pub(super) mesh: Address<Mesh>,
     pub(super) members: watch::Receiver<BTreeMap<String, Member>>,
     pub(super) rules: watch::Receiver<RulesVersion>,
@@ -97,6 +98,16 @@
         self.members.clone()
     }
 
+    /// The peer that is home of a key; none where this instance is, or knows no other.
+    #[must_use]
+    pub fn home(&self, key: &str) -> Option<String> {
+        let members = self.members.borrow();
+        let live = members.keys().cloned().collect();
+        crate::home::home(key, &live)
+            .filter(|name| **name != self.me)
+            .cloned()
+    }
+
     /// Newest version of the rules that any instance is known to have; it never goes down.
     #[must_use]
     pub fn rules(&self) -> watch::Receiver<RulesVersion> {
--- a/src/peers/mesh.rs
+++ b/src/peers/mesh.rs
@@ -176,6 +176,7 @@
         };
         mesh.refresh_live();
         let handle = MeshHandle {
+            me: mesh.roster.me().name.clone(),
             mesh: xtra::spawn_tokio(mesh, (address, mailbox)),
             members: members_view,
             rules: rules_view,
--- a/src/records.rs
+++ b/src/records.rs
@@ -2,45 +2,97 @@
 
 use std::collections::VecDeque;
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, SystemTime};
 
-use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
 
-use crate::verdict::{Cause, Refusal, Verdict};
+use crate::admin::{RequestRecord, RequestStep};
+use crate::ask::Ask;
+use crate::rules::Class;
+use crate::verdict::Refusal;
 
-/// What happened to one request.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+/// Steps that are kept of one request.
+const STEPS: usize = 32;
+
+/// The record of a request that runs, with its times.
+#[derive(Debug, Clone)]
 pub struct Record {
-    /// Request id.
-    pub id: String,
-    /// Tenant.
-    pub tenant: String,
-    /// Model or service call.
-    pub target: String,
-    /// Endpoints that the request was sent to, in order.
-    pub endpoints: Vec<String>,
-    /// HTTP status of the answer.
-    pub status: u16,
-    /// Verdict, where the answer is not the endpoint's.
-    pub verdict: Option<Verdict>,
-    /// Cause, where the answer is not the endpoint's.
-    pub cause: Option<Cause>,
-    /// One sentence on the cause.
-    pub detail: String,
-    /// Time that the request waited for a replica, in milliseconds.
-    pub wait_ms: u64,
-    /// Time to the first byte of the answer, in milliseconds.
-    pub first_ms: u64,
-    /// Whole time, in milliseconds.
-    pub total_ms: u64,
+    kept: RequestRecord,
+    started: Instant,
+    /// Time that the request waited for a replica.
+    pub wait: Duration,
+    /// Time to the first byte of the answer.
+    pub first: Option<Duration>,
 }
 
 impl Record {
-    /// Notes a refusal.
-    pub fn refuse(&mut self, refusal: &Refusal) {
-        self.status = refusal.cause.status();
-        self.verdict = Some(refusal.verdict);
-        self.cause = Some(refusal.cause);
-        self.detail.clone_from(&refusal.detail);
+    /// The record of a request that arrived now.
+    #[must_use]
+    pub fn new(instance: &str, ask: &Ask, class: Class, target: String) -> Self {
+        let kept = RequestRecord {
+            id: ask.id.clone(),
+            instance: instance.to_owned(),
+            tenant: ask.tenant.clone(),
+            class: Some(class),
+            target,
+            arrived: humantime::format_rfc3339_millis(SystemTime::now()).to_string(),
+            ..RequestRecord::default()
+        };
+        Self {
+            kept,
+            started: Instant::now(),
+            wait: Duration::ZERO,
+            first: None,
+        }
+    }
+
+    /// Adds a step; past the bound no more are kept.
+    pub fn step(&mut self, state: &str, detail: impl Into<String>) {
+        if self.kept.steps.len() < STEPS {
+            self.kept.steps.push(RequestStep {
+                at_ms: millis(self.started.elapsed()),
+                state: state.to_owned(),
+                detail: detail.into(),
+            });
+        }
+    }
+
+    /// Notes that the request is sent to an endpoint.
+    pub fn sent(&mut self, endpoint: &str) {
+        self.kept.endpoint = Some(endpoint.to_owned());
+        self.step("sent", endpoint);
+    }
+
+    /// Time since the request arrived.
+    #[must_use]
+    pub fn elapsed(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    /// Notes the first byte of the answer.
+    pub fn answering(&mut self) -> Duration {
+        *self.first.get_or_insert_with(|| self.started.elapsed())
+    }
+
+    /// Closes the record with the answer's status or the refusal, and logs it.
+    #[must_use]
+    pub fn close(mut self, status: u16, refusal: Option<&Refusal>) -> RequestRecord {
+        self.kept.status = Some(refusal.map_or(status, |r| r.cause.status()));
+        if let Some(refusal) = refusal {
+            self.kept.verdict = Some(refusal.verdict);
+            self.kept.cause = Some(refusal.cause);
+            self.step("refused", refusal.detail.clone());
+        } else {
+            self.step("answered", "");
+        }
+        crate::logs::request(&self);
+        self.kept
+    }
+
+    /// The record so far.
+    #[must_use]
+    pub const fn kept(&self) -> &RequestRecord {
+        &self.kept
     }
 }
 
@@ -48,7 +100,7 @@
 #[derive(Debug, Clone)]
 pub struct Records {
     kept: usize,
-    ring: Arc<Mutex<VecDeque<Record>>>,
+    ring: Arc<Mutex<VecDeque<RequestRecord>>>,
 }
 
 impl Records {
@@ -57,10 +109,11 @@
     /// # Examples
     ///
     /// ```
-    /// use brassrack::records::{Record, Records};
+    /// use brassrack::admin::RequestRecord;
+    /// use brassrack::records::Records;
     ///
     /// let records = Records::new(1);
-    /// records.push(Record { id: "r-1".into(), ..Record::default() });
+    /// records.push(RequestRecord { id: "r-1".into(), ..RequestRecord::default() });
     /// assert!(records.find("r-1").is_some());
     /// ```
     #[must_use]
@@ -72,7 +125,7 @@
     }
 
     /// Adds a record.
-    pub fn push(&self, record: Record) {
+    pub fn push(&self, record: RequestRecord) {
         let mut ring = self.ring.lock().unwrap_or_else(PoisonError::into_inner);
         if ring.len() >= self.kept {
             ring.pop_front();
@@ -82,8 +135,12 @@
 
     /// The latest record with this request id.
     #[must_use]
-    pub fn find(&self, id: &str) -> Option<Record> {
+    pub fn find(&self, id: &str) -> Option<RequestRecord> {
         let ring = self.ring.lock().unwrap_or_else(PoisonError::into_inner);
         ring.iter().rev().find(|r| r.id == id).cloned()
     }
 }
+
+fn millis(time: Duration) -> u64 {
+    time.as_millis().try_into().unwrap_or(u64::MAX)
+}
