--- /dev/null
+++ b/src/ledger/batch.rs
@@ -0,0 +1,196 @@
+//! Commits many changes of records in one transaction.
+//!
+//! While one transaction is on its way the changes that arrive wait and share the next one. So a
+//! lone change waits for nothing, and a burst costs few writes. Beyond this instance's share of
+//! the table's writes the changes wait longer and share more.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use tokio::sync::oneshot;
+use tokio::time::{Instant, sleep_until};
+
+use crate::commit::{CommitError, Committer, Malformed, Plan, Record, Snapshot};
+
+use super::epoch_millis;
+use super::record::{Change, Entry, Outcome};
+
+/// Answer to one change.
+pub(super) type Reply = Result<Outcome, CommitError>;
+
+#[derive(Debug)]
+struct Item {
+    key: String,
+    change: Change,
+    reply: oneshot::Sender<Reply>,
+}
+
+impl Item {
+    /// Whether the change still matters; a claim matters only while its caller waits.
+    fn is_wanted(&self) -> bool {
+        !matches!(self.change, Change::Claim(_)) || !self.reply.is_closed()
+    }
+}
+
+#[derive(Debug, Default)]
+struct Queue {
+    items: VecDeque<Item>,
+    running: bool,
+    pace: Pace,
+}
+
+/// Rate of transactions, with a burst.
+#[derive(Debug, Default)]
+struct Pace {
+    interval: Duration,
+    /// When the last transaction would have been due at an even rate.
+    due: Option<Instant>,
+}
+
+impl Pace {
+    /// Transactions that may leave at once after a pause.
+    const BURST: u32 = 8;
+
+    /// When the next transaction may leave.
+    fn next(&mut self, now: Instant) -> Instant {
+        let due = self.due.unwrap_or(now).max(now);
+        self.due = Some(due + self.interval);
+        due.checked_sub(self.interval * Self::BURST)
+            .unwrap_or(now)
+            .max(now)
+    }
+}
+
+/// Changes that wait for their transaction.
+#[derive(Debug)]
+pub(super) struct Batcher {
+    committer: Committer,
+    queue: Mutex<Queue>,
+    /// Most changes in one transaction.
+    size: usize,
+    /// Most changes that wait.
+    depth: usize,
+}
+
+impl Batcher {
+    pub(super) fn new(committer: Committer, size: usize, depth: usize) -> Self {
+        Self {
+            committer,
+            queue: Mutex::default(),
+            size,
+            depth,
+        }
+    }
+
+    /// Queues a change; none where too many wait.
+    pub(super) fn submit(
+        self: &Arc<Self>,
+        key: String,
+        change: Change,
+    ) -> Option<oneshot::Receiver<Reply>> {
+        let (reply, receiver) = oneshot::channel();
+        let mut queue = self.lock();
+        if queue.items.len() >= self.depth {
+            return None;
+        }
+        queue.items.push_back(Item { key, change, reply });
+        if !queue.running {
+            queue.running = true;
+            tokio::spawn(Arc::clone(self).run());
+        }
+        Some(receiver)
+    }
+
+    /// Sets the least time between transactions, on average.
+    pub(super) fn pace(&self, interval: Duration) {
+        self.lock().pace.interval = interval;
+    }
+
+    async fn run(self: Arc<Self>) {
+        while let Some(start) = self.next_start() {
+            sleep_until(start).await;
+            let batch = self.take();
+            self.flush(batch).await;
+        }
+    }
+
+    /// When the next transaction may leave; ends the run where nothing waits.
+    fn next_start(&self) -> Option<Instant> {
+        let mut queue = self.lock();
+        queue.running = !queue.items.is_empty();
+        let running = queue.running;
+        running.then(|| queue.pace.next(Instant::now()))
+    }
+
+    fn take(&self) -> Vec<Item> {
+        let mut queue = self.lock();
+        let n = queue.items.len().min(self.size);
+        queue.items.drain(..n).collect()
+    }
+
+    async fn flush(&self, batch: Vec<Item>) {
+        let batch: Vec<Item> = batch.into_iter().filter(Item::is_wanted).collect();
+        if batch.is_empty() {
+            return;
+        }
+        let keys: BTreeSet<String> = batch.iter().map(|i| i.key.clone()).collect();
+        let mut replies = Vec::new();
+        let mut decide = |snapshot: &Snapshot| decide(&batch, snapshot, &mut replies);
+        let done = self
+            .committer
+            .transact(keys.into_iter().collect(), &mut decide)
+            .await;
+        if let Err(e) = done {
+            replies = batch.iter().map(|_| Err(e.clone())).collect();
+        }
+        for (item, reply) in batch.into_iter().zip(replies) {
+            let _caller_gone = item.reply.send(reply);
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Queue> {
+        self.queue.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Applies the changes in order to the rows as read.
+fn decide(
+    batch: &[Item],
+    snapshot: &Snapshot,
+    replies: &mut Vec<Reply>,
+) -> Result<Plan, Malformed> {
+    replies.clear();
+    let now = epoch_millis();
+    let mut entries: BTreeMap<&str, Result<Entry, Malformed>> = BTreeMap::new();
+    let mut written = BTreeSet::new();
+    for item in batch {
+        let entry = entries
+            .entry(&item.key)
+            .or_insert_with(|| Entry::read(snapshot, &item.key));
+        // One malformed row must not fail the others of its batch.
+        let reply = match entry {
+            Err(e) => Err(e.clone().into()),
+            Ok(entry) => {
+                let (outcome, changed) = item.change.apply(entry, now);
+                if changed {
+                    written.insert(item.key.as_str());
+                }
+                Ok(outcome)
+            }
+        };
+        replies.push(reply);
+    }
+    if written.is_empty() {
+        return Ok(Plan::Settled);
+    }
+    let mut writes = Vec::new();
+    for (key, entry) in entries {
+        if let Ok(entry) = entry
+            && written.contains(key)
+        {
+            writes.push(entry.write(key)?);
+        }
+    }
+    Ok(Plan::Commit(writes))
+}
--- /dev/null
+++ b/src/ledger/expiry.rs
@@ -0,0 +1,67 @@
+//! Forgets records after their retention.
+
+use std::time::Duration;
+
+use crate::commit::{Malformed, Record};
+use crate::table::{Check, Commit, Read, Table, TableError, Txn, Write};
+
+use super::epoch_millis;
+use super::record::Entry;
+
+/// Most rows that one transaction deletes.
+const BATCH: usize = 128;
+
+/// Why records were not forgotten; trying again later is harmless.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum ExpiryError {
+    /// The table service failed.
+    #[error(transparent)]
+    Table(#[from] TableError),
+    /// A row is malformed.
+    #[error(transparent)]
+    Malformed(#[from] Malformed),
+}
+
+/// Deletes a tenant's records whose last change is older than the retention; returns how many.
+///
+/// After that a repeat with the same key is a new call. A record that changes meanwhile stays.
+///
+/// # Errors
+///
+/// [`ExpiryError`] where the table service fails; what was deleted until then is gone.
+pub async fn expire(
+    table: &dyn Table,
+    tenant: &str,
+    retention: Duration,
+) -> Result<usize, ExpiryError> {
+    let retention = u64::try_from(retention.as_millis()).unwrap_or(u64::MAX);
+    let before = epoch_millis().saturating_sub(retention);
+    let rows = table
+        .read(Read::Prefix(format!("request/{tenant}/")))
+        .await?;
+    let mut old = Vec::new();
+    for row in rows {
+        if Entry::parse(&row)?.at < before {
+            old.push(Check {
+                key: row.key,
+                revision: row.revision,
+            });
+        }
+    }
+    let mut deleted = 0;
+    for checks in old.chunks(BATCH) {
+        let writes = checks
+            .iter()
+            .map(|c| Write {
+                key: c.key.clone(),
+                value: None,
+            })
+            .collect();
+        let checks = checks.to_vec();
+        let n = checks.len();
+        if let Commit::Done(_) = table.commit(Txn { checks, writes }).await? {
+            deleted += n;
+        }
+    }
+    Ok(deleted)
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod exit_codes;
 pub mod home;
 pub mod instances;
+pub mod ledger;
 pub mod limits;
 pub mod objects;
 pub mod placement;
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod list;
 pub mod memory_engine;
 pub mod process;
+pub mod scripted_table;
 pub mod server;
 pub mod service;
 pub mod store;
