--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod intake;
 pub mod interest;
 pub mod keeper;
+pub mod ledger;
 pub mod limits;
 pub mod loads;
 pub mod logs;
