Non-repeatable calls run at most once through the daemon

Cause: calls under repeat=never and repeat=keyed were refused as not ready. Ruled out: connecting before the claim (a repeat of a finished call needs no endpoint); ending the call with its caller (the outcome would be lost, and a repeat would only learn may-have-run). Change: claim, fresh connection, send, keep; in a task of its own. A call is sent again only where it surely did not run or where the service recognises the key. A claimant that the membership shows as gone is settled as unknown; a wrong guess leaves the outcome untouched. The parts of an instance are put together in a module of their own.

--- /dev/null
+++ b/src/assembly.rs
@@ -0,0 +1,267 @@
+//! Puts the actors and tasks of one instance together.
+
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, watch};
+use tokio::time::MissedTickBehavior;
+use xtra::Address;
+
+use crate::clock::Clock;
+use crate::console::Desk;
+use crate::daemon::StartError;
+use crate::engine::Engine;
+use crate::fleet::{Fleet, Heard, Inflight};
+use crate::follow::{Follow, Keep};
+use crate::gate::{Bounds, Gate};
+use crate::instances::Directory;
+use crate::interest::Interest;
+use crate::keeper::{Keeper, KeeperParts};
+use crate::ledger::{Ledger, LedgerSettings};
+use crate::loads::{Answering, LoadContext, LoadSettings, Loads as ColdStarts};
+use crate::members::{Member, MemberState};
+use crate::metrics::Metrics;
+use crate::objects::Objects;
+use crate::once::Start;
+use crate::outbound::{Outbound, OutboundSettings};
+use crate::peers::{Fleet as Loads, Inbound, Mesh, MeshConfig, MeshHandle, MeshSettings};
+use crate::placement::{Placement, PlacementSettings, ReconcileSettings};
+use crate::platform::{Remote, RemoteEngines};
+use crate::poll::Poll;
+use crate::records::Records;
+use crate::rules::{RulesStore, StoreSettings};
+use crate::settings::Settings;
+use crate::table::Table;
+
+/// Records of recent requests that are kept.
+const RECORDS: usize = 10_000;
+/// Time between two looks at what is left over in the record of calls.
+const TIDY: Duration = Duration::from_secs(1);
+
+/// The platform's systems and the connections to them.
+#[derive(Debug)]
+struct Platform {
+    outbound: Outbound,
+    table: Arc<dyn Table>,
+    objects: Arc<dyn Objects>,
+    directory: Arc<dyn Directory>,
+    engines: Arc<dyn Engine>,
+}
+
+impl Platform {
+    fn new(settings: &Settings) -> Self {
+        let outbound = Outbound::new(OutboundSettings {
+            connect: settings.timing.connect,
+            ..OutboundSettings::default()
+        });
+        let limit = settings.timing.platform;
+        let remote = |address| Arc::new(Remote::new(outbound.clone(), address, limit));
+        Self {
+            table: remote(settings.platform.table),
+            objects: remote(settings.platform.objects),
+            directory: remote(settings.platform.list),
+            engines: Arc::new(RemoteEngines::new(outbound.clone(), limit)),
+            outbound,
+        }
+    }
+}
+
+/// Starts the actors and tasks of an instance.
+pub(crate) fn assemble(
+    settings: &Settings,
+    peers: TcpListener,
+    stop: watch::Sender<bool>,
+) -> Result<Desk, StartError> {
+    let clock = Clock::Boot;
+    let metrics = Metrics::new()?;
+    let Platform {
+        outbound,
+        table,
+        objects,
+        directory,
+        engines,
+    } = Platform::new(settings);
+    let (fleet, view) = Fleet::start();
+    let (keep, rules) = Keep::start();
+    let start = this_start(settings);
+    let (mesh, requests) = Mesh::start(
+        mesh_config(settings, &start, &peers, Arc::clone(&directory)),
+        peers,
+    );
+    let interest = Interest::new(mesh.clone());
+    let store = RulesStore::new(
+        Arc::clone(&table),
+        Arc::clone(&objects),
+        StoreSettings {
+            call: settings.timing.platform,
+            ..StoreSettings::default()
+        },
+    );
+    let ledger = Ledger::new(
+        Arc::clone(&table),
+        objects,
+        LedgerSettings {
+            instance: start.to_string(),
+            ..LedgerSettings::default()
+        },
+    );
+    let placement = Arc::new(Placement::new(
+        table,
+        PlacementSettings {
+            region: settings.region.clone(),
+            prefix: format!("{start}-{:08x}", rand::random::<u32>()),
+            ..PlacementSettings::default()
+        },
+    )?);
+    let keeper = Keeper::new(
+        KeeperParts {
+            placement: Arc::clone(&placement),
+            engines,
+            fleet: fleet.clone(),
+            view: view.clone(),
+            rules: rules.clone(),
+            mesh: mesh.clone(),
+            clock,
+        },
+        ReconcileSettings::default(),
+    );
+    let loads = ColdStarts::start(LoadContext {
+        settings: LoadSettings::default(),
+        placement,
+        keeper: keeper.clone(),
+        interest: interest.clone(),
+        metrics: metrics.clone(),
+    });
+    let poll = Poll {
+        directory,
+        fleet: fleet.clone(),
+        clock,
+        every: settings.timing.list,
+    };
+    let gate = Gate {
+        name: settings.name.clone(),
+        domain: settings.domain.clone(),
+        clock,
+        bounds: bounds(settings),
+        rules,
+        view,
+        fleet,
+        loads,
+        interest,
+        outbound,
+        ledger: Arc::new(ledger),
+        mesh: mesh.clone(),
+        start,
+        inflight: Inflight::default(),
+        records: Records::new(RECORDS),
+        metrics,
+        stopping: stop.subscribe(),
+    };
+    let desk = Desk {
+        gate,
+        keeper,
+        mesh,
+        store,
+        keep,
+        stop,
+    };
+    background(&desk, settings, poll, requests);
+    Ok(desk)
+}
+
+/// Starts the tasks that run beside the listeners.
+fn background(desk: &Desk, settings: &Settings, poll: Poll, requests: mpsc::Receiver<Inbound>) {
+    let gate = &desk.gate;
+    let follow = Follow {
+        store: desk.store.clone(),
+        keep: desk.keep.clone(),
+        mesh: desk.mesh.clone(),
+        seen: gate.rules.clone(),
+        every: settings.timing.rules,
+    };
+    let answering = Answering {
+        loads: gate.loads.clone(),
+        rules: gate.rules.clone(),
+        view: gate.view.clone(),
+    };
+    tokio::spawn(poll.run());
+    tokio::spawn(follow.clone().run());
+    tokio::spawn(follow.clone().announce());
+    tokio::spawn(follow.listen());
+    tokio::spawn(answering.run(requests));
+    tokio::spawn(hear(desk.mesh.fleet(), gate.fleet.clone()));
+    tokio::spawn(gate.interest.clone().run(gate.clock));
+    tokio::spawn(tidy(Arc::clone(&gate.ledger), desk.mesh.clone()));
+    tokio::spawn(desk.keeper.clone().run(settings.timing.report));
+}
+
+fn bounds(settings: &Settings) -> Bounds {
+    Bounds {
+        body: settings.limits.body,
+        arrival: settings.limits.body_time,
+        timeout: settings.limits.deadline,
+        waiting: settings.limits.waiting as u64,
+        ..Bounds::default()
+    }
+}
+
+fn this_start(settings: &Settings) -> Start {
+    let now = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    Start {
+        name: settings.name.clone(),
+        at: now.as_millis().try_into().unwrap_or_default(),
+    }
+}
+
+fn mesh_config(
+    settings: &Settings,
+    start: &Start,
+    listener: &TcpListener,
+    directory: Arc<dyn Directory>,
+) -> MeshConfig {
+    let address = listener.local_addr().unwrap_or(settings.listen.peers);
+    MeshConfig {
+        me: Member {
+            name: settings.name.clone(),
+            address,
+            region: settings.region.clone(),
+            domain: settings.domain.clone(),
+            incarnation: start.at,
+            state: MemberState::Live,
+            rules: 0,
+        },
+        directory,
+        clock: Clock::Boot,
+        settings: MeshSettings {
+            beat: settings.timing.heartbeat,
+            poll: settings.timing.list,
+            ..MeshSettings::default()
+        },
+    }
+}
+
+/// Passes on what peers tell of servers that they poll.
+async fn hear(mut told: watch::Receiver<Arc<Loads>>, fleet: Address<Fleet>) {
+    while told.changed().await.is_ok() {
+        let loads = Arc::clone(&told.borrow_and_update());
+        if fleet.send(Heard(loads)).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Settles what is left over in the record of calls, until the process ends.
+async fn tidy(ledger: Arc<Ledger>, mesh: MeshHandle) {
+    let members = mesh.members();
+    let mut ticks = tokio::time::interval(TIDY);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let live = members.borrow().len().max(1);
+        ledger.share(live.try_into().unwrap_or(u32::MAX));
+        ledger.tidy().await;
+    }
+}
--- a/src/calls.rs
+++ b/src/calls.rs
@@ -27,7 +27,7 @@
 const PASSED_HEADERS: [hyper::header::HeaderName; 2] = [CONTENT_TYPE, ACCEPT];
 
 /// One call on its way.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct ServiceCall {
     pub(crate) gate: Gate,
     pub(crate) ask: Ask,
@@ -55,7 +55,7 @@
     };
     match call.rule.repeat {
         Repeat::Safe => call.serve_safe().await,
-        Repeat::Never | Repeat::Keyed => http::refuse(&Refusal::not_run(Cause::NotReady), &id),
+        Repeat::Never | Repeat::Keyed => call.serve_once().await,
     }
 }
 
@@ -112,7 +112,7 @@
                 Freshness::Fresh
             };
             let (endpoint, link, _running) = self.connect(&mut tried, freshness).await?;
-            match self.exchange(link).await {
+            match self.exchange(link, self.ask.left()).await {
                 Ok(answer) => return Ok(answer),
                 Err(error) => {
                     worst = worst.max(error.verdict());
@@ -161,19 +161,18 @@
         }
     }
 
-    /// Sends the request on a connection and reads the whole answer.
-    pub(crate) async fn exchange(&self, link: Link) -> Result<Answer, SendError> {
-        let limit = if link.reused() {
-            self.gate.bounds.reused
+    /// Sends the request on a connection and reads the whole answer within `limit`.
+    pub(crate) async fn exchange(&self, link: Link, limit: Duration) -> Result<Answer, SendError> {
+        let end = Instant::now() + limit;
+        let head = if link.reused() {
+            self.gate.bounds.reused.min(limit)
         } else {
-            self.ask.left()
+            limit
         };
-        let reply = link
-            .send(self.request(), limit.min(self.ask.left()))
-            .await?;
+        let reply = link.send(self.request(), head).await?;
         let from = reply.from;
         let read = reply.read(&self.gate.outbound, self.gate.bounds.answer);
-        tokio::time::timeout(self.ask.left(), read)
+        tokio::time::timeout_at(end, read)
             .await
             .map_err(|late| SendError {
                 fault: SendFault::Body,
@@ -182,7 +181,12 @@
             })?
     }
 
-    async fn note(&mut self, endpoint: &Endpoint, error: &SendError, tried: &mut BTreeSet<String>) {
+    pub(crate) async fn note(
+        &mut self,
+        endpoint: &Endpoint,
+        error: &SendError,
+        tried: &mut BTreeSet<String>,
+    ) {
         log::info!(id = self.ask.id, endpoint = endpoint.listed.name, error:% = error; "attempt failed");
         self.record.step("failed", error.to_string());
         if error.fault == SendFault::Silent {
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -10,9 +10,12 @@
 use crate::fleet::{Endpoint, Fleet, Inflight, Lost, View};
 use crate::follow::RulesWatch;
 use crate::interest::Interest;
+use crate::ledger::Ledger;
 use crate::loads::Loads;
 use crate::metrics::Metrics;
+use crate::once::Start;
 use crate::outbound::Outbound;
+use crate::peers::MeshHandle;
 use crate::records::Records;
 use crate::rules::{InForce, Rules, Tenant};
 use crate::verdict::{Cause, Refusal};
@@ -79,6 +82,12 @@
     pub interest: Interest,
     /// Connections to endpoints.
     pub outbound: Outbound,
+    /// Record of calls that may run at most once.
+    pub ledger: Arc<Ledger>,
+    /// The other instances.
+    pub mesh: MeshHandle,
+    /// This start of the instance.
+    pub start: Start,
     /// Requests running from here.
     pub inflight: Inflight,
     /// Recent requests.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod admin;
 pub mod ask;
+mod assembly;
 pub mod calls;
 pub mod chart;
 pub mod cli;
@@ -32,6 +33,7 @@
 pub mod members;
 pub mod metrics;
 pub mod objects;
+pub mod once;
 pub mod outbound;
 pub mod peers;
 pub mod placement;
