--- a/src/bin/brassrack.rs
+++ b/src/bin/brassrack.rs
@@ -1,3 +1,5 @@
 //! Command-line tool for the operators of brassrack.
 
-fn main() {}
+fn main() -> std::process::ExitCode {
+    brassrack::tool::run(std::env::args_os().collect()).into()
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod rules;
 pub mod settings;
 pub mod table;
+pub mod tool;
 pub mod verdict;
 
 /// A boxed future, as returned by the traits at the edges of the process.
