Settings: drop timing.lease, which nothing reads

Cause: no part of the daemon reads timing.lease; a key without effect misleads. Ruled out: keeping it for later; it comes back with the code that reads it. Change: the key and its check against timing.heartbeat are gone.

--- a/src/settings.rs
+++ b/src/settings.rs
@@ -99,8 +99,6 @@
 pub struct Timing {
     /// Interval of heartbeats to peers.
     pub heartbeat: Duration,
-    /// Age of a lease at which it lapses.
-    pub lease: Duration,
     /// Interval of reading the instance list.
     pub list: Duration,
     /// Interval of fetching an endpoint's report.
@@ -168,7 +166,6 @@
     fn default() -> Self {
         Self {
             heartbeat: Duration::from_millis(500),
-            lease: Duration::from_secs(6),
             list: Duration::from_secs(1),
             report: Duration::from_millis(500),
             rules: Duration::from_secs(1),
--- a/src/settings/read.rs
+++ b/src/settings/read.rs
@@ -8,8 +8,6 @@
 
 const LEVELS: [&str; 6] = ["off", "error", "warn", "info", "debug", "trace"];
 const TOKEN_LENGTH: std::ops::RangeInclusive<usize> = 16..=512;
-/// Heartbeats that a lease must outlast.
-const HEARTBEATS_PER_LEASE: u32 = 3;
 
 pub(super) fn settings(text: &str) -> Result<Settings, Vec<SettingError>> {
     let mut tree = Tree::new(text);
@@ -30,7 +28,6 @@
             .unwrap_or(log::LevelFilter::Info),
     };
     check_listeners(&mut tree, &settings);
-    check_lease(&mut tree, &settings.timing);
     let errors = tree.finish();
     if errors.is_empty() {
         Ok(settings)
@@ -91,7 +88,6 @@
     let ms = |low, high| [low, high].map(Duration::from_millis);
     Timing {
         heartbeat: tree.time("timing.heartbeat", ms(50, 10_000), usual.heartbeat),
-        lease: tree.time("timing.lease", ms(500, 300_000), usual.lease),
         list: tree.time("timing.list", ms(50, 3_000), usual.list),
         report: tree.time("timing.report", ms(50, 10_000), usual.report),
         rules: tree.time("timing.rules", ms(50, 4_000), usual.rules),
@@ -120,15 +116,3 @@
         tree.reject("listen.admin", found, expected);
     }
 }
-
-fn check_lease(tree: &mut Tree, timing: &Timing) {
-    let least = timing.heartbeat * HEARTBEATS_PER_LEASE;
-    if timing.lease < least {
-        let found = format!("'{}'", humantime::format_duration(timing.lease));
-        let expected = format!(
-            "at least {HEARTBEATS_PER_LEASE} times timing.heartbeat, {}",
-            humantime::format_duration(least)
-        );
-        tree.reject("timing.lease", found, &expected);
-    }
-}
