--- a/src/cli.rs
+++ b/src/cli.rs
@@ -9,7 +9,7 @@
 Settings errors are printed one a line on stderr with the key's path and what is accepted.
 
 Signals: the first SIGTERM or SIGINT stops gracefully (no new requests, running ones end, at \
-most limits.drain-time); a second one ends at once and reports what was cut.
+most limits.drain-time); a second one ends at once and cuts them.
 
 Exit codes: 0 success, 1 failure, 2 wrong command line, 3 invalid settings, 10 requests were cut.";
 
--- a/src/tool.rs
+++ b/src/tool.rs
@@ -73,13 +73,15 @@
 
 fn dispatch(matches: &ArgMatches) -> Result<Report, ToolError> {
     match matches.subcommand() {
-        Some(("completions", m)) => Ok(completions(m)),
-        Some(("rules", m)) if m.subcommand_name() == Some("check") => match m.subcommand() {
-            Some((_, check)) => rules::check(check),
-            None => Ok(Report::new(Value::Null, String::new())),
-        },
-        _ => runtime()?.block_on(online(matches)),
+        Some(("completions", m)) => return Ok(completions(m)),
+        Some(("rules", m)) => {
+            if let Some(("check", check)) = m.subcommand() {
+                return rules::check(check);
+            }
+        }
+        _ => {}
     }
+    runtime()?.block_on(online(matches))
 }
 
 fn runtime() -> Result<tokio::runtime::Runtime, ToolError> {
--- a/src/tool/args.rs
+++ b/src/tool/args.rs
@@ -27,8 +27,9 @@
 
 const APPLY_HELP: &str = "\
 The file becomes the next version if the base version is still the accepted one; otherwise \
-nothing is changed, and the change that was accepted first is shown. `brassrack rules diff FILE` \
-tells the accepted version. Where the answer is lost, the tool looks the operation up and never \
+nothing is changed, and the change that was accepted first is shown. The base is --base, else a \
+first line `# base: N` as `brassrack rules show` prints it, else 0, which is right for the very \
+first rules. Where the answer is lost, the tool looks the operation up and never \
 sends it a second time.";
 
 /// The command line of `brassrack`.
@@ -119,7 +120,7 @@
         .subcommand(
             Command::new("diff")
                 .about("Compares the accepted rules with a file, or two versions")
-                .arg(file().required_unless_present("to"))
+                .arg(file().required(false).required_unless_present("to"))
                 .arg(number("from", "Older version [default: the one before --to]").requires("to"))
                 .arg(number("to", "Newer version").conflicts_with("file")),
         )
@@ -128,10 +129,7 @@
                 .about("Makes a file the accepted rules")
                 .after_help(APPLY_HELP)
                 .arg(file())
-                .arg(
-                    number("base", "Version that the file is based on; 0 for the first")
-                        .required(true),
-                )
+                .arg(number("base", "Version that the file is based on"))
                 .arg(option("author", "NAME", "Who applies it [default: $USER]"))
                 .arg(option("note", "TEXT", "Why, kept in the history"))
                 .arg(
--- a/src/tool/rules.rs
+++ b/src/tool/rules.rs
@@ -17,6 +17,8 @@
 /// Longest time to look for an operation whose answer was lost.
 const RESOLVE_TIME: Duration = Duration::from_secs(30);
 const RESOLVE_INTERVAL: Duration = Duration::from_millis(500);
+/// First line of a file that notes the version that it is based on.
+const BASE_PREFIX: &str = "# base: ";
 /// Versions that are searched for a lost operation.
 const RESOLVE_COUNT: u32 = 100;
 
@@ -101,9 +103,9 @@
         Err(ClientError::Failed(f)) if f.code == FailureCode::NotFound => (0, String::new()),
         Err(e) => return Err(ToolError::read("rules diff", &e)),
     };
-    let diff = Diff::between(&current, &text);
+    let diff = Diff::between(&current, split_base(&text).1);
     let json = json!({ "base": base, "changes": diff.changes });
-    Ok(Report::new(json, format!("# base: {base}\n{diff}")))
+    Ok(Report::new(json, format!("{BASE_PREFIX}{base}\n{diff}")))
 }
 
 async fn diff_versions(rack: &Rack, to: u64, from: Option<u64>) -> Result<Report, ToolError> {
@@ -121,7 +123,9 @@
     };
     let value = rack.get("rules show", &path).await?;
     let answer: RulesAnswer = from_value(value.clone())?;
-    Ok(Report::new(value, answer.source.text))
+    let RulesAnswer { source, .. } = answer;
+    let text = format!("{BASE_PREFIX}{}\n{}", source.version.version, source.text);
+    Ok(Report::new(value, text))
 }
 
 async fn history(rack: &Rack, matches: &ArgMatches) -> Result<Report, ToolError> {
@@ -179,10 +183,12 @@
 async fn apply(rack: &Rack, matches: &ArgMatches) -> Result<Report, ToolError> {
     let (file, text) = read(matches)?;
     Rules::parse(&text).map_err(|errors| ToolError::invalid(&file, &errors))?;
+    let (noted, text) = split_base(&text);
+    let base = matches.get_one("base").copied().or(noted);
     let apply = Apply {
-        base: matches.get_one("base").copied().unwrap_or_default(),
-        text,
-        author: author(matches)?,
+        base: base.unwrap_or_default(),
+        text: text.into(),
+        author: author(matches),
         note: matches.get_one("note").cloned().unwrap_or_default(),
         op: operation_id(),
     };
@@ -201,12 +207,25 @@
     }
 }
 
-fn author(matches: &ArgMatches) -> Result<String, ToolError> {
-    let given = matches.get_one("author").cloned();
-    given.or_else(|| std::env::var("USER").ok()).ok_or_else(|| {
-        let line = "rules apply: --author is needed, as $USER is not set".into();
-        ToolError::new(ExitCode::Usage, line)
-    })
+fn author(matches: &ArgMatches) -> String {
+    let given: Option<String> = matches.get_one("author").cloned();
+    given
+        .or_else(|| std::env::var("USER").ok())
+        .or_else(|| std::env::var("LOGNAME").ok())
+        .unwrap_or_else(|| "unknown".into())
+}
+
+/// The version that the first line of a file notes as its base, and the text without that line.
+fn split_base(text: &str) -> (Option<u64>, &str) {
+    let (line, rest) = text.split_once('\n').unwrap_or((text, ""));
+    match line
+        .trim()
+        .strip_prefix(BASE_PREFIX)
+        .map(|n| n.trim().parse())
+    {
+        Some(Ok(base)) => (Some(base), rest),
+        _ => (None, text),
+    }
 }
 
 fn accepted(file: &str, applied: &Applied) -> Report {
