--- a/tests/rules_file.rs
+++ b/tests/rules_file.rs
@@ -286,3 +286,39 @@
     })
     .seed(0x5eed_0000_0400);
 }
+
+#[test]
+fn deployments_have_their_size() {
+    let cases = [
+        (
+            include_str!("../deployments/papirnica.rules"),
+            55,
+            "POST /orders",
+            0.7,
+        ),
+        (
+            include_str!("../deployments/delta-meridian.rules"),
+            60,
+            "POST /activations",
+            0.25,
+        ),
+    ];
+    for (text, adapters, paid, idle) in cases {
+        let rules = Rules::parse(text).unwrap();
+        let (with_base, models): (Vec<_>, Vec<_>) =
+            rules.models.values().partition(|m| m.base.is_some());
+        assert_eq!((models.len(), with_base.len()), (50, adapters));
+        assert_eq!((rules.engines.len(), rules.services.len()), (1, 1));
+        let mut calls = rules.services.values().flat_map(|s| &s.calls);
+        let paid = calls.find(|c| format!("{} {}", c.method, c.path) == paid);
+        assert_eq!(paid.map(|c| c.repeat), Some(Repeat::Never));
+        assert_eq!(
+            (
+                rules.weights.idle,
+                rules.weights.loads,
+                rules.weights.adapters
+            ),
+            (idle, 4, 32)
+        );
+    }
+}
