--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -4,4 +4,5 @@
 //! code depends on this crate.
 
 pub mod fault;
+pub mod replay;
 pub mod table;
