--- a/standins/src/replay/run.rs
+++ b/standins/src/replay/run.rs
@@ -22,7 +22,7 @@
 const TICK: Duration = Duration::from_mins(1);
 
 /// Time by which the clairvoyant scheme loads earlier than a load takes.
-const LEAD: Duration = Duration::from_secs(5);
+const LEAD: Duration = Duration::from_millis(200);
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum Event {
@@ -146,9 +146,7 @@
             Event::Loaded { model, life } => self.loaded(model, life),
             Event::Finish { model, life } => self.finish(model, life),
             Event::Expire { model, turn } => self.expire(model, turn),
-            Event::Ahead(model) => {
-                self.ask(model);
-            }
+            Event::Ahead(model) => self.ahead(model),
             Event::Dispatch => self.dispatch(),
             Event::Tick => self.tick(),
         }
@@ -315,6 +313,19 @@
         }
     }
 
+    /// Loads a model so that it is ready just before its next request.
+    fn ahead(&mut self, model: usize) {
+        let Some(next) = self.future.next(model, self.now) else {
+            return;
+        };
+        let start = next.saturating_sub(self.reload(model) + LEAD);
+        if start > self.now {
+            self.at(start, Event::Ahead(model));
+        } else {
+            self.ask(model);
+        }
+    }
+
     fn expire(&mut self, model: usize, turn: u32) {
         let unit = &self.units[model];
         let idle = unit.state == State::Ready && unit.running == 0 && unit.turn == turn;
