--- a/tests/ledger_faults.rs
+++ b/tests/ledger_faults.rs
@@ -40,7 +40,7 @@
         };
         Self {
             a: ledger("a", Arc::new(script.clone())),
-            b: ledger("b", Arc::new(table.client())),
+            b: ledger("b", Arc::new(script.table.clone())),
             table,
             objects,
             script,
@@ -87,6 +87,7 @@
 #[tokio::test(start_paused = true)]
 async fn one_of_many_claims_wins() {
     let p = Pair::new();
+    p.script.table.switch.set(Fault::Slow(3));
     let key = call("k");
     let bids = (0..20).map(|i| {
         if i % 2 == 0 {
