--- a/src/commit.rs
+++ b/src/commit.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -272,3 +272,9 @@
         format!("{}.{n}", self.prefix)
     }
 }
+
+/// Milliseconds since the Unix epoch, for rows that people read and for retention.
+pub(crate) fn epoch_millis() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX))
+}
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -5,7 +5,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use tokio::time::Instant;
 
@@ -334,8 +334,3 @@
     Full,
     Commit(CommitError),
 }
-
-fn epoch_millis() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    since.map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX))
-}
--- a/src/ledger/batch.rs
+++ b/src/ledger/batch.rs
@@ -11,9 +11,8 @@
 use tokio::sync::oneshot;
 use tokio::time::{Instant, sleep_until};
 
-use crate::commit::{CommitError, Committer, Malformed, Plan, Record, Snapshot};
+use crate::commit::{CommitError, Committer, Malformed, Plan, Record, Snapshot, epoch_millis};
 
-use super::epoch_millis;
 use super::record::{Change, Entry, Outcome};
 
 /// Answer to one change.
--- a/src/ledger/expiry.rs
+++ b/src/ledger/expiry.rs
@@ -2,10 +2,9 @@
 
 use std::time::Duration;
 
-use crate::commit::{Malformed, Record};
+use crate::commit::{Malformed, Record, epoch_millis};
 use crate::table::{Check, Commit, Read, Table, TableError, Txn, Write};
 
-use super::epoch_millis;
 use super::record::Entry;
 
 /// Most rows that one transaction deletes.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod relay;
 pub mod rules;
 pub mod settings;
+pub mod suspects;
 pub mod table;
 pub mod verdict;
 
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -5,11 +5,10 @@
 //! repeated or orphaned order can only do what was decided and reserved.
 
 use std::sync::Arc;
-use std::time::{SystemTime, UNIX_EPOCH};
 
 use crate::chart::{Chart, ChartError, Replica as ReplicaChart, ReplicaEvent, ReplicaState};
 use crate::commit::{
-    CommitError, CommitSettings, Committer, Ids, Malformed, Plan, Record, Snapshot,
+    CommitError, CommitSettings, Committer, Ids, Malformed, Plan, Record, Snapshot, epoch_millis,
 };
 use crate::engine::Resident;
 use crate::table::{Read, Table};
@@ -361,9 +360,3 @@
     /// Decided replicas.
     pub row: ServerRow,
 }
-
-/// Wall time for people who read the rows; no decision rests on it.
-fn epoch_millis() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    since.map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX))
-}
