Tenant limits, retry budget and crash suspects on the request's path

Cause: every known tenant was admitted without a bound, retries were bounded only by four attempts a request, and a request that crashes its endpoint was sent to the next one. Ruled out: spending the budget on attempts that surely did not run (they put no load on an endpoint and would block failover right after a start); counting every broken connection as a crash (only a refused connection or a new boot id counts). Change: a pass for each admitted request; a budget for attempts that may have run; trials of suspects on the quietest endpoint and a final refusal after the bound. The failure paths have no process test yet.

--- a/src/assembly.rs
+++ b/src/assembly.rs
@@ -8,6 +8,7 @@
 use tokio::time::MissedTickBehavior;
 use xtra::Address;
 
+use crate::admission::Admission;
 use crate::clock::Clock;
 use crate::console::Desk;
 use crate::daemon::StartError;
@@ -32,12 +33,15 @@
 use crate::records::Records;
 use crate::rules::{RulesStore, StoreSettings};
 use crate::settings::Settings;
+use crate::suspects::{SuspectSettings, Suspects};
 use crate::table::Table;
 
 /// Records of recent requests that are kept.
 const RECORDS: usize = 10_000;
 /// Time between two looks at what is left over in the record of calls.
 const TIDY: Duration = Duration::from_secs(1);
+/// Time between two reads of the requests tied to crashes.
+const REFRESH: Duration = Duration::from_secs(1);
 
 /// The platform's systems and the connections to them.
 #[derive(Debug)]
@@ -98,14 +102,8 @@
             ..StoreSettings::default()
         },
     );
-    let ledger = Ledger::new(
-        Arc::clone(&table),
-        objects,
-        LedgerSettings {
-            instance: start.to_string(),
-            ..LedgerSettings::default()
-        },
-    );
+    let ledger = ledger(&table, objects, &start);
+    let suspects = suspects(&table, &start);
     let placement = Arc::new(Placement::new(
         table,
         PlacementSettings {
@@ -117,7 +115,7 @@
     let keeper = Keeper::new(
         KeeperParts {
             placement: Arc::clone(&placement),
-            engines,
+            engines: Arc::clone(&engines),
             fleet: fleet.clone(),
             view: view.clone(),
             rules: rules.clone(),
@@ -147,6 +145,9 @@
         rules,
         view,
         fleet,
+        engines,
+        admission: Admission::new(clock),
+        suspects: Arc::new(suspects),
         loads,
         interest,
         outbound,
@@ -192,10 +193,29 @@
     tokio::spawn(answering.run(requests));
     tokio::spawn(hear(desk.mesh.fleet(), gate.fleet.clone()));
     tokio::spawn(gate.interest.clone().run(gate.clock));
+    let admission = gate.admission.clone();
+    tokio::spawn(admission.follow(gate.name.clone(), gate.rules.clone(), desk.mesh.clone()));
+    tokio::spawn(refresh(Arc::clone(&gate.suspects)));
     tokio::spawn(tidy(Arc::clone(&gate.ledger), desk.mesh.clone()));
     tokio::spawn(desk.keeper.clone().run(settings.timing.report));
 }
 
+fn ledger(table: &Arc<dyn Table>, objects: Arc<dyn Objects>, start: &Start) -> Ledger {
+    let settings = LedgerSettings {
+        instance: start.to_string(),
+        ..LedgerSettings::default()
+    };
+    Ledger::new(Arc::clone(table), objects, settings)
+}
+
+fn suspects(table: &Arc<dyn Table>, start: &Start) -> Suspects {
+    let settings = SuspectSettings {
+        prefix: format!("{start}-s"),
+        ..SuspectSettings::default()
+    };
+    Suspects::new(Arc::clone(table), settings)
+}
+
 fn bounds(settings: &Settings) -> Bounds {
     Bounds {
         body: settings.limits.body,
@@ -265,3 +285,15 @@
         ledger.tidy().await;
     }
 }
+
+/// Reads the requests tied to crashes, until the process ends.
+async fn refresh(suspects: Arc<Suspects>) {
+    let mut ticks = tokio::time::interval(REFRESH);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        if let Err(error) = suspects.refresh().await {
+            log::warn!(error:% = error; "cannot read the suspected requests");
+        }
+    }
+}
--- a/src/calls.rs
+++ b/src/calls.rs
@@ -11,6 +11,7 @@
 use hyper::{HeaderMap, Method, Request, Response, Uri};
 use tokio::time::Instant;
 
+use crate::admission::Pass;
 use crate::ask::{self, Ask};
 use crate::fleet::{Endpoint, Running};
 use crate::gate::Gate;
@@ -39,6 +40,7 @@
     pub(crate) body: Bytes,
     pub(crate) class: Class,
     pub(crate) record: Record,
+    _pass: Arc<Pass>,
 }
 
 /// Answers a call to a plain service.
@@ -67,14 +69,18 @@
         body: Incoming,
     ) -> Result<Self, Refusal> {
         let rules = gate.in_force()?;
-        let tenant = gate.tenant(&rules.rules, &ask.tenant)?;
+        let pass = Arc::new(gate.admission.admit(&ask.tenant)?);
+        let class = rules
+            .rules
+            .tenants
+            .get(&ask.tenant)
+            .map_or(Class::Batch, |t| t.class);
         let (service, rest) = split_path(&head.uri)?;
         let rule = find_call(&rules.rules, &service, &head.method, rest.path())?;
         let ask = Ask {
             due: ask.due.min(Instant::now() + rule.timeout),
             ..ask
         };
-        let class = tenant.class;
         let target = format!("{service} {} {}", rule.method, rule.path);
         let record = Record::new(&gate.name, &ask, class, target);
         let body = ask::read_body(body, &gate.bounds).await?;
@@ -89,6 +95,7 @@
             body,
             class,
             record,
+            _pass: pass,
         })
     }
 
@@ -117,6 +124,9 @@
                 Err(error) => {
                     worst = worst.max(error.verdict());
                     self.note(&endpoint, &error, &mut tried).await;
+                    if !self.gate.admission.may_retry(error.verdict()) {
+                        break;
+                    }
                     self.gate.metrics.retried();
                 }
             }
--- /dev/null
+++ b/src/completions/source.rs
@@ -0,0 +1,259 @@
+//! Finds an endpoint for a completion and sends it there.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::{ACCEPT, CONTENT_TYPE, HeaderValue};
+use hyper::{Method, Request};
+use tokio::time::{Instant, sleep, timeout};
+
+use super::Completion;
+use crate::fleet::{Endpoint, NotHeld, Running};
+use crate::http;
+use crate::loads::{Decider, Phase};
+use crate::outbound::{Freshness, Reply, SendError, SendFault};
+use crate::relay::RESUME;
+use crate::trials::Leave;
+use crate::verdict::{Cause, Refusal, Verdict};
+
+/// Pause before an endpoint is looked for again.
+const LOOK_PAUSE: Duration = Duration::from_millis(50);
+
+/// A reply and the endpoint that gives it.
+#[derive(Debug)]
+pub(super) struct Source {
+    pub(super) reply: Reply,
+    pub(super) endpoint: Endpoint,
+    _running: Running,
+}
+
+impl Completion {
+    /// A reply that begins after `passed` events.
+    pub(super) async fn source(&mut self, passed: u64) -> Result<Source, Refusal> {
+        while self.attempts < self.gate.bounds.attempts {
+            let endpoint = self.endpoint().await?;
+            self.attempts += 1;
+            if self.attempts > 1 {
+                self.gate.metrics.retried();
+            }
+            match self.send(&endpoint, passed).await {
+                Ok(source) if refused_before_run(&source.reply) => {
+                    self.not_held(endpoint.listed.name).await;
+                }
+                Ok(source) => return Ok(source),
+                Err(error) => self.note(&endpoint, &error).await?,
+            }
+        }
+        Err(Refusal::not_run(Cause::EndpointFailed)
+            .detail(format!("{} attempts failed", self.attempts))
+            .retry_after(Duration::from_secs(1)))
+    }
+
+    /// Notes that a reply broke off.
+    ///
+    /// # Errors
+    ///
+    /// The refusal where the retry budget is used up.
+    pub(super) async fn broke(
+        &mut self,
+        endpoint: &Endpoint,
+        detail: String,
+    ) -> Result<(), Refusal> {
+        self.record.step("broke", detail);
+        self.worst = Verdict::Ran;
+        self.suspicion.inspect(endpoint, &self.prompt.model).await;
+        self.spend(Verdict::Ran)
+    }
+
+    async fn not_held(&mut self, name: String) {
+        self.record
+            .step("refused", format!("{name} does not hold the model"));
+        self.suspicion.finish(false).await;
+        let model = self.prompt.model.clone();
+        let told = NotHeld {
+            name: name.clone(),
+            model,
+        };
+        if self.gate.fleet.send(told).await.is_err() {
+            log::debug!("the fleet has stopped");
+        }
+        self.tried.insert(name);
+    }
+
+    async fn note(&mut self, endpoint: &Endpoint, error: &SendError) -> Result<(), Refusal> {
+        let name = endpoint.listed.name.clone();
+        log::info!(id = self.ask.id, endpoint = name, error:% = error; "attempt failed");
+        self.record.step("failed", error.to_string());
+        self.worst = self.worst.max(error.verdict());
+        match error.fault {
+            SendFault::Closed => {
+                self.suspicion.inspect(endpoint, &self.prompt.model).await;
+                self.tried.insert(name);
+            }
+            SendFault::Connect | SendFault::NotSent => {
+                self.suspicion.finish(false).await;
+                self.gate.lost(&name).await;
+                self.tried.insert(name);
+            }
+            SendFault::Silent | SendFault::Crossed | SendFault::Body => {
+                self.suspicion.finish(false).await;
+            }
+        }
+        self.spend(error.verdict())
+    }
+
+    /// Spends one retry.
+    fn spend(&self, verdict: Verdict) -> Result<(), Refusal> {
+        if self.gate.admission.may_retry(verdict) {
+            return Ok(());
+        }
+        Err(Refusal::new(verdict, Cause::EndpointFailed)
+            .detail("the endpoint failed and the retry budget is used up")
+            .retry_after(Duration::from_secs(1)))
+    }
+
+    /// An endpoint that holds the model, after a cold start where none does.
+    async fn endpoint(&mut self) -> Result<Endpoint, Refusal> {
+        loop {
+            if self.ask.left().is_zero() {
+                return Err(super::late());
+            }
+            let leave = self.suspicion.leave()?;
+            if let Some(endpoint) = self.pick(&leave) {
+                self.gate
+                    .interest
+                    .touch(&self.prompt.model, self.gate.clock.now());
+                if leave == Leave::Trial {
+                    self.suspicion.begin(&endpoint, &self.prompt.model).await?;
+                }
+                return Ok(endpoint);
+            }
+            let waited = Instant::now();
+            self.record.step("waiting", "for a replica");
+            if !self.held() {
+                self.wake().await?;
+                self.tried.clear();
+            }
+            if self.pick(&leave).is_none() {
+                sleep(LOOK_PAUSE).await;
+            }
+            let wait = waited.elapsed();
+            self.record.wait += wait;
+            self.gate.metrics.wait(&self.ask.tenant, self.class, wait);
+        }
+    }
+
+    fn pick(&self, leave: &Leave) -> Option<Endpoint> {
+        let model = self.prompt.model.as_str();
+        if *leave == Leave::Trial {
+            return self.suspicion.host(model);
+        }
+        let view = Arc::clone(&self.gate.view.borrow());
+        let untried = view
+            .holders(model)
+            .filter(|e| !self.tried.contains(&e.listed.name));
+        self.gate
+            .least_loaded(untried.map(|e| (e, view.load(e, model))))
+    }
+
+    /// Whether an endpoint that was not tried holds the model.
+    fn held(&self) -> bool {
+        let view = self.gate.view.borrow();
+        view.holders(&self.prompt.model)
+            .any(|e| !self.tried.contains(&e.listed.name))
+    }
+
+    /// Waits for a cold start, or refuses where it takes longer than the time left.
+    async fn wake(&self) -> Result<(), Refusal> {
+        if self.gate.waiting() >= self.gate.bounds.waiting {
+            return Err(Refusal::not_run(Cause::Overload)
+                .detail("too many requests wait for a replica")
+                .retry_after(Duration::from_secs(1)));
+        }
+        let _waiting = self.gate.loads.waiters().start(&self.prompt.model);
+        let mut phase = self
+            .gate
+            .loads
+            .wake(&self.prompt.model, Decider::Home)
+            .await?;
+        loop {
+            let now = phase.borrow_and_update().clone();
+            match now {
+                Phase::Ready => return Ok(()),
+                Phase::Failed(refusal) => return Err(refusal),
+                Phase::Loading { left } if left > self.ask.left() => {
+                    return Err(Refusal::not_run(Cause::DeadlineTooShort)
+                        .detail("the model is being loaded and is ready only after the deadline")
+                        .retry_after(left));
+                }
+                Phase::Loading { .. } => {}
+            }
+            match timeout(self.ask.left(), phase.changed()).await {
+                Ok(Ok(())) => {}
+                Ok(Err(_closed)) => {
+                    return Err(Refusal::not_run(Cause::Stopping)
+                        .detail("the instance is stopping")
+                        .retry_after(Duration::from_secs(1)));
+                }
+                Err(_elapsed) => return Err(super::late()),
+            }
+        }
+    }
+
+    async fn send(&mut self, endpoint: &Endpoint, passed: u64) -> Result<Source, SendError> {
+        let name = &endpoint.listed.name;
+        self.record.sent(name);
+        let running = self.gate.inflight.start(name);
+        let link = self
+            .gate
+            .outbound
+            .open(endpoint.listed.address, self.freshness())
+            .await?;
+        let limit = if link.reused() {
+            self.gate.bounds.reused
+        } else {
+            self.ask.left()
+        };
+        let reply = link
+            .send(self.request(passed), limit.min(self.ask.left()))
+            .await?;
+        Ok(Source {
+            reply,
+            endpoint: endpoint.clone(),
+            _running: running,
+        })
+    }
+
+    /// The head of a stream comes early, so a silent connection shows; a plain answer comes late.
+    const fn freshness(&self) -> Freshness {
+        if self.prompt.stream && self.attempts == 1 {
+            Freshness::Proved
+        } else {
+            Freshness::Fresh
+        }
+    }
+
+    fn request(&self, passed: u64) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = Method::POST;
+        *request.uri_mut() = hyper::Uri::from_static("/v1/chat/completions");
+        let headers = request.headers_mut();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        if self.prompt.stream {
+            headers.insert(ACCEPT, HeaderValue::from_static("text/event-stream"));
+        }
+        if passed > 0 {
+            headers.insert(RESUME, HeaderValue::from(passed));
+        }
+        http::stamp(headers, &self.ask.id);
+        request
+    }
+}
+
+/// Whether the engine says that the request did not run there.
+fn refused_before_run(reply: &Reply) -> bool {
+    let head = reply.response.headers();
+    !reply.response.status().is_success() && http::text(head, http::VERDICT) == Some("not-run")
+}
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -119,6 +119,20 @@
         own.max(told).map_or(0, |(_, load)| load)
     }
 
+    /// Boot id of an endpoint's engine as last heard; empty where none was.
+    #[must_use]
+    pub fn boot(&self, endpoint: &Endpoint, model: &str) -> String {
+        let own = endpoint
+            .report
+            .as_ref()
+            .map(|r| (endpoint.seen, r.boot.as_str()));
+        let told = self
+            .told(endpoint, model)
+            .map(|l| (l.heard, l.boot.as_str()));
+        own.max(told)
+            .map_or_else(String::new, |(_, boot)| boot.to_owned())
+    }
+
     /// Whether a model is ready, by what was heard last of all.
     fn shows(&self, endpoint: &Endpoint, model: &str) -> bool {
         let own = endpoint
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -6,7 +6,9 @@
 use tokio::sync::watch;
 use xtra::Address;
 
+use crate::admission::Admission;
 use crate::clock::Clock;
+use crate::engine::Engine;
 use crate::fleet::{Endpoint, Fleet, Inflight, Lost, View};
 use crate::follow::RulesWatch;
 use crate::interest::Interest;
@@ -17,7 +19,8 @@
 use crate::outbound::Outbound;
 use crate::peers::MeshHandle;
 use crate::records::Records;
-use crate::rules::{InForce, Rules, Tenant};
+use crate::rules::InForce;
+use crate::suspects::Suspects;
 use crate::verdict::{Cause, Refusal};
 
 /// Bounds of a request's path.
@@ -76,6 +79,12 @@
     pub view: watch::Receiver<Arc<View>>,
     /// Owner of the view.
     pub fleet: Address<Fleet>,
+    /// The engines, to ask whether one has died.
+    pub engines: Arc<dyn Engine>,
+    /// Limits of tenants and retries.
+    pub admission: Admission,
+    /// Requests tied to crashes.
+    pub suspects: Arc<Suspects>,
     /// Cold starts.
     pub loads: Loads,
     /// Models that this instance has traffic for.
@@ -112,17 +121,6 @@
         })
     }
 
-    /// The rule of a tenant.
-    ///
-    /// # Errors
-    ///
-    /// [`Cause::UnknownTenant`] where no rule names it.
-    pub fn tenant<'a>(&self, rules: &'a Rules, name: &str) -> Result<&'a Tenant, Refusal> {
-        rules.tenants.get(name).ok_or_else(|| {
-            Refusal::not_run(Cause::UnknownTenant).detail(format!("no rule names tenant '{name}'"))
-        })
-    }
-
     /// Whether new requests are taken.
     #[must_use]
     pub fn ready(&self) -> bool {
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -192,9 +192,9 @@
 }
 
 async fn admit(gate: &Gate, ask: Ask, body: Incoming) -> Result<Completion, Refusal> {
-    let rules = gate.in_force()?;
-    gate.tenant(&rules.rules, &ask.tenant)?;
+    gate.in_force()?;
+    let pass = gate.admission.admit(&ask.tenant)?;
     let body = ask::read_body(body, &gate.bounds).await?;
     let prompt = Prompt::parse(&body)?;
-    Completion::new(gate, ask, prompt, body)
+    Completion::new(gate, ask, prompt, body, pass)
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`engine::Engine`], [`instances::Directory`] and [`objects::Objects`].
 
 pub mod admin;
+pub mod admission;
 pub mod ask;
 mod assembly;
 pub mod calls;
@@ -47,6 +48,7 @@
 pub mod suspects;
 pub mod table;
 pub mod tool;
+pub mod trials;
 pub mod verdict;
 
 /// A boxed future, as returned by the traits at the edges of the process.
