Tool: no indent in piped tables; waits look for the version every 20 ms

Cause: piped rows began with a blank, which 'cut' takes as an empty field; the wait looked for the version every 100 ms, longer than a change takes to spread. Change: the blank is stripped, the interval is 20 ms.

--- a/src/admin/rules.rs
+++ b/src/admin/rules.rs
@@ -12,7 +12,7 @@
 use crate::rules::{Proposal, StoreError, VersionText};
 
 const DEFAULT_HISTORY: u64 = 20;
-const POLL_INTERVAL: Duration = Duration::from_millis(100);
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
 const LONGEST_AUTHOR: usize = 100;
 const LONGEST_NOTE: usize = 1000;
 const LONGEST_OP: usize = 64;
--- a/src/tool/tables.rs
+++ b/src/tool/tables.rs
@@ -143,5 +143,8 @@
         table.set_header(head.to_vec());
     }
     table.add_rows(rows);
-    format!("{}\n", table.trim_fmt())
+    let text = table.trim_fmt();
+    let lines = text.lines().map(|l| l.strip_prefix(' ').unwrap_or(l));
+    let lines: Vec<&str> = lines.collect();
+    format!("{}\n", lines.join("\n"))
 }
