--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod meshes;
 pub mod process;
 pub mod rack;
+pub mod replay;
 pub mod scripted_table;
 pub mod server;
 pub mod service;
