Placement of new checkpoints where they displace least

Cause: all servers look alike for a remote load, so checkpoints crowd a few disks and push each other out; waits at p99 were remote loads. Change: a candidate names the bytes that it caches; a remote load prefers the fewest. The clairvoyant schemes let go of a model that is not asked for again.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -54,6 +54,8 @@
 const UNIT_MIB: f64 = 16.0 * 1024.0;
 /// Wait whose value is its own length, in seconds.
 const UNIT_WAIT: f64 = 5.0;
+/// Cost of any load beside the wait, in seconds of wait.
+const LOAD_COST: f64 = 0.1;
 /// Price of a unit of memory at equal weights, in seconds of wait a second.
 const PRICE: f64 = 0.02;
 /// Share of a cold start's value that may be lost in a lull before a replica is let go.
@@ -236,7 +238,7 @@
         Class::Batch => 0.0,
     };
     let wait = wait.as_secs_f64();
-    share * wait * wait / UNIT_WAIT
+    share * (LOAD_COST + wait + wait * wait / UNIT_WAIT)
 }
 
 fn mebibytes(bytes: u64) -> f64 {
--- a/src/policy/place.rs
+++ b/src/policy/place.rs
@@ -29,6 +29,8 @@
     pub idle: u64,
     /// Where it finds the checkpoint.
     pub locality: Locality,
+    /// Checkpoints of other models that it keeps, in bytes.
+    pub cached: u64,
     /// Time until the replica would be ready there, queues included.
     pub ready: Duration,
 }
@@ -64,6 +66,7 @@
 ///     free: 20,
 ///     idle: 0,
 ///     locality: Locality::Disk,
+///     cached: 0,
 ///     ready: Duration::from_secs(3),
 /// };
 /// let far = Candidate {
@@ -93,7 +96,7 @@
 /// Time added to a server that has to evict an idle replica.
 const EVICTION: Duration = Duration::from_secs(2);
 
-fn cost(c: &Candidate, bytes: u64, taken: &[DomainKey]) -> (Duration, u64, ServerKey) {
+fn cost(c: &Candidate, bytes: u64, taken: &[DomainKey]) -> (Duration, u64, u64, ServerKey) {
     let mut time = c.ready;
     if taken.contains(&c.domain) {
         time += SHARED_DOMAIN;
@@ -101,6 +104,11 @@
     if c.free < bytes {
         time += EVICTION;
     }
-    // Filling the fullest server that fits leaves room for large models elsewhere.
-    (time, c.free.saturating_sub(bytes), c.server)
+    // A new checkpoint goes where it displaces least; otherwise the fullest server that fits
+    // leaves room for large models elsewhere.
+    let displaced = match c.locality {
+        Locality::Remote => c.cached,
+        Locality::Memory | Locality::Disk => 0,
+    };
+    (time, displaced, c.free.saturating_sub(bytes), c.server)
 }
--- a/standins/src/replay/cluster.rs
+++ b/standins/src/replay/cluster.rs
@@ -88,6 +88,12 @@
         }
     }
 
+    /// Bytes of the checkpoints on disk.
+    #[must_use]
+    pub const fn cached(&self) -> u64 {
+        self.disk.taken
+    }
+
     /// Reserves memory for a model.
     ///
     /// # Panics
--- a/standins/src/replay/loads.rs
+++ b/standins/src/replay/loads.rs
@@ -66,6 +66,7 @@
                     free: s.free,
                     idle: self.residents(i).iter().map(|r| r.bytes).sum(),
                     locality,
+                    cached: s.cached(),
                     ready: local(locality, bytes).unwrap_or(remote),
                 }
             })
--- a/standins/src/replay/run.rs
+++ b/standins/src/replay/run.rs
@@ -284,7 +284,7 @@
 
     fn keep(&mut self, model: usize) -> Option<Duration> {
         let reload = self.reload(model);
-        let next = self.future.next(model, self.now);
+        let next = self.future.next(model, self.now).unwrap_or(Duration::MAX);
         match self.scheme.keep {
             Keep::Policy { .. } => Some(self.policy.keep_alive(
                 self.units[model].key,
@@ -298,12 +298,11 @@
                 let units = mebibytes(self.units[model].spec.bytes) / 16_384.0;
                 let waiters = self.future.waiters(model, self.now, reload);
                 let longest = gap * f64::from(waiters) / units;
-                let near = next?.saturating_sub(self.now).as_secs_f64() <= longest;
+                let near = next.saturating_sub(self.now).as_secs_f64() <= longest;
                 (!near || reload <= least).then_some(Duration::ZERO)
             }
             Keep::JustInTime => {
-                let lead = self.store.time(self.units[model].spec.bytes) + LEAD;
-                let at = next?.saturating_sub(lead);
+                let at = next.saturating_sub(reload + LEAD);
                 if at <= self.now {
                     return None;
                 }
--- a/tests/policy_decisions.rs
+++ b/tests/policy_decisions.rs
@@ -138,6 +138,7 @@
         free: 40 * GIB,
         idle: 0,
         locality: Locality::Remote,
+        cached: 0,
         ready: secs(8),
     }
 }
@@ -193,6 +194,17 @@
             ],
             Some(1),
         ),
+        (
+            "fewest checkpoints displaced",
+            vec![
+                Candidate {
+                    cached: 30 * GIB,
+                    ..usual
+                },
+                other,
+            ],
+            Some(1),
+        ),
         ("first of equals", vec![other, usual], Some(0)),
     ];
     for (name, candidates, expected) in cases {
