Wakes of all models by hour shape the rate of long gaps

Change: after a gap of 15 min the rate is scaled by the share of all models' wakes in that hour. No change where idle hours weigh much, since long gaps are not bridged there. Conclusion: kept.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -14,12 +14,14 @@
 use self::demand::Demand;
 use self::key::ModelKey;
 use self::place::Resident;
+use self::pool::Pool;
 use crate::rules::{Class, Weights};
 
 pub mod demand;
 pub mod gaps;
 pub mod key;
 pub mod place;
+pub mod pool;
 pub mod queue;
 pub mod rhythm;
 
@@ -86,8 +88,7 @@
     weights: Weights,
     models: BTreeMap<ModelKey, Demand>,
     next: u32,
-    /// Gaps of all models, which stand in where a model has few of its own.
-    pool: gaps::Gaps,
+    pool: Pool,
 }
 
 impl Policy {
@@ -98,7 +99,7 @@
             weights,
             models: BTreeMap::new(),
             next: 0,
-            pool: gaps::Gaps::uniform(),
+            pool: Pool::default(),
         }
     }
 
--- a/src/policy/demand.rs
+++ b/src/policy/demand.rs
@@ -4,14 +4,13 @@
 
 use super::Profile;
 use super::gaps::Gaps;
+use super::pool::Pool;
 use super::rhythm::Rhythm;
 
 /// Idle gap after which an arrival counts as a wake.
 const WAKE_GAP: Duration = Duration::from_mins(15);
 /// Gaps of a model that are remembered.
 const MODEL_GAPS: u32 = 512;
-/// Gaps of all models that are remembered.
-const POOL_GAPS: u32 = 30_000;
 /// Gaps that the pool stands for beside a model's own.
 const POOL_WEIGHT: f64 = 8.0;
 
@@ -39,14 +38,15 @@
     }
 
     /// Learns a request.
-    pub fn arrival(&mut self, now: Duration, pool: &mut Gaps) {
+    pub fn arrival(&mut self, now: Duration, pool: &mut Pool) {
         let gap = self.active.map(|at| now.saturating_sub(at));
         if let Some(gap) = gap {
             self.gaps.record(gap, MODEL_GAPS);
-            pool.record(gap, POOL_GAPS);
+            pool.record(gap);
         }
         if gap.is_none_or(|g| g >= WAKE_GAP) {
             self.rhythm.wake(now);
+            pool.wake(now);
         }
         self.active = Some(now);
     }
@@ -58,12 +58,15 @@
 
     /// Requests a second to be expected at a time, if none comes before.
     #[must_use]
-    pub fn rate(&self, at: Duration, pool: &Gaps) -> f64 {
+    pub fn rate(&self, at: Duration, pool: &Pool) -> f64 {
         let Some(active) = self.active else {
             return 0.0;
         };
         let elapsed = at.saturating_sub(active);
-        let gap = self.gaps.rate(elapsed, pool, POOL_WEIGHT);
+        let mut gap = self.gaps.rate(elapsed, &pool.gaps, POOL_WEIGHT);
+        if elapsed >= WAKE_GAP {
+            gap *= pool.share(at);
+        }
         gap.max(self.rhythm.rate(at))
     }
 }
