Value of an avoided wait grows with its cube

Cause: the tail is made of the longest loads, while much memory went to short ones. Ruled out: a square, as before.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -239,7 +239,7 @@
         Class::Batch => 0.0,
     };
     let wait = wait.as_secs_f64();
-    share * (LOAD_COST + wait + wait * wait / UNIT_WAIT)
+    share * (LOAD_COST + wait + wait * wait * wait / UNIT_WAIT / UNIT_WAIT)
 }
 
 fn mebibytes(bytes: u64) -> f64 {
