--- /dev/null
+++ b/src/daemon.rs
@@ -0,0 +1,105 @@
+//! Puts one instance together and runs it until it is told to stop.
+
+use std::sync::Arc;
+
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::time::timeout;
+
+use crate::admin;
+use crate::assembly;
+use crate::intake::{self, Admittance};
+use crate::settings::Settings;
+
+/// Why an instance could not start.
+#[derive(Debug, thiserror::Error)]
+pub enum StartError {
+    /// A listener could not be opened.
+    #[error("cannot listen on {0}: {1}")]
+    Listen(std::net::SocketAddr, #[source] std::io::Error),
+    /// The metrics could not be set up.
+    #[error(transparent)]
+    Metrics(#[from] crate::metrics::MetricsError),
+    /// A state chart is incomplete.
+    #[error(transparent)]
+    Chart(#[from] crate::chart::ChartError),
+}
+
+/// The listeners of an instance.
+#[derive(Debug)]
+pub struct Listeners {
+    callers: TcpListener,
+    admin: TcpListener,
+    peers: TcpListener,
+}
+
+impl Listeners {
+    /// Opens the listeners that the settings name.
+    ///
+    /// # Errors
+    ///
+    /// [`StartError::Listen`] where an address cannot be used.
+    pub async fn open(settings: &Settings) -> Result<Self, StartError> {
+        Ok(Self {
+            callers: listen(settings.listen.callers).await?,
+            admin: listen(settings.listen.admin).await?,
+            peers: listen(settings.listen.peers).await?,
+        })
+    }
+
+    /// One line that names the addresses.
+    ///
+    /// # Errors
+    ///
+    /// Where a listener has no address.
+    pub fn line(&self) -> std::io::Result<String> {
+        let (callers, admin) = (self.callers.local_addr()?, self.admin.local_addr()?);
+        let peers = self.peers.local_addr()?;
+        Ok(format!(
+            "ready callers={callers} admin={admin} peers={peers}"
+        ))
+    }
+}
+
+async fn listen(address: std::net::SocketAddr) -> Result<TcpListener, StartError> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|e| StartError::Listen(address, e))
+}
+
+/// Runs an instance until it is told to stop; true where running requests were cut.
+///
+/// # Errors
+///
+/// [`StartError`] where a part cannot be set up.
+pub async fn run(
+    settings: Settings,
+    listeners: Listeners,
+    stop: watch::Sender<bool>,
+) -> Result<bool, StartError> {
+    let mut stopping = stop.subscribe();
+    let desk = assembly::assemble(&settings, listeners.peers, stop)?;
+    let console = Arc::new(desk.clone());
+    let admin = admin::serve(listeners.admin, settings.admin.token.clone(), console);
+    let admin = tokio::spawn(admin);
+    let admittance = Admittance {
+        connections: settings.limits.connections,
+        head: settings.limits.head,
+        arrival: settings.limits.header_time,
+    };
+    let gate = desk.gate.clone();
+    let serving = tokio::spawn(intake::run(
+        listeners.callers,
+        gate,
+        admittance,
+        stopping.clone(),
+    ));
+    if stopping.wait_for(|s| *s).await.is_err() {
+        log::debug!("nobody can stop this instance any more");
+    }
+    desk.mesh.leave().await;
+    log::info!("stopping: no new connections; waiting for running requests");
+    let drained = timeout(settings.limits.drain_time, serving).await;
+    admin.abort();
+    Ok(drained.is_err())
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,13 +4,49 @@
 //! command-line tool `brassrack`. Outside systems are met at traits: [`table::Table`],
 //! [`engine::Engine`], [`instances::Directory`] and [`objects::Objects`].
 
+pub mod admin;
+pub mod ask;
+mod assembly;
+pub mod calls;
+pub mod chart;
+pub mod cli;
 pub mod clock;
+pub mod commit;
+pub mod completions;
+pub mod console;
+pub mod daemon;
 pub mod engine;
+pub mod exit_codes;
+pub mod fleet;
+pub mod follow;
+pub mod gate;
+pub mod home;
+pub mod http;
 pub mod instances;
+pub mod intake;
+pub mod interest;
+pub mod keeper;
+pub mod ledger;
+pub mod limits;
+pub mod loads;
+pub mod logs;
+pub mod members;
+pub mod metrics;
 pub mod objects;
+pub mod once;
+pub mod outbound;
+pub mod peers;
+pub mod placement;
+pub mod platform;
 pub mod policy;
+pub mod poll;
+pub mod records;
+pub mod relay;
 pub mod rules;
+pub mod settings;
+pub mod suspects;
 pub mod table;
+pub mod tool;
 pub mod verdict;
 
 /// A boxed future, as returned by the traits at the edges of the process.
