--- a/src/policy.rs
+++ b/src/policy.rs
@@ -14,12 +14,14 @@
 use self::demand::Demand;
 use self::key::ModelKey;
 use self::place::Resident;
+use self::pool::Pool;
 use crate::rules::{Class, Weights};
 
 pub mod demand;
 pub mod gaps;
 pub mod key;
 pub mod place;
+pub mod pool;
 pub mod queue;
 pub mod rhythm;
 
@@ -54,6 +56,8 @@
 const UNIT_MIB: f64 = 16.0 * 1024.0;
 /// Wait whose value is its own length, in seconds.
 const UNIT_WAIT: f64 = 5.0;
+/// Cost of any load beside the wait, in seconds of wait.
+const LOAD_COST: f64 = 0.1;
 /// Price of a unit of memory at equal weights, in seconds of wait a second.
 const PRICE: f64 = 0.02;
 /// Share of a cold start's value that may be lost in a lull before a replica is let go.
@@ -84,8 +88,7 @@
     weights: Weights,
     models: BTreeMap<ModelKey, Demand>,
     next: u32,
-    /// Gaps of all models, which stand in where a model has few of its own.
-    pool: gaps::Gaps,
+    pool: Pool,
 }
 
 impl Policy {
@@ -96,7 +99,7 @@
             weights,
             models: BTreeMap::new(),
             next: 0,
-            pool: gaps::Gaps::uniform(),
+            pool: Pool::default(),
         }
     }
 
@@ -236,7 +239,7 @@
         Class::Batch => 0.0,
     };
     let wait = wait.as_secs_f64();
-    share * wait * wait / UNIT_WAIT
+    share * (LOAD_COST + wait + wait * wait * wait / UNIT_WAIT / UNIT_WAIT)
 }
 
 fn mebibytes(bytes: u64) -> f64 {
