--- a/src/assembly.rs
+++ b/src/assembly.rs
@@ -1,6 +1,6 @@
 //! Puts the actors and tasks of one instance together.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use tokio::net::TcpListener;
@@ -16,6 +16,7 @@
 use crate::fleet::{Fleet, Heard, Inflight};
 use crate::follow::{Follow, Keep};
 use crate::gate::{Bounds, Gate};
+use crate::idle::{IdleWatch, SharedResidencies};
 use crate::instances::Directory;
 use crate::interest::Interest;
 use crate::keeper::{Keeper, KeeperParts};
@@ -31,6 +32,7 @@
 use crate::platform::{Remote, RemoteEngines};
 use crate::poll::Poll;
 use crate::records::Records;
+use crate::residency::Residencies;
 use crate::rules::{RulesStore, StoreSettings};
 use crate::settings::Settings;
 use crate::suspects::{SuspectSettings, Suspects};
@@ -38,6 +40,8 @@
 
 /// Records of recent requests that are kept.
 const RECORDS: usize = 10_000;
+/// Bytes a second that a load is expected to move before one was seen.
+const FIRST_SPEED: f64 = 2e9;
 /// Time between two looks at what is left over in the record of calls.
 const TIDY: Duration = Duration::from_secs(1);
 /// Time between two reads of the requests tied to crashes.
@@ -124,7 +128,9 @@
         },
         ReconcileSettings::default(),
     );
+    let residencies = Arc::new(Mutex::new(Residencies::new(FIRST_SPEED)));
     let loads = ColdStarts::start(LoadContext {
+        residencies: Arc::clone(&residencies),
         settings: LoadSettings::default(),
         placement,
         keeper: keeper.clone(),
@@ -168,6 +174,7 @@
         stop,
     };
     background(&desk, settings, poll, requests);
+    watch_servers(&desk, settings, residencies);
     Ok(desk)
 }
 
@@ -197,6 +204,18 @@
     tokio::spawn(admission.follow(gate.name.clone(), gate.rules.clone(), desk.mesh.clone()));
     tokio::spawn(refresh(Arc::clone(&gate.suspects)));
     tokio::spawn(tidy(Arc::clone(&gate.ledger), desk.mesh.clone()));
+}
+
+/// Starts the tasks that tend the servers and watch their replicas.
+fn watch_servers(desk: &Desk, settings: &Settings, residencies: SharedResidencies) {
+    let watch = IdleWatch {
+        residencies,
+        keeper: desk.keeper.clone(),
+        loads: desk.gate.loads.clone(),
+        metrics: desk.gate.metrics.clone(),
+    };
+    tokio::spawn(watch.run());
+    tokio::spawn(desk.keeper.clone().run_sweep());
     tokio::spawn(desk.keeper.clone().run(settings.timing.report));
 }
 
--- a/src/keeper.rs
+++ b/src/keeper.rs
@@ -3,6 +3,8 @@
 //! Any instance may tend any server: each step is either a transaction or an order that follows
 //! from one. The home of a server does it regularly; a cold start does it while it waits.
 
+mod sweep;
+
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -203,6 +205,18 @@
         }
     }
 
+    /// Decides to let a replica go and orders its unload; running requests end first.
+    ///
+    /// # Errors
+    ///
+    /// [`TendError`] where the decision was not taken or the engine does not answer.
+    pub async fn let_go(&self, endpoint: &Endpoint, model: &str) -> Result<(), TendError> {
+        self.placement.retire(&endpoint.listed.name, model).await?;
+        self.forget_row(&endpoint.listed.name);
+        self.tend(endpoint).await?;
+        Ok(())
+    }
+
     /// The decided replicas of a server as last read, with their counted memory.
     #[must_use]
     pub fn row(&self, server: &str) -> Option<Placed> {
--- a/src/loads/job.rs
+++ b/src/loads/job.rs
@@ -9,11 +9,12 @@
 use super::{Decider, Loads, Phase};
 use crate::chart::ReplicaState;
 use crate::fleet::Endpoint;
+use crate::idle::{SharedResidencies, epoch, lock};
 use crate::interest::Interest;
 use crate::keeper::Keeper;
 use crate::metrics::Metrics;
 use crate::placement::{Ask, PlaceError, Placement, Reserved};
-use crate::rules::{Model, Rules};
+use crate::rules::{Class, Model, Rules};
 use crate::verdict::{Cause, Refusal};
 
 /// Bounds of cold starts.
@@ -23,10 +24,12 @@
     pub watch: Duration,
     /// Longest time between two reports while a load is awaited.
     pub pause: Duration,
+    /// Longest time for evicted replicas to be released.
+    pub eviction: Duration,
+    /// Longest wait for a replica of the model that is on its way out.
+    pub departure: Duration,
     /// Longest time of one cold start.
     pub longest: Duration,
-    /// Bytes a second that a load is expected to move before one was seen.
-    pub speed: f64,
 }
 
 impl Default for LoadSettings {
@@ -34,8 +37,9 @@
         Self {
             watch: Duration::from_millis(4),
             pause: Duration::from_millis(100),
+            eviction: Duration::from_secs(5),
+            departure: Duration::from_secs(10),
             longest: Duration::from_mins(15),
-            speed: 2e9,
         }
     }
 }
@@ -49,6 +53,8 @@
     pub placement: Arc<Placement>,
     /// Tends the servers.
     pub keeper: Keeper,
+    /// What is learnt of demand and loads.
+    pub residencies: SharedResidencies,
     /// Models that this instance has traffic for.
     pub interest: Interest,
     /// Metrics.
@@ -60,11 +66,9 @@
     #[must_use]
     pub fn estimate(&self, model: &str) -> Duration {
         let rules = self.keeper.rules.borrow();
-        let Some(rule) = rules.as_ref().and_then(|r| r.rules.models.get(model)) else {
-            return Duration::ZERO;
-        };
-        Duration::try_from_secs_f64(bytes_f64(rule.size) / self.settings.speed)
-            .unwrap_or(self.settings.longest)
+        let rule = rules.as_ref().and_then(|r| r.rules.models.get(model));
+        rule.map_or(Duration::ZERO, |r| lock(&self.residencies).reload(r.size))
+            .min(self.settings.longest)
     }
 
     /// Loads a model.
@@ -89,16 +93,20 @@
         if let Some(base) = &rule.base {
             Box::pin(loads.ready(base, Decider::Home)).await?;
         }
-        let (endpoint, reserved) = self.decide(model, rule, &rules.rules).await?;
+        let (endpoint, reserved) = self.place(model, rule, &rules.rules).await?;
+        let decided = Instant::now();
         self.await_ready(model, &endpoint, &reserved, started, tell)
             .await?;
         self.metrics.cold(rule.class, started.elapsed());
+        if !reserved.existing && rule.base.is_none() {
+            lock(&self.residencies).loaded(rule.size, decided.elapsed());
+        }
         log::info!(model = model, endpoint = endpoint.listed.name, took_ms:? = started.elapsed().as_millis(); "cold start finished");
         Ok(())
     }
 
-    /// Decides where the replica goes, trying one server after the other.
-    async fn decide(
+    /// Decides where the replica goes, waiting for a place at the weight store.
+    async fn place(
         &self,
         model: &str,
         rule: &Model,
@@ -107,44 +115,114 @@
         let engines = rules.engines.get(&rule.engines).ok_or_else(|| {
             Refusal::not_run(Cause::Unknown).detail(format!("no rule names '{}'", rule.engines))
         })?;
-        let mut last = PlaceError::NoMemory;
-        for endpoint in self.candidates(model, rule) {
-            let ask = Ask {
-                model: model.to_owned(),
-                base: rule.base.clone(),
-                bytes: rule.size,
-                server: endpoint.listed.name.clone(),
-                capacity: engines.memory,
-                replicas: 1,
-                adapter: rule.base.is_some(),
-                loads: rules.weights.loads,
-                adapters: rules.weights.adapters,
-            };
-            match self.placement.reserve(&ask).await {
-                Ok(reserved) => {
-                    self.keeper.forget_row(&reserved.server);
-                    return self.locate(reserved);
+        let mut ask = Ask {
+            model: model.to_owned(),
+            base: rule.base.clone(),
+            bytes: rule.size,
+            capacity: engines.memory,
+            replicas: 1,
+            adapter: rule.base.is_some(),
+            loads: rules.weights.loads,
+            adapters: rules.weights.adapters,
+            ..Ask::default()
+        };
+        let started = Instant::now();
+        while started.elapsed() < self.settings.longest {
+            match self.decide(&mut ask, rule).await {
+                Ok(Some(decided)) => return Ok(decided),
+                Ok(None) => sleep(slot_pause(rule.class)).await,
+                // A replica on its way out makes room soon.
+                Err(PlaceError::ReplicaLimit) if started.elapsed() < self.settings.departure => {
+                    sleep(self.settings.pause).await;
                 }
-                Err(error @ (PlaceError::NoMemory | PlaceError::NoBase)) => last = error,
                 Err(error) => return Err(refusal(&error)),
             }
         }
-        Err(refusal(&last))
+        Err(refusal(&PlaceError::SlotsBusy))
+    }
+
+    /// Tries one server after the other, first with free memory, then with an eviction.
+    ///
+    /// None where the weight store has no place now.
+    async fn decide(
+        &self,
+        ask: &mut Ask,
+        rule: &Model,
+    ) -> Result<Option<(Endpoint, Reserved)>, PlaceError> {
+        let candidates = self.candidates(&ask.model, rule);
+        let mut last = PlaceError::NoMemory;
+        for evicting in [false, true] {
+            for endpoint in &candidates {
+                if evicting && !self.evict(endpoint, ask.bytes).await {
+                    continue;
+                }
+                ask.server.clone_from(&endpoint.listed.name);
+                match self.placement.reserve(ask).await {
+                    Ok(reserved) => {
+                        self.keeper.forget_row(&reserved.server);
+                        match self.locate(&reserved) {
+                            Some(endpoint) => return Ok(Some((endpoint, reserved))),
+                            // It is decided where no work may go; another one is needed.
+                            None if ask.replicas < rule.replicas => ask.replicas += 1,
+                            None => return Err(PlaceError::ReplicaLimit),
+                        }
+                    }
+                    Err(PlaceError::SlotsBusy) => return Ok(None),
+                    Err(error @ (PlaceError::NoMemory | PlaceError::NoBase)) => last = error,
+                    Err(error) => return Err(error),
+                }
+            }
+        }
+        Err(last)
+    }
+
+    /// Evicts idle replicas; true once the memory is free.
+    async fn evict(&self, endpoint: &Endpoint, need: u64) -> bool {
+        let Ok(report) = self.keeper.tend(endpoint).await else {
+            return false;
+        };
+        let Some(placed) = self.keeper.row(&endpoint.listed.name) else {
+            return false;
+        };
+        let free = placed.row.capacity.saturating_sub(placed.row.taken());
+        let short = need.saturating_sub(free);
+        let name = &endpoint.listed.name;
+        let chosen = lock(&self.residencies).evict(name, &report, short, epoch());
+        let Some(chosen) = chosen else {
+            return false;
+        };
+        for model in &chosen {
+            if let Err(error) = self.keeper.let_go(endpoint, model).await {
+                log::info!(endpoint = name, model = model, error:% = error; "cannot evict");
+                return false;
+            }
+            log::info!(endpoint = name, model = model; "idle replica evicted");
+        }
+        self.freed(endpoint, &chosen).await
+    }
+
+    /// Waits until evicted replicas are released.
+    async fn freed(&self, endpoint: &Endpoint, models: &[String]) -> bool {
+        let started = Instant::now();
+        while started.elapsed() < self.settings.eviction {
+            let tended = self.keeper.tend(endpoint).await.is_ok();
+            let row = self.keeper.row(&endpoint.listed.name);
+            let gone = row.is_some_and(|p| models.iter().all(|m| p.row.replica(m).is_none()));
+            if tended && gone {
+                return true;
+            }
+            sleep(self.settings.pause).await;
+        }
+        false
     }
 
-    /// The endpoint of a decided replica, which another call may have decided elsewhere.
-    fn locate(&self, reserved: Reserved) -> Result<(Endpoint, Reserved), Refusal> {
+    /// The endpoint of a decided replica, where it takes work.
+    fn locate(&self, reserved: &Reserved) -> Option<Endpoint> {
         let view = self.keeper.view.borrow();
-        let endpoint = view
-            .endpoints
+        view.endpoints
             .get(&reserved.server)
+            .filter(|e| e.takes_work())
             .cloned()
-            .ok_or_else(|| {
-                Refusal::not_run(Cause::NoCapacity)
-                    .detail("the replica is decided for an endpoint that is not listed")
-                    .retry_after(Duration::from_secs(2))
-            })?;
-        Ok((endpoint, reserved))
     }
 
     /// Endpoints that may take the model, best first.
@@ -214,10 +292,11 @@
         .retry_after(after)
 }
 
-#[expect(
-    clippy::cast_precision_loss,
-    reason = "an estimate needs no exact bytes"
-)]
-const fn bytes_f64(bytes: u64) -> f64 {
-    bytes as f64
+/// Pause before a place at the weight store is asked for again; urgent models ask more often.
+const fn slot_pause(class: Class) -> Duration {
+    match class {
+        Class::Interactive => Duration::from_millis(20),
+        Class::Standard => Duration::from_millis(100),
+        Class::Batch => Duration::from_millis(500),
+    }
 }
