Endpoint choice by expected time to first token

Cause: reports of load lag, so the least reported load draws all instances to one endpoint. Ruled out: round robin (blind to a slow endpoint), least reported load (herds). Change: two drawn endpoints and those hinted to hold the prefix; expected time from the reported load with what was sent and ended since, the endpoint's learnt speed, its failure domain and the prefix; a measurement with stale reports, late and lost cache events and one slow endpoint.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod once;
 pub mod outbound;
 pub mod peers;
+pub mod pick;
 pub mod placement;
 pub mod platform;
 pub mod policy;
--- a/standins/src/bin/replay.rs
+++ b/standins/src/bin/replay.rs
@@ -2,12 +2,15 @@
 
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
 
+use brassrack_standins::replay::pick::{self, Way};
 use brassrack_standins::replay::plot::{self, PlotError};
 use brassrack_standins::replay::report;
 use brassrack_standins::replay::site::Site;
 use brassrack_standins::replay::study::{Seeds, study};
-use clap::{Arg, ArgMatches, Command, value_parser};
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use strum::IntoEnumIterator;
 
 fn command() -> Command {
     Command::new("replay")
@@ -18,6 +21,12 @@
                 .value_parser(["papirnica", "delta-meridian", "two-year"])
                 .help("Deployment to replay; all where none is given"),
         )
+        .arg(
+            Arg::new("pick")
+                .long("pick")
+                .action(ArgAction::SetTrue)
+                .help("Measure the choice of the endpoint in place of the policy"),
+        )
         .arg(
             Arg::new("seeds")
                 .long("seeds")
@@ -59,8 +68,24 @@
     Ok(())
 }
 
+/// Measures each way to choose with reports of both ages.
+fn measure_pick(seeds: Seeds) {
+    println!("{}", pick::heading());
+    for lag in [1, 5].map(Duration::from_secs) {
+        for way in Way::iter() {
+            println!("{}", pick::study(way, lag, seeds).line());
+        }
+    }
+}
+
 fn main() -> ExitCode {
-    let Err(e) = run(&command().get_matches()) else {
+    let args = command().get_matches();
+    if args.get_flag("pick") {
+        let seeds = args.get_one::<Seeds>("seeds").copied();
+        measure_pick(seeds.unwrap_or(Seeds::HeldOut));
+        return ExitCode::SUCCESS;
+    }
+    let Err(e) = run(&args) else {
         return ExitCode::SUCCESS;
     };
     eprintln!("{e}");
--- a/standins/src/replay.rs
+++ b/standins/src/replay.rs
@@ -9,6 +9,7 @@
 pub mod cluster;
 mod loads;
 pub mod outcome;
+pub mod pick;
 pub mod plot;
 pub mod report;
 pub mod run;
