Choose endpoints by expected time to first token

Cause: the least of own and reported load ignores that reports lag, that an endpoint may be slow, and where a prompt's head is cached. Ruled out: keeping the old choice for plain services; without reports it sent all calls to the first of equally idle members. Change: requests and service calls go through the chooser (two drawn, prefix holders join, least expected time), which learns sends, first bytes and ends.

--- a/src/assembly.rs
+++ b/src/assembly.rs
@@ -9,11 +9,12 @@
 use xtra::Address;
 
 use crate::admission::Admission;
+use crate::chooser::Chooser;
 use crate::clock::Clock;
 use crate::console::Desk;
 use crate::daemon::StartError;
 use crate::engine::Engine;
-use crate::fleet::{Fleet, Heard, Inflight};
+use crate::fleet::{Fleet, Heard, View};
 use crate::follow::{Follow, Keep};
 use crate::gate::{Bounds, Gate};
 use crate::idle::{IdleWatch, SharedResidencies};
@@ -44,6 +45,8 @@
 const FIRST_SPEED: f64 = 2e9;
 /// Time between two looks at what is left over in the record of calls.
 const TIDY: Duration = Duration::from_secs(1);
+/// Time between two looks for endpoints to forget.
+const FORGET: Duration = Duration::from_secs(10);
 /// Time between two reads of the requests tied to crashes.
 const REFRESH: Duration = Duration::from_secs(1);
 
@@ -160,7 +163,7 @@
         ledger: Arc::new(ledger),
         mesh: mesh.clone(),
         start,
-        inflight: Inflight::default(),
+        chooser: Chooser::new(clock, settings.domain.clone()),
         records: Records::new(RECORDS),
         metrics,
         stopping: stop.subscribe(),
@@ -215,6 +218,7 @@
         metrics: desk.gate.metrics.clone(),
     };
     tokio::spawn(watch.run());
+    tokio::spawn(forget(desk.gate.view.clone(), desk.gate.chooser.clone()));
     tokio::spawn(desk.keeper.clone().run_sweep());
     tokio::spawn(desk.keeper.clone().run(settings.timing.report));
 }
@@ -316,3 +320,12 @@
         }
     }
 }
+
+/// Forgets endpoints that are not listed any more, until the process ends.
+async fn forget(mut view: watch::Receiver<Arc<View>>, chooser: Chooser) {
+    while view.changed().await.is_ok() {
+        let seen = Arc::clone(&view.borrow_and_update());
+        chooser.retain(&seen.endpoints);
+        tokio::time::sleep(FORGET).await;
+    }
+}
--- a/src/calls.rs
+++ b/src/calls.rs
@@ -13,7 +13,8 @@
 
 use crate::admission::Pass;
 use crate::ask::{self, Ask};
-use crate::fleet::{Endpoint, Running};
+use crate::chooser::{Candidate, Flight};
+use crate::fleet::Endpoint;
 use crate::gate::Gate;
 use crate::http::{self, Body};
 use crate::outbound::{Answer, Freshness, Link, SendError, SendFault};
@@ -118,9 +119,12 @@
             } else {
                 Freshness::Fresh
             };
-            let (endpoint, link, _running) = self.connect(&mut tried, freshness).await?;
+            let (endpoint, link, flight) = self.connect(&mut tried, freshness).await?;
             match self.exchange(link, self.ask.left()).await {
-                Ok(answer) => return Ok(answer),
+                Ok(answer) => {
+                    flight.answering();
+                    return Ok(answer);
+                }
                 Err(error) => {
                     worst = worst.max(error.verdict());
                     self.note(&endpoint, &error, &mut tried).await;
@@ -141,19 +145,22 @@
         &mut self,
         tried: &mut BTreeSet<String>,
         freshness: Freshness,
-    ) -> Result<(Endpoint, Link, Running), Refusal> {
+    ) -> Result<(Endpoint, Link, Flight), Refusal> {
         loop {
             let view = Arc::clone(&self.gate.view.borrow());
-            let members = view.members(&self.service);
-            let untried = members.filter(|e| !tried.contains(&e.listed.name));
-            let endpoint = self
-                .gate
-                .least_loaded(untried.map(|e| (e, 0)))
-                .ok_or_else(|| {
-                    Refusal::not_run(Cause::NoEndpoint)
-                        .detail(format!("no endpoint of '{}' can be reached", self.service))
-                        .retry_after(Duration::from_secs(1))
-                })?;
+            let candidates: Vec<Candidate<'_>> = view
+                .members(&self.service)
+                .filter(|e| !tried.contains(&e.listed.name))
+                .map(|endpoint| Candidate {
+                    endpoint,
+                    load: None,
+                })
+                .collect();
+            let endpoint = self.gate.chooser.choose(&candidates, None).ok_or_else(|| {
+                Refusal::not_run(Cause::NoEndpoint)
+                    .detail(format!("no endpoint of '{}' can be reached", self.service))
+                    .retry_after(Duration::from_secs(1))
+            })?;
             let name = endpoint.listed.name.clone();
             match self
                 .gate
@@ -163,8 +170,8 @@
             {
                 Ok(link) => {
                     self.record.sent(&name);
-                    let running = self.gate.inflight.start(&name);
-                    return Ok((endpoint, link, running));
+                    let flight = self.gate.chooser.start(&endpoint, None);
+                    return Ok((endpoint, link, flight));
                 }
                 Err(error) => self.note(&endpoint, &error, tried).await,
             }
--- a/src/completions.rs
+++ b/src/completions.rs
@@ -15,8 +15,10 @@
 
 use crate::admission::Pass;
 use crate::ask::{Ask, Prompt};
+use crate::chooser;
 use crate::gate::Gate;
 use crate::http::{self, Body};
+use crate::pick::Prefix;
 use crate::records::Record;
 use crate::relay::{End, Outlet};
 use crate::rules::Class;
@@ -35,6 +37,7 @@
     attempts: usize,
     worst: Verdict,
     suspicion: Suspicion,
+    prefix: Prefix,
     record: Record,
     _pass: Pass,
 }
@@ -59,6 +62,7 @@
         })?;
         let class = model.class;
         let suspicion = Suspicion::new(gate, &prompt.model, &body);
+        let prefix = chooser::prefix(&prompt.model, &body);
         let record = Record::new(&gate.name, &ask, class, prompt.model.clone());
         Ok(Self {
             gate: gate.clone(),
@@ -70,6 +74,7 @@
             attempts: 0,
             worst: Verdict::NotRun,
             suspicion,
+            prefix,
             record,
             _pass: pass,
         })
@@ -167,6 +172,7 @@
         let from: SocketAddr = source.reply.from;
         let (response, sender) = source.reply.into_parts();
         let mut body = response.into_body();
+        source.flight.answering();
         if outlet.passed() == 0 {
             self.answering();
         }
--- a/src/completions/source.rs
+++ b/src/completions/source.rs
@@ -10,7 +10,8 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use super::Completion;
-use crate::fleet::{Endpoint, NotHeld, Running};
+use crate::chooser::{Candidate, Flight};
+use crate::fleet::{Endpoint, NotHeld};
 use crate::http;
 use crate::loads::{Decider, Phase};
 use crate::outbound::{Freshness, Reply, SendError, SendFault};
@@ -26,7 +27,7 @@
 pub(super) struct Source {
     pub(super) reply: Reply,
     pub(super) endpoint: Endpoint,
-    _running: Running,
+    pub(super) flight: Flight,
 }
 
 impl Completion {
@@ -151,11 +152,15 @@
             return self.suspicion.host(model);
         }
         let view = Arc::clone(&self.gate.view.borrow());
-        let untried = view
+        let candidates: Vec<Candidate<'_>> = view
             .holders(model)
-            .filter(|e| !self.tried.contains(&e.listed.name));
-        self.gate
-            .least_loaded(untried.map(|e| (e, view.load(e, model))))
+            .filter(|e| !self.tried.contains(&e.listed.name))
+            .map(|endpoint| Candidate {
+                endpoint,
+                load: view.load(endpoint, model),
+            })
+            .collect();
+        self.gate.chooser.choose(&candidates, Some(self.prefix))
     }
 
     /// Whether an endpoint that was not tried holds the model.
@@ -205,7 +210,7 @@
     async fn send(&mut self, endpoint: &Endpoint, passed: u64) -> Result<Source, SendError> {
         let name = &endpoint.listed.name;
         self.record.sent(name);
-        let running = self.gate.inflight.start(name);
+        let flight = self.gate.chooser.start(endpoint, Some(self.prefix));
         let link = self
             .gate
             .outbound
@@ -222,7 +227,7 @@
         Ok(Source {
             reply,
             endpoint: endpoint.clone(),
-            _running: running,
+            flight,
         })
     }
 
--- a/src/console.rs
+++ b/src/console.rs
@@ -40,7 +40,7 @@
     fn member(&self, member: &Member) -> InstanceStatus {
         let own = member.name == self.gate.name;
         let running = if own {
-            u64::from(self.gate.inflight.total())
+            u64::from(self.gate.chooser.inflight().total())
         } else {
             0
         };
@@ -174,7 +174,7 @@
             self.stop.send_replace(true);
             DrainStatus {
                 instance: self.gate.name.clone(),
-                running: u64::from(self.gate.inflight.total()),
+                running: u64::from(self.gate.chooser.inflight().total()),
                 waiting: self.gate.waiting(),
             }
         })
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -107,16 +107,16 @@
             .filter(move |e| e.takes_work() && self.shows(e, model))
     }
 
-    /// Requests that an endpoint has running and queued for a model, as last heard.
+    /// Requests that an endpoint has running and queued for a model as last heard, and when.
     #[must_use]
-    pub fn load(&self, endpoint: &Endpoint, model: &str) -> u32 {
+    pub fn load(&self, endpoint: &Endpoint, model: &str) -> Option<(u32, Duration)> {
         let own = endpoint
             .resident(model)
             .map(|r| (endpoint.seen, r.running + r.queued));
         let told = self
             .told(endpoint, model)
             .map(|l| (l.heard, l.running + l.queued));
-        own.max(told).map_or(0, |(_, load)| load)
+        own.max(told).map(|(at, load)| (load, at))
     }
 
     /// Boot id of an endpoint's engine as last heard; empty where none was.
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -7,9 +7,10 @@
 use xtra::Address;
 
 use crate::admission::Admission;
+use crate::chooser::Chooser;
 use crate::clock::Clock;
 use crate::engine::Engine;
-use crate::fleet::{Endpoint, Fleet, Inflight, Lost, View};
+use crate::fleet::{Fleet, Lost, View};
 use crate::follow::RulesWatch;
 use crate::interest::Interest;
 use crate::ledger::Ledger;
@@ -97,8 +98,8 @@
     pub mesh: MeshHandle,
     /// This start of the instance.
     pub start: Start,
-    /// Requests running from here.
-    pub inflight: Inflight,
+    /// Chooses endpoints.
+    pub chooser: Chooser,
     /// Recent requests.
     pub records: Records,
     /// Metrics.
@@ -135,19 +136,6 @@
         u64::from(self.loads.waiters().total())
     }
 
-    /// The least loaded of some endpoints, one in the same failure domain first among equals.
-    #[must_use]
-    pub fn least_loaded<'a>(
-        &self,
-        endpoints: impl Iterator<Item = (&'a Endpoint, u32)>,
-    ) -> Option<Endpoint> {
-        let key = |(e, reported): &(&Endpoint, u32)| {
-            let load = self.inflight.count(&e.listed.name).max(*reported);
-            (load, e.listed.domain != self.domain)
-        };
-        endpoints.min_by_key(key).map(|(e, _)| e.clone())
-    }
-
     /// Tells the fleet that an endpoint could not be reached.
     pub async fn lost(&self, endpoint: &str) {
         if self
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 mod assembly;
 pub mod calls;
 pub mod chart;
+pub mod chooser;
 pub mod cli;
 pub mod clock;
 pub mod commit;
--- a/src/once.rs
+++ b/src/once.rs
@@ -114,8 +114,7 @@
             if Instant::now() >= self.ask.due {
                 break;
             }
-            let (endpoint, link, _running) = match self.connect(&mut tried, Freshness::Fresh).await
-            {
+            let (endpoint, link, flight) = match self.connect(&mut tried, Freshness::Fresh).await {
                 Ok(connected) => connected,
                 Err(refusal) => {
                     self.settle(token, worst).await;
@@ -127,6 +126,7 @@
             };
             match self.exchange(link, self.rule.timeout).await {
                 Ok(answer) => {
+                    flight.answering();
                     drop(tell.send(Ok(answer.clone())));
                     return self.keep(token, &answer).await;
                 }
--- a/src/trials.rs
+++ b/src/trials.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use crate::engine::EngineError;
-use crate::fleet::Endpoint;
+use crate::fleet::{Endpoint, View};
 use crate::gate::Gate;
 use crate::suspects::{Host, Standing, Trial, quietest, refusal, request_digest};
 use crate::verdict::{Cause, Refusal};
@@ -59,11 +59,7 @@
             .map(|e| Host {
                 server: e.listed.name.clone(),
                 boot: view.boot(e, model),
-                running: self
-                    .gate
-                    .inflight
-                    .count(&e.listed.name)
-                    .max(view.load(e, model)),
+                running: self.running(&view, e, model),
                 trial: trials.contains(&e.listed.name),
             })
             .collect();
@@ -71,6 +67,11 @@
         view.endpoints.get(&host.server).cloned()
     }
 
+    fn running(&self, view: &View, endpoint: &Endpoint, model: &str) -> u32 {
+        let own = self.gate.chooser.inflight().count(&endpoint.listed.name);
+        own.max(view.load(endpoint, model).map_or(0, |(load, _)| load))
+    }
+
     /// Begins a trial on an endpoint.
     ///
     /// # Errors
