Bounds on errors, words and calls of a rules file

Cause: errors are collected over the whole file; a hostile 4 MiB file could hold millions of them, and lines with many words or services with many calls take quadratic time. Change: reading stops after 1,000 errors and says so; 32 words a line, 1,000 calls a service. Words without quotes skip the shell's unquoting. The configuration in force can be read apart from being put in force, so that the processor time can be spent outside an actor.

--- a/src/rules/check.rs
+++ b/src/rules/check.rs
@@ -8,6 +8,9 @@
 use super::{Call, Engines, Model, RuleError, Rules, ServiceRule, Tenant, Weights};
 use crate::instances::OWN_SERVICE;
 
+/// Calls that one service may have.
+const MOST_CALLS: usize = 1000;
+
 /// Kinds of names; a name is unique in its kind.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, strum::Display)]
 #[strum(serialize_all = "kebab-case")]
@@ -184,6 +187,11 @@
             let Some(target) = self.rules.services.get_mut(&service.text) else {
                 continue;
             };
+            if target.calls.len() >= MOST_CALLS {
+                let expected = format!("at most {MOST_CALLS} calls of a service");
+                self.errors.push(path.error(&expected));
+                continue;
+            }
             // The first call that matches counts, so a later one that it covers is never used.
             match target.calls.iter().find(|c| covers(c, &call)) {
                 Some(first) => {
--- a/src/rules/in_force.rs
+++ b/src/rules/in_force.rs
@@ -34,6 +34,22 @@
     Invalid(u64, Vec<RuleError>),
 }
 
+impl InForce {
+    /// Verifies and reads a version; a large one takes some milliseconds of processor time.
+    ///
+    /// # Errors
+    ///
+    /// [`OfferError`] where the text is damaged or has errors.
+    pub fn read(source: VersionText) -> Result<Self, OfferError> {
+        let number = source.version.version;
+        if digest(&source.text) != source.version.digest {
+            return Err(OfferError::Digest(number));
+        }
+        let rules = Rules::parse(&source.text).map_err(|e| OfferError::Invalid(number, e))?;
+        Ok(Self { source, rules })
+    }
+}
+
 /// Holder of the configuration in force, fed from the store and from peers.
 #[derive(Debug, Clone, Default)]
 pub struct Holder {
@@ -80,15 +96,18 @@
     /// assert_eq!(holder.version(), 7);
     /// ```
     pub fn offer(&mut self, source: VersionText) -> Result<Offer, OfferError> {
-        let number = source.version.version;
-        if number <= self.version() {
+        if source.version.version <= self.version() {
             return Ok(Offer::Stale);
         }
-        if digest(&source.text) != source.version.digest {
-            return Err(OfferError::Digest(number));
+        Ok(self.take(InForce::read(source)?))
+    }
+
+    /// Puts a version that was read before in force if it is newer than the one that is.
+    pub fn take(&mut self, read: InForce) -> Offer {
+        if read.source.version.version <= self.version() {
+            return Offer::Stale;
         }
-        let rules = Rules::parse(&source.text).map_err(|e| OfferError::Invalid(number, e))?;
-        self.current = Some(Arc::new(InForce { source, rules }));
-        Ok(Offer::Taken)
+        self.current = Some(Arc::new(read));
+        Offer::Taken
     }
 }
--- a/src/rules/lex.rs
+++ b/src/rules/lex.rs
@@ -52,12 +52,13 @@
         }
         let end = at + word_length(&chars[at..]);
         let raw = word(&chars[at..end]);
-        match shlex::split(&raw.text) {
-            Some(parts) => lexed.words.push(Word {
-                text: parts.concat(),
-                ..raw
-            }),
-            None => lexed.open = Some(raw),
+        if !raw.text.contains(['"', '\'', '\\']) {
+            lexed.words.push(raw);
+        } else if let Some(parts) = shlex::split(&raw.text) {
+            let text = parts.concat();
+            lexed.words.push(Word { text, ..raw });
+        } else {
+            lexed.open = Some(raw);
         }
         at = end;
     }
--- a/src/rules/parse.rs
+++ b/src/rules/parse.rs
@@ -7,6 +7,9 @@
 use super::lex::{Lexed, Word, split};
 use super::{Call, Class, Engines, Fencing, Model, Repeat, RuleError, Rules, Tenant, Weights};
 
+/// Errors after which the rest of a file is not read.
+const MOST_ERRORS: usize = 1000;
+const MOST_WORDS: usize = 32;
 const MOST_ACCELERATORS: u32 = 64;
 const MOST_REPLICAS: u32 = 10_000;
 const MOST_REQUESTS: u32 = 1_000_000;
@@ -33,7 +36,7 @@
     ///
     /// # Errors
     ///
-    /// Every error of the file, in the order of its lines.
+    /// Every error of the file, in the order of its lines; reading stops after 1,000.
     ///
     /// # Examples
     ///
@@ -50,17 +53,36 @@
     pub fn parse(text: &str) -> Result<Self, Vec<RuleError>> {
         let mut draft = Draft::default();
         for (line, text) in (1..).zip(text.lines()) {
+            if draft.errors.len() >= MOST_ERRORS {
+                draft.errors.push(unread(line));
+                return Err(draft.errors);
+            }
             read_line(&mut draft, split(text, line), line);
         }
         draft.finish()
     }
 }
 
+/// The error that ends a file with too many of them.
+fn unread(line: usize) -> RuleError {
+    RuleError {
+        line,
+        column: 1,
+        found: format!("{MOST_ERRORS} errors before"),
+        expected: "fewer; the rest of the file was not read".into(),
+    }
+}
+
 fn read_line(draft: &mut Draft, lexed: Lexed, line: usize) {
     if let Some(word) = &lexed.open {
         draft.errors.push(word.error("a closing quote"));
         return;
     }
+    if let Some(word) = lexed.words.get(MOST_WORDS) {
+        let expected = format!("at most {MOST_WORDS} words in a line");
+        draft.errors.push(word.error(&expected));
+        return;
+    }
     let Some(head) = lexed.words.first().cloned() else {
         return;
     };
--- a/tests/rules_file.rs
+++ b/tests/rules_file.rs
@@ -253,6 +253,36 @@
     assert_eq!(lines, [1, 1, 1, 1, 2, 2, 2, 2, 2, 2, 4]);
 }
 
+#[test]
+fn hostile_files_have_few_errors() {
+    let calls = "call narocila GET /x repeat=safe timeout=1s # Ann: x\n";
+    let cases = [
+        ("x\n".repeat(100_000), 1001),
+        ("a=1 ".repeat(100_000), 1),
+        (calls.repeat(1200), 1200),
+        (
+            (0..1200)
+                .map(|n| calls.replace("/x", &format!("/{n}x")))
+                .collect(),
+            1200,
+        ),
+    ];
+    for (text, most) in cases {
+        let errors = Rules::parse(&text).unwrap_err();
+        assert!(
+            errors.len() <= most,
+            "{} errors, {}",
+            errors.len(),
+            errors[0]
+        );
+    }
+    let text: String = (0..1200)
+        .map(|n| calls.replace("/x", &format!("/{n}x")))
+        .collect();
+    let errors = Rules::parse(&format!("{GOOD}{text}")).unwrap_err();
+    assert_eq!(errors.len(), 202, "{}", errors[0]);
+}
+
 #[test]
 fn any_text_has_a_result() {
     arbtest::arbtest(|u| {
