Verdict on every refused change, in the tool's lines and in the API's header

Cause: a refused change told its verdict in the body only. Change: the header brassrack-verdict on errors of the administration API; the tool ends the line of a refused change with the verdict.

--- a/src/admin/answer.rs
+++ b/src/admin/answer.rs
@@ -7,6 +7,7 @@
 use serde_json::Value;
 
 use super::types::{Failure, FailureCode};
+use crate::http::VERDICT;
 use crate::rules::{ApplyError, StoreError};
 
 pub(super) type Answer = Response<Full<Bytes>>;
@@ -25,6 +26,10 @@
 pub(super) fn failure(failure: &Failure) -> Answer {
     let body = serde_json::json!({ "error": failure });
     let mut answer = json(failure.code.status(), &body);
+    let verdict: &'static str = failure.verdict.into();
+    answer
+        .headers_mut()
+        .insert(VERDICT, HeaderValue::from_static(verdict));
     if failure.code == FailureCode::Denied {
         let scheme = HeaderValue::from_static("Bearer");
         answer.headers_mut().insert(WWW_AUTHENTICATE, scheme);
--- a/src/tool/report.rs
+++ b/src/tool/report.rs
@@ -7,7 +7,6 @@
 use crate::admin::{ClientError, Failure, FailureCode};
 use crate::exit_codes::ExitCode;
 use crate::rules::RuleError;
-use crate::verdict::Verdict;
 
 /// Result of a command that did its work.
 #[derive(Debug)]
@@ -85,19 +84,21 @@
     /// A call that only reads.
     pub(super) fn read(input: &str, error: &ClientError) -> Self {
         match error {
-            ClientError::Failed(failure) => Self::failed(input, failure),
+            ClientError::Failed(failure) => Self::failed(input, failure, ""),
             _ => Self::new(ExitCode::Unreachable, format!("{input}: {error}")),
         }
     }
 
     /// A call that changes something; the verdict says whether it may have.
     pub(super) fn change(input: &str, error: &ClientError) -> Self {
+        let verdict = error.verdict();
         let code = match error {
-            ClientError::Failed(failure) => return Self::failed(input, failure),
+            ClientError::Failed(failure) => {
+                return Self::failed(input, failure, &format!(" ({verdict})"));
+            }
             ClientError::Unreachable(..) => ExitCode::Unreachable,
             ClientError::Lost(..) => ExitCode::Unknown,
         };
-        let verdict = error.verdict();
         Self {
             json: json!({
                 "code": code.to_string(), "verdict": verdict, "detail": error.to_string(),
@@ -106,14 +107,10 @@
         }
     }
 
-    fn failed(input: &str, failure: &Failure) -> Self {
+    fn failed(input: &str, failure: &Failure, verdict: &str) -> Self {
         if failure.code == FailureCode::Invalid && !failure.errors.is_empty() {
             return Self::invalid(input, &failure.errors);
         }
-        let verdict = match failure.verdict {
-            Verdict::NotRun => String::new(),
-            verdict => format!(" ({verdict})"),
-        };
         let mut lines = vec![format!("{input}: {failure}{verdict}")];
         if let Some(diff) = failure.race.as_ref().and_then(|r| r.diff.as_ref()) {
             lines.extend(diff.to_string().lines().map(String::from));
