--- a/src/calls.rs
+++ b/src/calls.rs
@@ -11,6 +11,7 @@
 use hyper::{HeaderMap, Method, Request, Response, Uri};
 use tokio::time::Instant;
 
+use crate::admission::Pass;
 use crate::ask::{self, Ask};
 use crate::fleet::{Endpoint, Running};
 use crate::gate::Gate;
@@ -27,7 +28,7 @@
 const PASSED_HEADERS: [hyper::header::HeaderName; 2] = [CONTENT_TYPE, ACCEPT];
 
 /// One call on its way.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct ServiceCall {
     pub(crate) gate: Gate,
     pub(crate) ask: Ask,
@@ -39,6 +40,7 @@
     pub(crate) body: Bytes,
     pub(crate) class: Class,
     pub(crate) record: Record,
+    _pass: Arc<Pass>,
 }
 
 /// Answers a call to a plain service.
@@ -55,7 +57,7 @@
     };
     match call.rule.repeat {
         Repeat::Safe => call.serve_safe().await,
-        Repeat::Never | Repeat::Keyed => http::refuse(&Refusal::not_run(Cause::NotReady), &id),
+        Repeat::Never | Repeat::Keyed => call.serve_once().await,
     }
 }
 
@@ -67,14 +69,18 @@
         body: Incoming,
     ) -> Result<Self, Refusal> {
         let rules = gate.in_force()?;
-        let tenant = gate.tenant(&rules.rules, &ask.tenant)?;
+        let pass = Arc::new(gate.admission.admit(&ask.tenant)?);
+        let class = rules
+            .rules
+            .tenants
+            .get(&ask.tenant)
+            .map_or(Class::Batch, |t| t.class);
         let (service, rest) = split_path(&head.uri)?;
         let rule = find_call(&rules.rules, &service, &head.method, rest.path())?;
         let ask = Ask {
             due: ask.due.min(Instant::now() + rule.timeout),
             ..ask
         };
-        let class = tenant.class;
         let target = format!("{service} {} {}", rule.method, rule.path);
         let record = Record::new(&gate.name, &ask, class, target);
         let body = ask::read_body(body, &gate.bounds).await?;
@@ -89,6 +95,7 @@
             body,
             class,
             record,
+            _pass: pass,
         })
     }
 
@@ -112,11 +119,14 @@
                 Freshness::Fresh
             };
             let (endpoint, link, _running) = self.connect(&mut tried, freshness).await?;
-            match self.exchange(link).await {
+            match self.exchange(link, self.ask.left()).await {
                 Ok(answer) => return Ok(answer),
                 Err(error) => {
                     worst = worst.max(error.verdict());
                     self.note(&endpoint, &error, &mut tried).await;
+                    if !self.gate.admission.may_retry(error.verdict()) {
+                        break;
+                    }
                     self.gate.metrics.retried();
                 }
             }
@@ -161,19 +171,18 @@
         }
     }
 
-    /// Sends the request on a connection and reads the whole answer.
-    pub(crate) async fn exchange(&self, link: Link) -> Result<Answer, SendError> {
-        let limit = if link.reused() {
-            self.gate.bounds.reused
+    /// Sends the request on a connection and reads the whole answer within `limit`.
+    pub(crate) async fn exchange(&self, link: Link, limit: Duration) -> Result<Answer, SendError> {
+        let end = Instant::now() + limit;
+        let head = if link.reused() {
+            self.gate.bounds.reused.min(limit)
         } else {
-            self.ask.left()
+            limit
         };
-        let reply = link
-            .send(self.request(), limit.min(self.ask.left()))
-            .await?;
+        let reply = link.send(self.request(), head).await?;
         let from = reply.from;
         let read = reply.read(&self.gate.outbound, self.gate.bounds.answer);
-        tokio::time::timeout(self.ask.left(), read)
+        tokio::time::timeout_at(end, read)
             .await
             .map_err(|late| SendError {
                 fault: SendFault::Body,
@@ -182,7 +191,12 @@
             })?
     }
 
-    async fn note(&mut self, endpoint: &Endpoint, error: &SendError, tried: &mut BTreeSet<String>) {
+    pub(crate) async fn note(
+        &mut self,
+        endpoint: &Endpoint,
+        error: &SendError,
+        tried: &mut BTreeSet<String>,
+    ) {
         log::info!(id = self.ask.id, endpoint = endpoint.listed.name, error:% = error; "attempt failed");
         self.record.step("failed", error.to_string());
         if error.fault == SendFault::Silent {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,7 +5,9 @@
 //! [`engine::Engine`], [`instances::Directory`] and [`objects::Objects`].
 
 pub mod admin;
+pub mod admission;
 pub mod ask;
+mod assembly;
 pub mod calls;
 pub mod chart;
 pub mod cli;
@@ -21,6 +23,7 @@
 pub mod gate;
 pub mod home;
 pub mod http;
+pub mod idle;
 pub mod instances;
 pub mod intake;
 pub mod interest;
@@ -32,17 +35,23 @@
 pub mod members;
 pub mod metrics;
 pub mod objects;
+pub mod once;
 pub mod outbound;
 pub mod peers;
+pub mod pick;
 pub mod placement;
 pub mod platform;
 pub mod policy;
 pub mod poll;
 pub mod records;
 pub mod relay;
+pub mod residency;
 pub mod rules;
 pub mod settings;
+pub mod suspects;
 pub mod table;
+pub mod tool;
+pub mod trials;
 pub mod verdict;
 
 /// A boxed future, as returned by the traits at the edges of the process.
