--- a/src/policy/gaps.rs
+++ b/src/policy/gaps.rs
@@ -23,34 +23,38 @@
 pub struct Gaps {
     low: [u16; 17],
     high: [u16; 17],
+    total: u32,
 }
 
 impl Gaps {
     /// A histogram with one gap in each bin.
     #[must_use]
-    pub const fn uniform() -> Self {
-        Self {
-            low: [1; 17],
-            high: [1; 17],
+    pub fn uniform() -> Self {
+        let mut gaps = Self::default();
+        for i in 0..BINS {
+            gaps.record(edge(i), u32::MAX);
         }
+        gaps
     }
 
     /// Counts a gap; all counts are halved when their sum exceeds `limit`.
     pub fn record(&mut self, gap: Duration, limit: u32) {
         let count = self.slot(bin(gap));
         *count = count.saturating_add(1);
-        if self.total() <= limit {
+        self.total += 1;
+        if self.total <= limit {
             return;
         }
         for count in self.low.iter_mut().chain(&mut self.high) {
             *count /= 2;
         }
+        self.total = (0..BINS).map(|i| self.count(i)).sum();
     }
 
     /// Number of gaps counted.
     #[must_use]
-    pub fn total(&self) -> u32 {
-        (0..BINS).map(|i| self.count(i)).sum()
+    pub const fn total(&self) -> u32 {
+        self.total
     }
 
     /// Arrivals a second after an idle time, given that none came before it.
@@ -59,7 +63,7 @@
     #[must_use]
     pub fn rate(&self, elapsed: Duration, prior: &Self, weight: f64) -> f64 {
         let i = bin(elapsed);
-        let scale = weight / f64::from(prior.total().max(1));
+        let scale = weight / f64::from(prior.total.max(1));
         let here = f64::from(self.count(i)) + scale * f64::from(prior.count(i));
         let left = f64::from(self.since(i)) + scale * f64::from(prior.since(i));
         if left <= 0.0 {
