Wait in turn where endpoints are busy; a stop gives balancers notice

Cause: all admitted requests went to the engines at once, so that one tenant's burst stood before everybody else's in their queues; and a stop closed the listener before a balancer could see it. Change: where an engine queues more than a few requests or the expected wait there passes 250 ms, requests wait in this instance, where tenants take turns and late ones are refused. A stop first makes the instance not ready and takes new requests for a notice time, with connections closing after their answer. Plain services no longer pile up send times that no report ever clears. The effect under overload is not measured yet.

--- a/src/assembly.rs
+++ b/src/assembly.rs
@@ -14,14 +14,15 @@
 use crate::console::Desk;
 use crate::daemon::StartError;
 use crate::engine::Engine;
-use crate::fleet::{Fleet, Heard, View};
+use crate::fleet::{Fleet, Heard, Inflight, View};
 use crate::follow::{Follow, Keep};
-use crate::gate::{Bounds, Gate};
+use crate::gate::{self, Bounds, Gate};
 use crate::idle::{IdleWatch, SharedResidencies};
 use crate::instances::Directory;
 use crate::interest::Interest;
 use crate::keeper::{Keeper, KeeperParts};
 use crate::ledger::{Ledger, LedgerSettings};
+use crate::limits::QueueSettings;
 use crate::loads::{Answering, LoadContext, LoadSettings, Loads as ColdStarts};
 use crate::members::{Member, MemberState};
 use crate::metrics::Metrics;
@@ -38,6 +39,7 @@
 use crate::settings::Settings;
 use crate::suspects::{SuspectSettings, Suspects};
 use crate::table::Table;
+use crate::turnstile::Turnstile;
 
 /// Records of recent requests that are kept.
 const RECORDS: usize = 10_000;
@@ -146,6 +148,8 @@
         clock,
         every: settings.timing.list,
     };
+    let chooser = Chooser::new(clock, settings.domain.clone());
+    let turnstile = turnstile(settings, &view, &chooser);
     let gate = Gate {
         name: settings.name.clone(),
         domain: settings.domain.clone(),
@@ -159,11 +163,13 @@
         suspects: Arc::new(suspects),
         loads,
         interest,
+        turnstile,
+        lined: Inflight::default(),
         outbound,
         ledger: Arc::new(ledger),
         mesh: mesh.clone(),
         start,
-        chooser: Chooser::new(clock, settings.domain.clone()),
+        chooser,
         records: Records::new(RECORDS),
         metrics,
         stopping: stop.subscribe(),
@@ -223,6 +229,20 @@
     tokio::spawn(desk.keeper.clone().run(settings.timing.report));
 }
 
+fn turnstile(
+    settings: &Settings,
+    view: &watch::Receiver<Arc<View>>,
+    chooser: &Chooser,
+) -> Address<Turnstile> {
+    let (view, chooser) = (view.clone(), chooser.clone());
+    let room = Arc::new(move |model: &str| gate::has_room(&view, &chooser, model));
+    let queue = QueueSettings {
+        capacity: settings.limits.waiting,
+        ..QueueSettings::default()
+    };
+    Turnstile::start(queue, Clock::Boot, room)
+}
+
 fn ledger(table: &Arc<dyn Table>, objects: Arc<dyn Objects>, start: &Start) -> Ledger {
     let settings = LedgerSettings {
         instance: start.to_string(),
--- a/src/chooser.rs
+++ b/src/chooser.rs
@@ -8,6 +8,8 @@
 use crate::fleet::{Endpoint, Inflight, Running};
 use crate::pick::{EndpointKey, Pick, Prefix};
 
+/// Expected wait at an endpoint beyond which requests wait in this instance instead.
+const SHORT_WAIT: Duration = Duration::from_millis(250);
 /// Bytes of a body whose digest stands for the head of its prompt.
 const HEAD_BYTES: usize = 1024;
 
@@ -83,6 +85,18 @@
         candidates.get(at).map(|c| c.endpoint.clone())
     }
 
+    /// Whether the requests at an endpoint let one more begin soon, as far as is known.
+    #[must_use]
+    pub fn has_room(&self, endpoint: &Endpoint) -> bool {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let key = state.key(endpoint, &self.domain);
+        state
+            .pick
+            .expected(key, now)
+            .is_none_or(|wait| wait <= SHORT_WAIT)
+    }
+
     /// Counts a request that is sent to an endpoint now.
     #[must_use]
     pub fn start(&self, endpoint: &Endpoint, prefix: Option<Prefix>) -> Flight {
--- a/src/completions/source.rs
+++ b/src/completions/source.rs
@@ -13,10 +13,12 @@
 use crate::chooser::{Candidate, Flight};
 use crate::fleet::{Endpoint, NotHeld};
 use crate::http;
+use crate::limits::Waiting;
 use crate::loads::{Decider, Phase};
 use crate::outbound::{Freshness, Reply, SendError, SendFault};
 use crate::relay::RESUME;
 use crate::trials::Leave;
+use crate::turnstile::Enter;
 use crate::verdict::{Cause, Refusal, Verdict};
 
 /// Pause before an endpoint is looked for again.
@@ -122,6 +124,9 @@
                 return Err(super::late());
             }
             let leave = self.suspicion.leave()?;
+            if leave == Leave::Free && self.held() {
+                self.turn().await?;
+            }
             if let Some(endpoint) = self.pick(&leave) {
                 self.gate
                     .interest
@@ -146,6 +151,40 @@
         }
     }
 
+    /// Waits its turn where the endpoints have too much work, or others wait already.
+    async fn turn(&mut self) -> Result<(), Refusal> {
+        let model = &self.prompt.model;
+        if self.gate.lined.count(model) == 0 && self.gate.has_room(model) {
+            return Ok(());
+        }
+        let _lined = self.gate.lined.start(model);
+        self.record.step("waiting", "for its turn");
+        let enter = Enter {
+            model: model.clone(),
+            waiting: Waiting {
+                id: 0,
+                tenant: self.ask.tenant.clone(),
+                class: self.class,
+                deadline: self.gate.clock.now() + self.ask.left(),
+                needs: Duration::ZERO,
+                cost: 1,
+            },
+        };
+        let waited = Instant::now();
+        let turn = self
+            .gate
+            .turnstile
+            .send(enter)
+            .await
+            .map_err(|_stopped| stopping())?;
+        let turn = turn.await.map_err(|_closed| stopping())?;
+        self.record.wait += waited.elapsed();
+        self.gate
+            .metrics
+            .wait(&self.ask.tenant, self.class, waited.elapsed());
+        turn
+    }
+
     fn pick(&self, leave: &Leave) -> Option<Endpoint> {
         let model = self.prompt.model.as_str();
         if *leave == Leave::Trial {
@@ -197,11 +236,7 @@
             }
             match timeout(self.ask.left(), phase.changed()).await {
                 Ok(Ok(())) => {}
-                Ok(Err(_closed)) => {
-                    return Err(Refusal::not_run(Cause::Stopping)
-                        .detail("the instance is stopping")
-                        .retry_after(Duration::from_secs(1)));
-                }
+                Ok(Err(_closed)) => return Err(stopping()),
                 Err(_elapsed) => return Err(super::late()),
             }
         }
@@ -262,3 +297,9 @@
     let head = reply.response.headers();
     !reply.response.status().is_success() && http::text(head, http::VERDICT) == Some("not-run")
 }
+
+fn stopping() -> Refusal {
+    Refusal::not_run(Cause::Stopping)
+        .detail("the instance is stopping")
+        .retry_after(Duration::from_secs(1))
+}
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -88,16 +88,15 @@
         arrival: settings.limits.header_time,
     };
     let gate = desk.gate.clone();
-    let serving = tokio::spawn(intake::run(
-        listeners.callers,
-        gate,
-        admittance,
-        stopping.clone(),
-    ));
+    let (close, closing) = watch::channel(false);
+    let serving = tokio::spawn(intake::run(listeners.callers, gate, admittance, closing));
     if stopping.wait_for(|s| *s).await.is_err() {
         log::debug!("nobody can stop this instance any more");
     }
     desk.mesh.leave().await;
+    log::info!("stopping: not ready any more; new requests are taken for the notice time");
+    tokio::time::sleep(settings.limits.notice_time).await;
+    close.send_replace(true);
     log::info!("stopping: no new connections; waiting for running requests");
     let drained = timeout(settings.limits.drain_time, serving).await;
     admin.abort();
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -119,6 +119,14 @@
         own.max(told).map(|(at, load)| (load, at))
     }
 
+    /// Requests that an engine has queued for a model, as last heard.
+    #[must_use]
+    pub fn queued(&self, endpoint: &Endpoint, model: &str) -> u32 {
+        let own = endpoint.resident(model).map(|r| (endpoint.seen, r.queued));
+        let told = self.told(endpoint, model).map(|l| (l.heard, l.queued));
+        own.max(told).map_or(0, |(_, queued)| queued)
+    }
+
     /// Boot id of an endpoint's engine as last heard; empty where none was.
     #[must_use]
     pub fn boot(&self, endpoint: &Endpoint, model: &str) -> String {
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -10,7 +10,7 @@
 use crate::chooser::Chooser;
 use crate::clock::Clock;
 use crate::engine::Engine;
-use crate::fleet::{Fleet, Lost, View};
+use crate::fleet::{Fleet, Inflight, Lost, View};
 use crate::follow::RulesWatch;
 use crate::interest::Interest;
 use crate::ledger::Ledger;
@@ -22,8 +22,12 @@
 use crate::records::Records;
 use crate::rules::InForce;
 use crate::suspects::Suspects;
+use crate::turnstile::Turnstile;
 use crate::verdict::{Cause, Refusal};
 
+/// Requests queued in an engine up to which it takes more.
+const FEW_QUEUED: u32 = 8;
+
 /// Bounds of a request's path.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Bounds {
@@ -90,6 +94,10 @@
     pub loads: Loads,
     /// Models that this instance has traffic for.
     pub interest: Interest,
+    /// Requests that wait their turn.
+    pub turnstile: Address<Turnstile>,
+    /// Counts of the requests that wait their turn, by model.
+    pub lined: Inflight,
     /// Connections to endpoints.
     pub outbound: Outbound,
     /// Record of calls that may run at most once.
@@ -133,7 +141,13 @@
     /// Requests that wait for a replica.
     #[must_use]
     pub fn waiting(&self) -> u64 {
-        u64::from(self.loads.waiters().total())
+        u64::from(self.loads.waiters().total() + self.lined.total())
+    }
+
+    /// Whether an endpoint of a model can take one more request soon.
+    #[must_use]
+    pub fn has_room(&self, model: &str) -> bool {
+        has_room(&self.view, &self.chooser, model)
     }
 
     /// Tells the fleet that an endpoint could not be reached.
@@ -151,3 +165,14 @@
         }
     }
 }
+
+/// Whether an endpoint of a model can take one more request soon.
+#[must_use]
+pub fn has_room(view: &watch::Receiver<Arc<View>>, chooser: &Chooser, model: &str) -> bool {
+    let view = Arc::clone(&view.borrow());
+    let mut holders = view.holders(model).peekable();
+    if holders.peek().is_none() {
+        return true;
+    }
+    holders.any(|e| view.queued(e, model) < FEW_QUEUED && chooser.has_room(e))
+}
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue};
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -105,18 +105,28 @@
     }
 }
 
-/// Answers one request of a caller.
+/// Answers one request of a caller; while the instance stops, its connection closes after it.
 async fn answer(gate: Gate, request: Request<Incoming>) -> Response<Body> {
+    let mut answer = route(&gate, request).await;
+    if *gate.stopping.borrow() {
+        answer
+            .headers_mut()
+            .insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    answer
+}
+
+async fn route(gate: &Gate, request: Request<Incoming>) -> Response<Body> {
     let method = request.method().clone();
     let path = request.uri().path().to_owned();
     match (&method, path.as_str()) {
         (&Method::GET, "/healthz") => Response::new(http::full("ok\n")),
-        (&Method::GET, "/readyz") => readiness(&gate),
-        (&Method::GET, "/metrics") => metrics(&gate),
-        (&Method::GET, "/v1/models") => models(&gate),
-        (&Method::POST, "/v1/chat/completions") => completion(&gate, request).await,
+        (&Method::GET, "/readyz") => readiness(gate),
+        (&Method::GET, "/metrics") => metrics(gate),
+        (&Method::GET, "/v1/models") => models(gate),
+        (&Method::POST, "/v1/chat/completions") => completion(gate, request).await,
         (_, path) if path.starts_with(crate::calls::PREFIX) => {
-            crate::calls::answer(&gate, request).await
+            crate::calls::answer(gate, request).await
         }
         _ => refuse(&Refusal::not_run(Cause::Unknown).detail(format!("no such path: {path}"))),
     }
--- a/src/pick.rs
+++ b/src/pick.rs
@@ -115,6 +115,14 @@
         self.tracks.get(&endpoint).map_or(0, Track::load)
     }
 
+    /// Expected wait behind the requests at an endpoint; none where its speed is not known.
+    #[must_use]
+    pub fn expected(&self, endpoint: EndpointKey, now: Duration) -> Option<Duration> {
+        let track = self.tracks.get(&endpoint)?;
+        let unit = track.known(now)?;
+        Duration::try_from_secs_f64(unit * f64::from(track.load())).ok()
+    }
+
     /// Chooses one of some endpoints; `draws` are two random numbers.
     ///
     /// None is returned where there is no endpoint to choose from.
--- a/src/pick/track.rs
+++ b/src/pick/track.rs
@@ -8,6 +8,9 @@
 /// Time in which half of what is known of an endpoint's speed is forgotten.
 const HALF_LIFE: Duration = Duration::from_secs(30);
 
+/// Oldest change that a report may still lack.
+const OLDEST_CHANGE: Duration = Duration::from_secs(10);
+
 /// Load and speed of an endpoint.
 #[derive(Debug, Clone)]
 pub(super) struct Track {
@@ -47,12 +50,26 @@
 
     pub(super) fn sent(&mut self, now: Duration) {
         self.own += 1;
-        self.since.push_back((now, true));
+        self.note(now, true);
     }
 
     pub(super) fn ended(&mut self, now: Duration) {
         self.own = self.own.saturating_sub(1);
-        self.since.push_back((now, false));
+        self.note(now, false);
+    }
+
+    /// Keeps a change for the next report; what is too old to lack in it is dropped.
+    fn note(&mut self, now: Duration, sent: bool) {
+        while self
+            .since
+            .front()
+            .is_some_and(|(t, _)| now.saturating_sub(*t) > OLDEST_CHANGE)
+        {
+            self.since.pop_front();
+        }
+        if !self.at.is_zero() {
+            self.since.push_back((now, sent));
+        }
     }
 
     /// The reported load with what this instance sent and saw end since, and never less than its own.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -90,6 +90,8 @@
     pub body_time: Duration,
     /// Longest time that a graceful stop waits for running requests.
     pub drain_time: Duration,
+    /// Time after a stop begins in which new requests are still taken, for balancers to notice.
+    pub notice_time: Duration,
     /// Deadline of a request that names none.
     pub deadline: Duration,
 }
@@ -157,6 +159,7 @@
             header_time: Duration::from_secs(5),
             body_time: Duration::from_secs(30),
             drain_time: Duration::from_mins(1),
+            notice_time: Duration::from_secs(3),
             deadline: Duration::from_mins(1),
         }
     }
--- a/src/settings/read.rs
+++ b/src/settings/read.rs
@@ -78,6 +78,7 @@
         waiting: tree.count("limits.waiting", 1..=100_000, usual.waiting),
         header_time: tree.time("limits.header-time", secs(1, 60), usual.header_time),
         body_time: tree.time("limits.body-time", secs(1, 600), usual.body_time),
+        notice_time: tree.time("limits.notice-time", secs(0, 60), usual.notice_time),
         drain_time: tree.time("limits.drain-time", secs(1, 3600), usual.drain_time),
         deadline: tree.time("limits.deadline", secs(1, 86_400), usual.deadline),
     }
--- a/standins/src/slopes/parts.rs
+++ b/standins/src/slopes/parts.rs
@@ -105,7 +105,12 @@
     });
     vec![
         cost("home", "choice of a home, us", INSTANCES, homes),
-        cost("peers", "tick and digest of the roster, us", INSTANCES, roster(size)),
+        cost(
+            "peers",
+            "tick and digest of the roster, us",
+            INSTANCES,
+            roster(size),
+        ),
         cost("intake", "admission to a limit, us", TENANTS, limits(size)),
         cost("intake", "pass through the queue, us", TENANTS, queue(size)),
     ]
