Prove placement by a fault matrix, and count replicas while copies of orders live

Cause: an engine that restarts forgets its fencing number and the orders that it knows. A copy of a load order that is still on its way is then taken as new.

Ruled out: holding all decisions for a server back for an order's lifetime after a restart, which would stop its cold starts every night.

Change: a replica stays counted for an order's lifetime after its load order was last sent, so all that can arrive is decided. An unload is sent under a new operation id while the replica is still shown. An engine that checks fencing numbers gets an order that raises its number before anything is decided for it after a restart. The keeper takes the new step, and a cold start tries the next server meanwhile.

--- a/src/keeper.rs
+++ b/src/keeper.rs
@@ -267,7 +267,8 @@
             return false;
         };
         let fresh = now.saturating_sub(tended.read) < ROW_AGE;
-        fresh && placed.row.boot == report.boot && agrees(placed, report)
+        let settled = placed.row.settling.is_none();
+        fresh && settled && placed.row.boot == report.boot && agrees(placed, report)
     }
 
     async fn take(&self, endpoint: &Endpoint, step: Step) -> Result<(), TendError> {
@@ -280,6 +281,7 @@
             Step::Release { model, op } => self.placement.release(server, &model, &op).await?,
             Step::Abandon { model, op } => self.placement.abandon(server, &model, &op).await?,
             Step::Find(resident) => self.placement.find(server, &resident).await?,
+            Step::Settle(boot) => self.placement.settle(server, &boot).await?,
             Step::Reboot(boot) => {
                 self.placement
                     .vacate(server, &Vacancy::Rebooted(boot))
@@ -311,7 +313,7 @@
         && report
             .residents
             .iter()
-            .all(|r| placed.row.replica(&r.model).is_some())
+            .all(|r| placed.row.by_op(&r.op).is_some())
 }
 
 fn shows(report: &Report, op: &str, state: Residency) -> bool {
--- a/src/loads/job.rs
+++ b/src/loads/job.rs
@@ -125,7 +125,9 @@
                     self.keeper.forget_row(&reserved.server);
                     return self.locate(reserved);
                 }
-                Err(error @ (PlaceError::NoMemory | PlaceError::NoBase)) => last = error,
+                Err(error @ (PlaceError::NoMemory | PlaceError::NoBase | PlaceError::Settling)) => {
+                    last = error;
+                }
                 Err(error) => return Err(refusal(&error)),
             }
         }
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -85,6 +85,9 @@
     /// The weight store's places are taken.
     #[error("weight store has no free place")]
     SlotsBusy,
+    /// The engine restarted, and orders from before that may still arrive.
+    #[error("server settles after a restart")]
+    Settling,
     /// The adapter's base model is not ready on the server.
     #[error("base model is not ready on the server")]
     NoBase,
@@ -251,6 +254,19 @@
             .await
     }
 
+    /// Allows decisions for a server again after its engine's restart; only after a
+    /// [`Step::Settle`].
+    ///
+    /// # Errors
+    ///
+    /// Any [`PlaceError`] of the table service.
+    pub async fn settle(&self, server: &str, boot: &str) -> Result<(), PlaceError> {
+        let change = self.changing(server, "");
+        let keys = vec![server_key(server)];
+        self.commit(keys, &mut |snapshot| change.settle(snapshot, boot))
+            .await
+    }
+
     /// All servers' rows, each with its revision, which is the fencing number.
     ///
     /// # Errors
--- a/src/placement/change.rs
+++ b/src/placement/change.rs
@@ -128,6 +128,9 @@
                 if same {
                     return Ok((Plan::Settled, Ok(())));
                 }
+                if !first {
+                    server.settling = Some(revision);
+                }
                 (!first).then_some(ReplicaEvent::Reboot)
             }
             Vacancy::Gone => Some(ReplicaEvent::Vacate),
@@ -144,6 +147,16 @@
         Ok((Plan::Commit(vec![server.write(&key)?]), Ok(())))
     }
 
+    /// Allows decisions for the server again after a restart.
+    pub(super) fn settle(&self, snapshot: &Snapshot, boot: &str) -> Result<Changed, Malformed> {
+        let key = server_key(self.server);
+        let mut server = ServerRow::read(snapshot, &key)?;
+        if server.boot != boot || server.settling.take().is_none() {
+            return Ok((Plan::Settled, Ok(())));
+        }
+        Ok((Plan::Commit(vec![server.write(&key)?]), Ok(())))
+    }
+
     fn draft(&self, snapshot: &Snapshot, model: &str) -> Result<Draft, Malformed> {
         Ok(Draft {
             server: ServerRow::read(snapshot, &server_key(self.server))?,
--- a/src/placement/reconcile.rs
+++ b/src/placement/reconcile.rs
@@ -51,6 +51,8 @@
     Find(Resident),
     /// [`vacate`](super::Placement::vacate): the engine has another boot id.
     Reboot(String),
+    /// [`settle`](super::Placement::settle): no order from before this boot id can arrive.
+    Settle(String),
 }
 
 /// Bounds of the comparison.
@@ -66,7 +68,7 @@
     fn default() -> Self {
         Self {
             lag: Duration::from_secs(3),
-            lifetime: Duration::from_secs(30),
+            lifetime: Duration::from_secs(10),
         }
     }
 }
@@ -78,6 +80,8 @@
     boot: String,
     /// Since when decided replicas have been absent.
     absent: BTreeMap<Sighting, Duration>,
+    /// Since when decided replicas have not been loading, by operation id.
+    loaded: BTreeMap<String, Duration>,
     /// Since when undecided replicas have been there, by operation id.
     strange: BTreeMap<String, Duration>,
 }
@@ -117,8 +121,9 @@
             return self.reboot(met, report);
         }
         self.boot.clone_from(&report.boot);
-        let mut steps = Vec::new();
+        let mut steps: Vec<Step> = Self::settling(met, report).into_iter().collect();
         let mut absent = BTreeMap::new();
+        self.note_loaded(met);
         for replica in &met.row.replicas {
             let resident = report.residents.iter().find(|r| r.op == replica.op);
             let gone = self.absence(met, replica, resident, &mut absent);
@@ -126,9 +131,8 @@
                 ReplicaState::Absent | ReplicaState::Granted => None,
                 ReplicaState::Loading => loading(met, report, replica, resident, gone, settings),
                 ReplicaState::Ready => ready(replica, gone, settings),
-                ReplicaState::Unloading => Some(leaving(met, report, replica, gone, settings.lag)),
-                ReplicaState::Quarantined => {
-                    Some(leaving(met, report, replica, gone, settings.lifetime))
+                ReplicaState::Unloading | ReplicaState::Quarantined => {
+                    Some(self.leaving(met, report, replica, gone, settings))
                 }
             };
             steps.extend(step);
@@ -148,6 +152,20 @@
         Vec::new()
     }
 
+    /// After a restart: raises the fencing number of an engine that checks it.
+    fn settling(met: Meeting<'_>, report: &Report) -> Option<Step> {
+        let after = met.row.settling?;
+        let proved = match met.fencing {
+            Fencing::Checked => report.fence > after,
+            // All that could arrive within an order's lifetime is still counted.
+            Fencing::Ignored => true,
+        };
+        if proved {
+            return Some(Step::Settle(report.boot.clone()));
+        }
+        (met.fencing == Fencing::Checked).then(|| Step::Send(fence_order(&report.boot, met.fence)))
+    }
+
     /// Replicas that nothing decided.
     ///
     /// Their unload goes by model; so beside a decided replica of the same model one must be seen
@@ -175,6 +193,47 @@
         steps
     }
 
+    /// Since when no instance sends the load orders of the replicas.
+    fn note_loaded(&mut self, met: Meeting<'_>) {
+        let loaded = |r: &&Replica| r.state != ReplicaState::Loading;
+        let of_row = met.row.replicas.iter().filter(loaded);
+        let since = |op: &String| self.loaded.get(op).copied().unwrap_or(met.now);
+        self.loaded = of_row.map(|r| (r.op.clone(), since(&r.op))).collect();
+    }
+
+    /// Releases a replica whose end is proved, and orders its unload until then.
+    ///
+    /// A copy of its load order that is still on its way would be taken by an engine that
+    /// restarts; so it stays counted for as long as a copy may live.
+    fn leaving(
+        &self,
+        met: Meeting<'_>,
+        report: &Report,
+        replica: &Replica,
+        gone: Option<Duration>,
+        settings: ReconcileSettings,
+    ) -> Step {
+        let wait = match replica.state {
+            ReplicaState::Unloading => settings.lag,
+            _ => settings.lifetime,
+        };
+        let proved = match (met.fencing, gone) {
+            (_, None) => false,
+            (Fencing::Checked, Some(_)) => report.fence > replica.after,
+            (Fencing::Ignored, Some(since)) => since >= wait,
+        };
+        let loaded = self.loaded.get(&replica.op).copied().unwrap_or(met.now);
+        if proved && met.now.saturating_sub(loaded) >= settings.lifetime {
+            return release(replica);
+        }
+        let mut order = unload_order(replica, met.fence);
+        if gone.is_none() {
+            // It came after an unload that the engine knows already; that one is not repeated.
+            order.op = format!("{}-{}", order.op, met.now.as_millis());
+        }
+        Step::Send(order)
+    }
+
     /// How long a replica has been absent; none while the engine shows it.
     fn absence(
         &self,
@@ -244,25 +303,6 @@
     })
 }
 
-/// Releases a replica whose end is proved, and orders its unload until then.
-fn leaving(
-    met: Meeting<'_>,
-    report: &Report,
-    replica: &Replica,
-    gone: Option<Duration>,
-    wait: Duration,
-) -> Step {
-    let proved = match (met.fencing, gone) {
-        (_, None) => false,
-        (Fencing::Checked, Some(_)) => report.fence > replica.after,
-        (Fencing::Ignored, Some(since)) => since >= wait,
-    };
-    if proved {
-        return release(replica);
-    }
-    Step::Send(unload_order(replica, met.fence))
-}
-
 fn release(replica: &Replica) -> Step {
     Step::Release {
         model: replica.model.clone(),
@@ -270,6 +310,18 @@
     }
 }
 
+/// An order that unloads nothing; an engine that checks refuses older ones after it.
+fn fence_order(boot: &str, fence: u64) -> Order {
+    Order {
+        op: format!("fence-{boot}-{fence}"),
+        fence,
+        action: Action::Unload,
+        model: String::new(),
+        base: None,
+        bytes: 0,
+    }
+}
+
 /// The order that loads a replica.
 #[must_use]
 pub fn load_order(replica: &Replica, fence: u64) -> Order {
--- a/src/placement/reserve.rs
+++ b/src/placement/reserve.rs
@@ -119,6 +119,9 @@
 
     fn admit(&self, server: &ServerRow, store: &StoreRow) -> Result<(), PlaceError> {
         let ask = self.ask;
+        if server.settling.is_some() {
+            return Err(PlaceError::Settling);
+        }
         if let Some(base) = &ask.base {
             let ready = server
                 .replica(base)
--- a/src/placement/rows.rs
+++ b/src/placement/rows.rs
@@ -67,6 +67,10 @@
     pub boot: String,
     /// Replicas, each with its memory counted.
     pub replicas: Vec<Replica>,
+    /// Set after a restart until no order from before it can arrive any more: the revision of the
+    /// row before the restart was recorded. Nothing is decided for the server meanwhile.
+    #[serde(default)]
+    pub settling: Option<u64>,
 }
 
 impl Record for ServerRow {}
--- a/standins/src/memory_engine.rs
+++ b/standins/src/memory_engine.rs
@@ -56,6 +56,7 @@
     endpoints: BTreeMap<SocketAddr, Endpoint>,
     held: Vec<(SocketAddr, Order)>,
     hold: bool,
+    repeat: bool,
     ledger: EngineLedger,
 }
 
@@ -118,6 +119,11 @@
         self.lock().hold = hold;
     }
 
+    /// Keeps a copy of each order from now on, as if the network repeated it late, or no more.
+    pub fn repeat(&self, repeat: bool) {
+        self.lock().repeat = repeat;
+    }
+
     /// Delivers the orders that were held back, as they were sent.
     pub fn deliver(&self) {
         let held = std::mem::take(&mut self.lock().held);
@@ -282,7 +288,7 @@
 
     fn held_back(&self, to: SocketAddr, order: &Order) -> bool {
         let mut state = self.lock();
-        if state.hold {
+        if state.hold || state.repeat {
             state.held.push((to, order.clone()));
         }
         state.hold
