--- a/src/loads/job.rs
+++ b/src/loads/job.rs
@@ -168,7 +168,11 @@
                         }
                     }
                     Err(PlaceError::SlotsBusy) => return Ok(None),
-                    Err(error @ (PlaceError::NoMemory | PlaceError::NoBase)) => last = error,
+                    Err(
+                        error @ (PlaceError::NoMemory | PlaceError::NoBase | PlaceError::Settling),
+                    ) => {
+                        last = error;
+                    }
                     Err(error) => return Err(error),
                 }
             }
