An operation id stands for one text

Cause: a change that came with the operation id of an earlier one was answered with that one's version, though its text was another. Change: the version is only taken as the answer where its digest is that of the text; otherwise the change lost a race.

--- a/src/rules/store.rs
+++ b/src/rules/store.rs
@@ -192,7 +192,10 @@
             .snapshot(proposal.base)
             .await
             .map_err(|e| ApplyError::Unavailable(e.to_string()))?;
-        let known = before.next.as_ref().filter(|v| v.op == proposal.op);
+        let known = before
+            .next
+            .as_ref()
+            .filter(|v| v.op == proposal.op && v.digest == digest);
         let same = before.current.as_ref().filter(|v| v.digest == digest);
         if let Some(version) = known.or(same) {
             return Ok(version.clone());
--- a/tests/rules_store.rs
+++ b/tests/rules_store.rs
@@ -162,6 +162,20 @@
     assert_eq!(store.apply(proposal(0, "maja")).await, first);
 }
 
+#[tokio::test]
+async fn operation_id_stands_for_one_text() {
+    let store = Platform::default().store();
+    let with_op = |author| Proposal {
+        op: "op-1".into(),
+        ..proposal(0, author)
+    };
+    let first = store.apply(with_op("maja")).await.unwrap();
+    store.apply(proposal(1, "ann")).await.unwrap();
+    assert_eq!(store.apply(with_op("maja")).await, Ok(first));
+    let other = store.apply(with_op("tina")).await;
+    assert!(matches!(other, Err(ApplyError::Raced(_))), "{other:?}");
+}
+
 #[tokio::test]
 async fn invalid_text_changes_nothing() {
     let platform = Platform::default();
