Start granted models while the table service is down

Cause: a cold start is a transaction, so in an outage none can be decided.

Change: a grant is a replica that is decided and reserved, but not ordered. One process start per region, named in the row of the weight store, may order granted loads without a write, one at a time, and one place at the weight store is kept for it. A grant that is withdrawn stays counted until an activation on its way cannot arrive.

The daemon does not decide grants yet.

--- a/src/keeper.rs
+++ b/src/keeper.rs
@@ -277,6 +277,7 @@
         match step {
             Step::Send(order) => self.order(endpoint, order).await?,
             Step::Confirm { model, op } => self.placement.confirm(server, &model, &op).await?,
+            Step::Activate { model, op } => self.placement.activate(server, &model, &op).await?,
             Step::Fail { model, op } => self.placement.fail(server, &model, &op).await?,
             Step::Release { model, op } => self.placement.release(server, &model, &op).await?,
             Step::Abandon { model, op } => self.placement.abandon(server, &model, &op).await?,
@@ -303,7 +304,7 @@
         .replicas
         .iter()
         .all(|replica| match replica.state {
-            ReplicaState::Granted => true,
+            ReplicaState::Granted => report.residents.iter().all(|r| r.op != replica.op),
             ReplicaState::Ready => shows(report, &replica.op, Residency::Ready),
             ReplicaState::Loading => shows(report, &replica.op, Residency::Loading),
             ReplicaState::Unloading => shows(report, &replica.op, Residency::Unloading),
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -174,6 +174,52 @@
         self.decide(ask, ReplicaEvent::Reserve).await
     }
 
+    /// Decides a standing grant: memory reserved and replica counted, but nothing ordered.
+    ///
+    /// While the table service is down the activator may order the load without a write, by
+    /// [`load_order`] with the grant's operation id and fencing number.
+    ///
+    /// # Errors
+    ///
+    /// As [`reserve`](Self::reserve).
+    pub async fn grant(&self, ask: &Ask) -> Result<Reserved, PlaceError> {
+        self.decide(ask, ReplicaEvent::Grant).await
+    }
+
+    /// Records that the load of a grant was ordered.
+    ///
+    /// # Errors
+    ///
+    /// [`PlaceError::Gone`] where the grant is not decided any more.
+    pub async fn activate(&self, server: &str, model: &str, op: &str) -> Result<(), PlaceError> {
+        self.change(server, model, Some(op), ReplicaEvent::Activate)
+            .await
+    }
+
+    /// Becomes the one process start that may activate grants, in place of the one named, which
+    /// must be gone; an empty name stands for none. Returns whether it is.
+    ///
+    /// # Errors
+    ///
+    /// Any [`PlaceError`] of the table service.
+    pub async fn become_activator(&self, instance: &str, gone: &str) -> Result<bool, PlaceError> {
+        let key = store_key(&self.region);
+        let mut is = false;
+        let mut step = |snapshot: &Snapshot| {
+            let mut store = StoreRow::read(snapshot, &key)?;
+            is = store.activator == instance || store.activator == gone;
+            if !is || store.activator == instance {
+                return Ok(Plan::Settled);
+            }
+            store.activator = instance.into();
+            Ok(Plan::Commit(vec![store.write(&key)?]))
+        };
+        self.committer
+            .transact(vec![key.clone()], &mut step)
+            .await?;
+        Ok(is)
+    }
+
     /// The load is done: the replica serves and its place at the weight store is free.
     ///
     /// # Errors
--- a/src/placement/reconcile.rs
+++ b/src/placement/reconcile.rs
@@ -26,6 +26,13 @@
         /// Operation id of the load.
         op: String,
     },
+    /// [`activate`](super::Placement::activate) a grant whose load the engine shows.
+    Activate {
+        /// Model.
+        model: String,
+        /// Operation id of the load.
+        op: String,
+    },
     /// [`fail`](super::Placement::fail) a load whose end the engine has reported.
     Fail {
         /// Model.
@@ -128,7 +135,8 @@
             let resident = report.residents.iter().find(|r| r.op == replica.op);
             let gone = self.absence(met, replica, resident, &mut absent);
             let step = match replica.state {
-                ReplicaState::Absent | ReplicaState::Granted => None,
+                ReplicaState::Absent => None,
+                ReplicaState::Granted => resident.map(|_| activate(replica)),
                 ReplicaState::Loading => loading(met, report, replica, resident, gone, settings),
                 ReplicaState::Ready => ready(replica, gone, settings),
                 ReplicaState::Unloading | ReplicaState::Quarantined => {
@@ -195,7 +203,8 @@
 
     /// Since when no instance sends the load orders of the replicas.
     fn note_loaded(&mut self, met: Meeting<'_>) {
-        let loaded = |r: &&Replica| r.state != ReplicaState::Loading;
+        let loaded =
+            |r: &&Replica| !matches!(r.state, ReplicaState::Granted | ReplicaState::Loading);
         let of_row = met.row.replicas.iter().filter(loaded);
         let since = |op: &String| self.loaded.get(op).copied().unwrap_or(met.now);
         self.loaded = of_row.map(|r| (r.op.clone(), since(&r.op))).collect();
@@ -303,6 +312,13 @@
     })
 }
 
+fn activate(replica: &Replica) -> Step {
+    Step::Activate {
+        model: replica.model.clone(),
+        op: replica.op.clone(),
+    }
+}
+
 fn release(replica: &Replica) -> Step {
     Step::Release {
         model: replica.model.clone(),
--- a/src/placement/reserve.rs
+++ b/src/placement/reserve.rs
@@ -138,7 +138,8 @@
             Slot::Load => ask.loads,
             Slot::Adapter => ask.adapters,
         };
-        let limit = usize::try_from(limit).unwrap_or(usize::MAX);
+        let kept = u32::from(slot == Slot::Load && !store.activator.is_empty());
+        let limit = usize::try_from(limit.saturating_sub(kept)).unwrap_or(usize::MAX);
         if self.event == ReplicaEvent::Reserve && store.holders(slot).len() >= limit {
             return Err(PlaceError::SlotsBusy);
         }
--- a/src/placement/rows.rs
+++ b/src/placement/rows.rs
@@ -150,6 +150,10 @@
     pub loads: Vec<Holder>,
     /// Loads of adapters.
     pub adapters: Vec<Holder>,
+    /// Process start that alone may activate grants, one load at a time; empty where nobody may.
+    /// One place for a load is kept free for it.
+    #[serde(default)]
+    pub activator: String,
 }
 
 impl Record for StoreRow {}
--- a/tests/fault_matrix.rs
+++ b/tests/fault_matrix.rs
@@ -5,6 +5,8 @@
 
 #![expect(clippy::unwrap_used, reason = "a test may panic")]
 
+#[path = "rack/life.rs"]
+mod life;
 mod rack;
 
 use std::time::Duration;
--- a/tests/placement_races.rs
+++ b/tests/placement_races.rs
@@ -2,6 +2,8 @@
 
 #![expect(clippy::unwrap_used, reason = "a test may panic")]
 
+#[path = "rack/life.rs"]
+mod life;
 mod rack;
 
 use std::time::Duration;
--- a/tests/rack/mod.rs
+++ b/tests/rack/mod.rs
@@ -4,13 +4,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use brassrack::chart::ReplicaState;
 use brassrack::clock::Clock;
 use brassrack::commit::{CommitSettings, Record};
 use brassrack::engine::Engine;
 use brassrack::placement::{
-    Ask, Meeting, PlaceError, Placement, PlacementSettings, ReconcileSettings, Reserved, ServerRow,
-    Step, StoreRow, Vacancy, Watch, load_order,
+    Ask, Meeting, Placement, PlacementSettings, ReconcileSettings, ServerRow, Step, StoreRow,
+    Vacancy, Watch,
 };
 use brassrack::rules::Fencing;
 use brassrack_standins::memory_engine::MemoryEngines;
@@ -25,13 +24,13 @@
 pub(crate) const BYTES: u64 = 60;
 
 /// Longest time between an instance's looks at a server.
-const ROUND: Duration = Duration::from_millis(300);
+pub(crate) const ROUND: Duration = Duration::from_millis(300);
 
 /// Longest time of a call to an engine.
-const CALL: Duration = Duration::from_secs(2);
+pub(crate) const CALL: Duration = Duration::from_secs(2);
 
 /// Rounds after which a life that did not end has failed.
-const ROUNDS: u32 = 600;
+pub(crate) const ROUNDS: u32 = 600;
 
 /// The platform and the engines.
 #[derive(Debug, Clone)]
@@ -166,9 +165,9 @@
 }
 
 impl Instance {
-    /// Decides a load and sends its order.
-    pub(crate) async fn load(&self, model: &str, server: u16) -> Result<Reserved, PlaceError> {
-        let ask = Ask {
+    /// What is asked for a model on a server.
+    pub(crate) fn ask(model: &str, server: u16) -> Ask {
+        Ask {
             model: model.into(),
             bytes: BYTES,
             server: server_name(server),
@@ -177,17 +176,7 @@
             loads: 1,
             adapters: 32,
             ..Ask::default()
-        };
-        let reserved = self.placement.reserve(&ask).await?;
-        if reserved.state == ReplicaState::Loading && reserved.server == ask.server {
-            let placed = self.placement.server(&reserved.server).await?;
-            if let Some(replica) = placed.row.by_op(&reserved.op) {
-                let order = load_order(replica, reserved.fence);
-                let _answer_may_be_lost =
-                    timeout(CALL, self.engines.order(address(server), order)).await;
-            }
         }
-        Ok(reserved)
     }
 
     /// Looks at a server once and takes the steps that follow; errors are left to the next look.
@@ -224,6 +213,7 @@
                 Ok(())
             }
             Step::Confirm { model, op } => p.confirm(&name, &model, &op).await,
+            Step::Activate { model, op } => p.activate(&name, &model, &op).await,
             Step::Fail { model, op } => p.fail(&name, &model, &op).await,
             Step::Release { model, op } => p.release(&name, &model, &op).await,
             Step::Abandon { model, op } => p.abandon(&name, &model, &op).await,
@@ -233,26 +223,6 @@
         };
     }
 
-    /// Loads a model, waits until it is ready, lets it go and waits until it is gone.
-    ///
-    /// Returns false where that does not end.
-    pub(crate) async fn live(&mut self, model: &str, server: u16) -> bool {
-        self.until_ready(model, server).await && self.until_gone(model, server).await
-    }
-
-    /// Loads a model and waits until it is ready.
-    pub(crate) async fn until_ready(&mut self, model: &str, server: u16) -> bool {
-        for _ in 0..ROUNDS {
-            let reserved = self.load(model, server).await;
-            if reserved.is_ok_and(|r| r.state == ReplicaState::Ready) {
-                return true;
-            }
-            self.tend(server).await;
-            sleep(ROUND).await;
-        }
-        false
-    }
-
     /// Lets a model go and waits until it is gone.
     pub(crate) async fn until_gone(&mut self, model: &str, server: u16) -> bool {
         let name = server_name(server);
