--- a/src/gate.rs
+++ b/src/gate.rs
@@ -6,17 +6,28 @@
 use tokio::sync::watch;
 use xtra::Address;
 
+use crate::admission::Admission;
+use crate::chooser::Chooser;
 use crate::clock::Clock;
-use crate::fleet::{Endpoint, Fleet, Inflight, Lost, View};
+use crate::engine::Engine;
+use crate::fleet::{Fleet, Inflight, Lost, View};
 use crate::follow::RulesWatch;
 use crate::interest::Interest;
+use crate::ledger::Ledger;
 use crate::loads::Loads;
 use crate::metrics::Metrics;
+use crate::once::Start;
 use crate::outbound::Outbound;
+use crate::peers::MeshHandle;
 use crate::records::Records;
-use crate::rules::{InForce, Rules, Tenant};
+use crate::rules::InForce;
+use crate::suspects::Suspects;
+use crate::turnstile::Turnstile;
 use crate::verdict::{Cause, Refusal};
 
+/// Requests queued in an engine up to which it takes more.
+const FEW_QUEUED: u32 = 8;
+
 /// Bounds of a request's path.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Bounds {
@@ -73,14 +84,30 @@
     pub view: watch::Receiver<Arc<View>>,
     /// Owner of the view.
     pub fleet: Address<Fleet>,
+    /// The engines, to ask whether one has died.
+    pub engines: Arc<dyn Engine>,
+    /// Limits of tenants and retries.
+    pub admission: Admission,
+    /// Requests tied to crashes.
+    pub suspects: Arc<Suspects>,
     /// Cold starts.
     pub loads: Loads,
     /// Models that this instance has traffic for.
     pub interest: Interest,
+    /// Requests that wait their turn.
+    pub turnstile: Address<Turnstile>,
+    /// Counts of the requests that wait their turn, by model.
+    pub lined: Inflight,
     /// Connections to endpoints.
     pub outbound: Outbound,
-    /// Requests running from here.
-    pub inflight: Inflight,
+    /// Record of calls that may run at most once.
+    pub ledger: Arc<Ledger>,
+    /// The other instances.
+    pub mesh: MeshHandle,
+    /// This start of the instance.
+    pub start: Start,
+    /// Chooses endpoints.
+    pub chooser: Chooser,
     /// Recent requests.
     pub records: Records,
     /// Metrics.
@@ -103,17 +130,6 @@
         })
     }
 
-    /// The rule of a tenant.
-    ///
-    /// # Errors
-    ///
-    /// [`Cause::UnknownTenant`] where no rule names it.
-    pub fn tenant<'a>(&self, rules: &'a Rules, name: &str) -> Result<&'a Tenant, Refusal> {
-        rules.tenants.get(name).ok_or_else(|| {
-            Refusal::not_run(Cause::UnknownTenant).detail(format!("no rule names tenant '{name}'"))
-        })
-    }
-
     /// Whether new requests are taken.
     #[must_use]
     pub fn ready(&self) -> bool {
@@ -125,20 +141,13 @@
     /// Requests that wait for a replica.
     #[must_use]
     pub fn waiting(&self) -> u64 {
-        u64::from(self.loads.waiters().total())
+        u64::from(self.loads.waiters().total() + self.lined.total())
     }
 
-    /// The least loaded of some endpoints, one in the same failure domain first among equals.
+    /// Whether an endpoint of a model can take one more request soon.
     #[must_use]
-    pub fn least_loaded<'a>(
-        &self,
-        endpoints: impl Iterator<Item = (&'a Endpoint, u32)>,
-    ) -> Option<Endpoint> {
-        let key = |(e, reported): &(&Endpoint, u32)| {
-            let load = self.inflight.count(&e.listed.name).max(*reported);
-            (load, e.listed.domain != self.domain)
-        };
-        endpoints.min_by_key(key).map(|(e, _)| e.clone())
+    pub fn has_room(&self, model: &str) -> bool {
+        has_room(&self.view, &self.chooser, model)
     }
 
     /// Tells the fleet that an endpoint could not be reached.
@@ -156,3 +165,14 @@
         }
     }
 }
+
+/// Whether an endpoint of a model can take one more request soon.
+#[must_use]
+pub fn has_room(view: &watch::Receiver<Arc<View>>, chooser: &Chooser, model: &str) -> bool {
+    let view = Arc::clone(&view.borrow());
+    let mut holders = view.holders(model).peekable();
+    if holders.peek().is_none() {
+        return true;
+    }
+    holders.any(|e| view.queued(e, model) < FEW_QUEUED && chooser.has_room(e))
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -90,6 +90,8 @@
     pub body_time: Duration,
     /// Longest time that a graceful stop waits for running requests.
     pub drain_time: Duration,
+    /// Time after a stop begins in which new requests are still taken, for balancers to notice.
+    pub notice_time: Duration,
     /// Deadline of a request that names none.
     pub deadline: Duration,
 }
@@ -99,8 +101,6 @@
 pub struct Timing {
     /// Interval of heartbeats to peers.
     pub heartbeat: Duration,
-    /// Age of a lease at which it lapses.
-    pub lease: Duration,
     /// Interval of reading the instance list.
     pub list: Duration,
     /// Interval of fetching an endpoint's report.
@@ -159,6 +159,7 @@
             header_time: Duration::from_secs(5),
             body_time: Duration::from_secs(30),
             drain_time: Duration::from_mins(1),
+            notice_time: Duration::from_secs(3),
             deadline: Duration::from_mins(1),
         }
     }
@@ -168,7 +169,6 @@
     fn default() -> Self {
         Self {
             heartbeat: Duration::from_millis(500),
-            lease: Duration::from_secs(6),
             list: Duration::from_secs(1),
             report: Duration::from_millis(500),
             rules: Duration::from_secs(1),
--- a/tests/rules_file.rs
+++ b/tests/rules_file.rs
@@ -253,6 +253,36 @@
     assert_eq!(lines, [1, 1, 1, 1, 2, 2, 2, 2, 2, 2, 4]);
 }
 
+#[test]
+fn hostile_files_have_few_errors() {
+    let calls = "call narocila GET /x repeat=safe timeout=1s # Ann: x\n";
+    let cases = [
+        ("x\n".repeat(100_000), 1001),
+        ("a=1 ".repeat(100_000), 1),
+        (calls.repeat(1200), 1200),
+        (
+            (0..1200)
+                .map(|n| calls.replace("/x", &format!("/{n}x")))
+                .collect(),
+            1200,
+        ),
+    ];
+    for (text, most) in cases {
+        let errors = Rules::parse(&text).unwrap_err();
+        assert!(
+            errors.len() <= most,
+            "{} errors, {}",
+            errors.len(),
+            errors[0]
+        );
+    }
+    let text: String = (0..1200)
+        .map(|n| calls.replace("/x", &format!("/{n}x")))
+        .collect();
+    let errors = Rules::parse(&format!("{GOOD}{text}")).unwrap_err();
+    assert_eq!(errors.len(), 202, "{}", errors[0]);
+}
+
 #[test]
 fn any_text_has_a_result() {
     arbtest::arbtest(|u| {
@@ -286,3 +316,39 @@
     })
     .seed(0x5eed_0000_0400);
 }
+
+#[test]
+fn deployments_have_their_size() {
+    let cases = [
+        (
+            include_str!("../deployments/papirnica.rules"),
+            55,
+            "POST /orders",
+            0.7,
+        ),
+        (
+            include_str!("../deployments/delta-meridian.rules"),
+            60,
+            "POST /activations",
+            0.25,
+        ),
+    ];
+    for (text, adapters, paid, idle) in cases {
+        let rules = Rules::parse(text).unwrap();
+        let (with_base, models): (Vec<_>, Vec<_>) =
+            rules.models.values().partition(|m| m.base.is_some());
+        assert_eq!((models.len(), with_base.len()), (50, adapters));
+        assert_eq!((rules.engines.len(), rules.services.len()), (1, 1));
+        let mut calls = rules.services.values().flat_map(|s| &s.calls);
+        let paid = calls.find(|c| format!("{} {}", c.method, c.path) == paid);
+        assert_eq!(paid.map(|c| c.repeat), Some(Repeat::Never));
+        assert_eq!(
+            (
+                rules.weights.idle,
+                rules.weights.loads,
+                rules.weights.adapters
+            ),
+            (idle, 4, 32)
+        );
+    }
+}
--- a/tests/rules_store.rs
+++ b/tests/rules_store.rs
@@ -162,6 +162,20 @@
     assert_eq!(store.apply(proposal(0, "maja")).await, first);
 }
 
+#[tokio::test]
+async fn operation_id_stands_for_one_text() {
+    let store = Platform::default().store();
+    let with_op = |author| Proposal {
+        op: "op-1".into(),
+        ..proposal(0, author)
+    };
+    let first = store.apply(with_op("maja")).await.unwrap();
+    store.apply(proposal(1, "ann")).await.unwrap();
+    assert_eq!(store.apply(with_op("maja")).await, Ok(first));
+    let other = store.apply(with_op("tina")).await;
+    assert!(matches!(other, Err(ApplyError::Raced(_))), "{other:?}");
+}
+
 #[tokio::test]
 async fn invalid_text_changes_nothing() {
     let platform = Platform::default();
@@ -265,6 +279,20 @@
     assert_eq!(platform.authors().await, ["maja"]);
 }
 
+#[tokio::test(start_paused = true)]
+async fn resolving_does_not_flood_the_table() {
+    let platform = Platform::default();
+    let commits = [vec![Step::Late], vec![Step::Refuse; 100_000]].concat();
+    let client = Scripted::on(&platform.table, &commits);
+    let outcome = platform
+        .store_over(Arc::new(client))
+        .apply(proposal(0, "maja"))
+        .await;
+    assert!(matches!(outcome, Err(ApplyError::Unknown(_))));
+    let reads = platform.table.client().usage().reads;
+    assert!(reads < 60, "{reads} reads");
+}
+
 #[tokio::test]
 async fn damaged_text_is_not_served() {
     let platform = Platform::default();
