--- a/src/assembly.rs
+++ b/src/assembly.rs
@@ -9,18 +9,20 @@
 use xtra::Address;
 
 use crate::admission::Admission;
+use crate::chooser::Chooser;
 use crate::clock::Clock;
 use crate::console::Desk;
 use crate::daemon::StartError;
 use crate::engine::Engine;
-use crate::fleet::{Fleet, Heard, Inflight};
+use crate::fleet::{Fleet, Heard, Inflight, View};
 use crate::follow::{Follow, Keep};
-use crate::gate::{Bounds, Gate};
+use crate::gate::{self, Bounds, Gate};
 use crate::idle::{IdleWatch, SharedResidencies};
 use crate::instances::Directory;
 use crate::interest::Interest;
 use crate::keeper::{Keeper, KeeperParts};
 use crate::ledger::{Ledger, LedgerSettings};
+use crate::limits::QueueSettings;
 use crate::loads::{Answering, LoadContext, LoadSettings, Loads as ColdStarts};
 use crate::members::{Member, MemberState};
 use crate::metrics::Metrics;
@@ -37,6 +39,7 @@
 use crate::settings::Settings;
 use crate::suspects::{SuspectSettings, Suspects};
 use crate::table::Table;
+use crate::turnstile::Turnstile;
 
 /// Records of recent requests that are kept.
 const RECORDS: usize = 10_000;
@@ -44,6 +47,8 @@
 const FIRST_SPEED: f64 = 2e9;
 /// Time between two looks at what is left over in the record of calls.
 const TIDY: Duration = Duration::from_secs(1);
+/// Time between two looks for endpoints to forget.
+const FORGET: Duration = Duration::from_secs(10);
 /// Time between two reads of the requests tied to crashes.
 const REFRESH: Duration = Duration::from_secs(1);
 
@@ -143,6 +148,8 @@
         clock,
         every: settings.timing.list,
     };
+    let chooser = Chooser::new(clock, settings.domain.clone());
+    let turnstile = turnstile(settings, &view, &chooser);
     let gate = Gate {
         name: settings.name.clone(),
         domain: settings.domain.clone(),
@@ -156,11 +163,13 @@
         suspects: Arc::new(suspects),
         loads,
         interest,
+        turnstile,
+        lined: Inflight::default(),
         outbound,
         ledger: Arc::new(ledger),
         mesh: mesh.clone(),
         start,
-        inflight: Inflight::default(),
+        chooser,
         records: Records::new(RECORDS),
         metrics,
         stopping: stop.subscribe(),
@@ -215,10 +224,25 @@
         metrics: desk.gate.metrics.clone(),
     };
     tokio::spawn(watch.run());
+    tokio::spawn(forget(desk.gate.view.clone(), desk.gate.chooser.clone()));
     tokio::spawn(desk.keeper.clone().run_sweep());
     tokio::spawn(desk.keeper.clone().run(settings.timing.report));
 }
 
+fn turnstile(
+    settings: &Settings,
+    view: &watch::Receiver<Arc<View>>,
+    chooser: &Chooser,
+) -> Address<Turnstile> {
+    let (view, chooser) = (view.clone(), chooser.clone());
+    let room = Arc::new(move |model: &str| gate::has_room(&view, &chooser, model));
+    let queue = QueueSettings {
+        capacity: settings.limits.waiting,
+        ..QueueSettings::default()
+    };
+    Turnstile::start(queue, Clock::Boot, room)
+}
+
 fn ledger(table: &Arc<dyn Table>, objects: Arc<dyn Objects>, start: &Start) -> Ledger {
     let settings = LedgerSettings {
         instance: start.to_string(),
@@ -316,3 +340,12 @@
         }
     }
 }
+
+/// Forgets endpoints that are not listed any more, until the process ends.
+async fn forget(mut view: watch::Receiver<Arc<View>>, chooser: Chooser) {
+    while view.changed().await.is_ok() {
+        let seen = Arc::clone(&view.borrow_and_update());
+        chooser.retain(&seen.endpoints);
+        tokio::time::sleep(FORGET).await;
+    }
+}
--- a/src/completions/source.rs
+++ b/src/completions/source.rs
@@ -10,12 +10,15 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use super::Completion;
-use crate::fleet::{Endpoint, NotHeld, Running};
+use crate::chooser::{Candidate, Flight};
+use crate::fleet::{Endpoint, NotHeld};
 use crate::http;
+use crate::limits::Waiting;
 use crate::loads::{Decider, Phase};
 use crate::outbound::{Freshness, Reply, SendError, SendFault};
 use crate::relay::RESUME;
 use crate::trials::Leave;
+use crate::turnstile::Enter;
 use crate::verdict::{Cause, Refusal, Verdict};
 
 /// Pause before an endpoint is looked for again.
@@ -26,7 +29,7 @@
 pub(super) struct Source {
     pub(super) reply: Reply,
     pub(super) endpoint: Endpoint,
-    _running: Running,
+    pub(super) flight: Flight,
 }
 
 impl Completion {
@@ -121,6 +124,9 @@
                 return Err(super::late());
             }
             let leave = self.suspicion.leave()?;
+            if leave == Leave::Free && self.held() {
+                self.turn().await?;
+            }
             if let Some(endpoint) = self.pick(&leave) {
                 self.gate
                     .interest
@@ -145,17 +151,55 @@
         }
     }
 
+    /// Waits its turn where the endpoints have too much work, or others wait already.
+    async fn turn(&mut self) -> Result<(), Refusal> {
+        let model = &self.prompt.model;
+        if self.gate.lined.count(model) == 0 && self.gate.has_room(model) {
+            return Ok(());
+        }
+        let _lined = self.gate.lined.start(model);
+        self.record.step("waiting", "for its turn");
+        let enter = Enter {
+            model: model.clone(),
+            waiting: Waiting {
+                id: 0,
+                tenant: self.ask.tenant.clone(),
+                class: self.class,
+                deadline: self.gate.clock.now() + self.ask.left(),
+                needs: Duration::ZERO,
+                cost: 1,
+            },
+        };
+        let waited = Instant::now();
+        let turn = self
+            .gate
+            .turnstile
+            .send(enter)
+            .await
+            .map_err(|_stopped| stopping())?;
+        let turn = turn.await.map_err(|_closed| stopping())?;
+        self.record.wait += waited.elapsed();
+        self.gate
+            .metrics
+            .wait(&self.ask.tenant, self.class, waited.elapsed());
+        turn
+    }
+
     fn pick(&self, leave: &Leave) -> Option<Endpoint> {
         let model = self.prompt.model.as_str();
         if *leave == Leave::Trial {
             return self.suspicion.host(model);
         }
         let view = Arc::clone(&self.gate.view.borrow());
-        let untried = view
+        let candidates: Vec<Candidate<'_>> = view
             .holders(model)
-            .filter(|e| !self.tried.contains(&e.listed.name));
-        self.gate
-            .least_loaded(untried.map(|e| (e, view.load(e, model))))
+            .filter(|e| !self.tried.contains(&e.listed.name))
+            .map(|endpoint| Candidate {
+                endpoint,
+                load: view.load(endpoint, model),
+            })
+            .collect();
+        self.gate.chooser.choose(&candidates, Some(self.prefix))
     }
 
     /// Whether an endpoint that was not tried holds the model.
@@ -192,11 +236,7 @@
             }
             match timeout(self.ask.left(), phase.changed()).await {
                 Ok(Ok(())) => {}
-                Ok(Err(_closed)) => {
-                    return Err(Refusal::not_run(Cause::Stopping)
-                        .detail("the instance is stopping")
-                        .retry_after(Duration::from_secs(1)));
-                }
+                Ok(Err(_closed)) => return Err(stopping()),
                 Err(_elapsed) => return Err(super::late()),
             }
         }
@@ -205,7 +245,7 @@
     async fn send(&mut self, endpoint: &Endpoint, passed: u64) -> Result<Source, SendError> {
         let name = &endpoint.listed.name;
         self.record.sent(name);
-        let running = self.gate.inflight.start(name);
+        let flight = self.gate.chooser.start(endpoint, Some(self.prefix));
         let link = self
             .gate
             .outbound
@@ -222,7 +262,7 @@
         Ok(Source {
             reply,
             endpoint: endpoint.clone(),
-            _running: running,
+            flight,
         })
     }
 
@@ -257,3 +297,9 @@
     let head = reply.response.headers();
     !reply.response.status().is_success() && http::text(head, http::VERDICT) == Some("not-run")
 }
+
+fn stopping() -> Refusal {
+    Refusal::not_run(Cause::Stopping)
+        .detail("the instance is stopping")
+        .retry_after(Duration::from_secs(1))
+}
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -7,9 +7,10 @@
 use xtra::Address;
 
 use crate::admission::Admission;
+use crate::chooser::Chooser;
 use crate::clock::Clock;
 use crate::engine::Engine;
-use crate::fleet::{Endpoint, Fleet, Inflight, Lost, View};
+use crate::fleet::{Fleet, Inflight, Lost, View};
 use crate::follow::RulesWatch;
 use crate::interest::Interest;
 use crate::ledger::Ledger;
@@ -21,8 +22,12 @@
 use crate::records::Records;
 use crate::rules::InForce;
 use crate::suspects::Suspects;
+use crate::turnstile::Turnstile;
 use crate::verdict::{Cause, Refusal};
 
+/// Requests queued in an engine up to which it takes more.
+const FEW_QUEUED: u32 = 8;
+
 /// Bounds of a request's path.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Bounds {
@@ -89,6 +94,10 @@
     pub loads: Loads,
     /// Models that this instance has traffic for.
     pub interest: Interest,
+    /// Requests that wait their turn.
+    pub turnstile: Address<Turnstile>,
+    /// Counts of the requests that wait their turn, by model.
+    pub lined: Inflight,
     /// Connections to endpoints.
     pub outbound: Outbound,
     /// Record of calls that may run at most once.
@@ -97,8 +106,8 @@
     pub mesh: MeshHandle,
     /// This start of the instance.
     pub start: Start,
-    /// Requests running from here.
-    pub inflight: Inflight,
+    /// Chooses endpoints.
+    pub chooser: Chooser,
     /// Recent requests.
     pub records: Records,
     /// Metrics.
@@ -132,20 +141,13 @@
     /// Requests that wait for a replica.
     #[must_use]
     pub fn waiting(&self) -> u64 {
-        u64::from(self.loads.waiters().total())
+        u64::from(self.loads.waiters().total() + self.lined.total())
     }
 
-    /// The least loaded of some endpoints, one in the same failure domain first among equals.
+    /// Whether an endpoint of a model can take one more request soon.
     #[must_use]
-    pub fn least_loaded<'a>(
-        &self,
-        endpoints: impl Iterator<Item = (&'a Endpoint, u32)>,
-    ) -> Option<Endpoint> {
-        let key = |(e, reported): &(&Endpoint, u32)| {
-            let load = self.inflight.count(&e.listed.name).max(*reported);
-            (load, e.listed.domain != self.domain)
-        };
-        endpoints.min_by_key(key).map(|(e, _)| e.clone())
+    pub fn has_room(&self, model: &str) -> bool {
+        has_room(&self.view, &self.chooser, model)
     }
 
     /// Tells the fleet that an endpoint could not be reached.
@@ -163,3 +165,14 @@
         }
     }
 }
+
+/// Whether an endpoint of a model can take one more request soon.
+#[must_use]
+pub fn has_room(view: &watch::Receiver<Arc<View>>, chooser: &Chooser, model: &str) -> bool {
+    let view = Arc::clone(&view.borrow());
+    let mut holders = view.holders(model).peekable();
+    if holders.peek().is_none() {
+        return true;
+    }
+    holders.any(|e| view.queued(e, model) < FEW_QUEUED && chooser.has_room(e))
+}
