--- a/src/loads.rs
+++ b/src/loads.rs
@@ -143,7 +143,10 @@
         tokio::spawn(async move {
             let end = match context.run(&message, &loads, &tell).await {
                 Ok(()) => Phase::Ready,
-                Err(refusal) => Phase::Failed(refusal),
+                Err(refusal) => {
+                    log::warn!(model = message.model, refusal:% = refusal; "cold start failed");
+                    Phase::Failed(refusal)
+                }
             };
             if loads.loader.send(Finished(message)).await.is_err() {
                 log::debug!("the loader has stopped");
--- a/src/loads/job.rs
+++ b/src/loads/job.rs
@@ -37,8 +37,8 @@
         Self {
             watch: Duration::from_millis(4),
             pause: Duration::from_millis(100),
-            eviction: Duration::from_secs(5),
-            departure: Duration::from_secs(10),
+            eviction: Duration::from_secs(15),
+            departure: Duration::from_secs(15),
             longest: Duration::from_mins(15),
         }
     }
@@ -157,16 +157,8 @@
                     continue;
                 }
                 ask.server.clone_from(&endpoint.listed.name);
-                match self.placement.reserve(ask).await {
-                    Ok(reserved) => {
-                        self.keeper.forget_row(&reserved.server);
-                        match self.locate(&reserved) {
-                            Some(endpoint) => return Ok(Some((endpoint, reserved))),
-                            // It is decided where no work may go; another one is needed.
-                            None if ask.replicas < rule.replicas => ask.replicas += 1,
-                            None => return Err(PlaceError::ReplicaLimit),
-                        }
-                    }
+                match self.reserve(ask, rule).await {
+                    Ok(decided) => return Ok(Some(decided)),
                     Err(PlaceError::SlotsBusy) => return Ok(None),
                     Err(
                         error @ (PlaceError::NoMemory | PlaceError::NoBase | PlaceError::Settling),
@@ -180,6 +172,30 @@
         Err(last)
     }
 
+    /// Reserves on one server; where the decided replicas take no work, one more is, by the rule.
+    async fn reserve(
+        &self,
+        ask: &mut Ask,
+        rule: &Model,
+    ) -> Result<(Endpoint, Reserved), PlaceError> {
+        loop {
+            match self.placement.reserve(ask).await {
+                Ok(reserved) => {
+                    self.keeper.forget_row(&reserved.server);
+                    if let Some(endpoint) = self.locate(&reserved) {
+                        return Ok((endpoint, reserved));
+                    }
+                }
+                Err(PlaceError::ReplicaLimit) => {}
+                Err(error) => return Err(error),
+            }
+            if ask.replicas >= rule.replicas {
+                return Err(PlaceError::ReplicaLimit);
+            }
+            ask.replicas += 1;
+        }
+    }
+
     /// Evicts idle replicas; true once the memory is free.
     async fn evict(&self, endpoint: &Endpoint, need: u64) -> bool {
         let Ok(report) = self.keeper.tend(endpoint).await else {
