--- a/standins/src/replay/arrivals.rs
+++ b/standins/src/replay/arrivals.rs
@@ -281,7 +281,8 @@
     /// The nightly upgrade of each server in turn, and servers reclaimed at any time.
     fn outages(&mut self) -> Vec<Outage> {
         let mut outages = Vec::new();
-        let days = u32::try_from(self.site.span.as_secs() / DAY.as_secs()).unwrap_or(u32::MAX);
+        let days =
+            u32::try_from(self.site.span.as_secs().div_ceil(DAY.as_secs())).unwrap_or(u32::MAX);
         let step = Duration::from_mins(90) / u32::try_from(self.site.servers).unwrap_or(1);
         for day in 0..days {
             for (server, turn) in (0..self.site.servers).zip(0u32..) {
--- a/standins/src/replay/cluster.rs
+++ b/standins/src/replay/cluster.rs
@@ -1,5 +1,6 @@
 //! Servers' memory and checkpoint caches in model time.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use brassrack::policy::key::{DomainKey, ServerKey};
@@ -20,6 +21,8 @@
     taken: u64,
     /// Models and their bytes, least recently used first.
     held: Vec<(usize, u64)>,
+    /// The models alone, for quick search.
+    models: BTreeSet<usize>,
 }
 
 impl Cache {
@@ -31,7 +34,7 @@
     }
 
     fn holds(&self, model: usize) -> bool {
-        self.held.iter().any(|(m, _)| *m == model)
+        self.models.contains(&model)
     }
 
     fn touch(&mut self, model: usize, bytes: u64) {
@@ -44,15 +47,18 @@
             return;
         }
         while self.taken + bytes > self.room {
-            let (_, freed) = self.held.remove(0);
+            let (old, freed) = self.held.remove(0);
+            self.models.remove(&old);
             self.taken -= freed;
         }
         self.held.push((model, bytes));
+        self.models.insert(model);
         self.taken += bytes;
     }
 
     fn clear(&mut self) {
         self.held.clear();
+        self.models.clear();
         self.taken = 0;
     }
 }
--- a/standins/src/replay/loads.rs
+++ b/standins/src/replay/loads.rs
@@ -64,7 +64,7 @@
                     server: s.key,
                     domain: s.domain,
                     free: s.free,
-                    idle: self.residents(i).iter().map(|r| r.bytes).sum(),
+                    idle: self.idle_bytes(i, bytes),
                     locality,
                     cached: s.cached(),
                     ready: local(locality, bytes).unwrap_or(remote),
@@ -82,6 +82,14 @@
         self.servers.iter().position(|s| s.key == key)
     }
 
+    /// Memory of the idle replicas of a server that lacks free memory.
+    fn idle_bytes(&self, server: usize, need: u64) -> u64 {
+        if self.servers[server].free >= need {
+            return 0;
+        }
+        self.residents(server).iter().map(|r| r.bytes).sum()
+    }
+
     /// Idle replicas of a server.
     fn residents(&self, server: usize) -> Vec<Resident> {
         let idle = self.servers[server].models.iter().filter(|m| {
--- a/tests/policy_decisions.rs
+++ b/tests/policy_decisions.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use brassrack::policy::demand::Demand;
 use brassrack::policy::key::{DomainKey, ModelKey, ServerKey};
 use brassrack::policy::place::{Candidate, Locality, Resident, choose_server};
 use brassrack::policy::queue::{Admission, Pending, estimate, feasible, order};
@@ -305,6 +306,13 @@
     }
 }
 
+#[test]
+fn learnt_demand_of_a_model_stays_small() {
+    // The odds of the quarter hours lie outside the struct, two bytes each.
+    let bytes = size_of::<Demand>() + 2 * 96;
+    assert!(bytes <= 512, "{bytes} bytes");
+}
+
 #[test]
 fn late_requests_are_refused_with_a_time_to_come_back() {
     let cases = [
