--- a/src/assembly.rs
+++ b/src/assembly.rs
@@ -1,6 +1,6 @@
 //! Puts the actors and tasks of one instance together.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use tokio::net::TcpListener;
@@ -8,17 +8,21 @@
 use tokio::time::MissedTickBehavior;
 use xtra::Address;
 
+use crate::admission::Admission;
+use crate::chooser::Chooser;
 use crate::clock::Clock;
 use crate::console::Desk;
 use crate::daemon::StartError;
 use crate::engine::Engine;
-use crate::fleet::{Fleet, Heard, Inflight};
+use crate::fleet::{Fleet, Heard, Inflight, View};
 use crate::follow::{Follow, Keep};
-use crate::gate::{Bounds, Gate};
+use crate::gate::{self, Bounds, Gate};
+use crate::idle::{IdleWatch, SharedResidencies};
 use crate::instances::Directory;
 use crate::interest::Interest;
 use crate::keeper::{Keeper, KeeperParts};
 use crate::ledger::{Ledger, LedgerSettings};
+use crate::limits::QueueSettings;
 use crate::loads::{Answering, LoadContext, LoadSettings, Loads as ColdStarts};
 use crate::members::{Member, MemberState};
 use crate::metrics::Metrics;
@@ -30,14 +34,23 @@
 use crate::platform::{Remote, RemoteEngines};
 use crate::poll::Poll;
 use crate::records::Records;
+use crate::residency::Residencies;
 use crate::rules::{RulesStore, StoreSettings};
 use crate::settings::Settings;
+use crate::suspects::{SuspectSettings, Suspects};
 use crate::table::Table;
+use crate::turnstile::Turnstile;
 
 /// Records of recent requests that are kept.
 const RECORDS: usize = 10_000;
+/// Bytes a second that a load is expected to move before one was seen.
+const FIRST_SPEED: f64 = 2e9;
 /// Time between two looks at what is left over in the record of calls.
 const TIDY: Duration = Duration::from_secs(1);
+/// Time between two looks for endpoints to forget.
+const FORGET: Duration = Duration::from_secs(10);
+/// Time between two reads of the requests tied to crashes.
+const REFRESH: Duration = Duration::from_secs(1);
 
 /// The platform's systems and the connections to them.
 #[derive(Debug)]
@@ -98,14 +111,8 @@
             ..StoreSettings::default()
         },
     );
-    let ledger = Ledger::new(
-        Arc::clone(&table),
-        objects,
-        LedgerSettings {
-            instance: start.to_string(),
-            ..LedgerSettings::default()
-        },
-    );
+    let ledger = ledger(&table, objects, &start);
+    let suspects = suspects(&table, &start);
     let placement = Arc::new(Placement::new(
         table,
         PlacementSettings {
@@ -117,7 +124,7 @@
     let keeper = Keeper::new(
         KeeperParts {
             placement: Arc::clone(&placement),
-            engines,
+            engines: Arc::clone(&engines),
             fleet: fleet.clone(),
             view: view.clone(),
             rules: rules.clone(),
@@ -126,7 +133,9 @@
         },
         ReconcileSettings::default(),
     );
+    let residencies = Arc::new(Mutex::new(Residencies::new(FIRST_SPEED)));
     let loads = ColdStarts::start(LoadContext {
+        residencies: Arc::clone(&residencies),
         settings: LoadSettings::default(),
         placement,
         keeper: keeper.clone(),
@@ -139,6 +148,8 @@
         clock,
         every: settings.timing.list,
     };
+    let chooser = Chooser::new(clock, settings.domain.clone());
+    let turnstile = turnstile(settings, &view, &chooser);
     let gate = Gate {
         name: settings.name.clone(),
         domain: settings.domain.clone(),
@@ -147,13 +158,18 @@
         rules,
         view,
         fleet,
+        engines,
+        admission: Admission::new(clock),
+        suspects: Arc::new(suspects),
         loads,
         interest,
+        turnstile,
+        lined: Inflight::default(),
         outbound,
         ledger: Arc::new(ledger),
         mesh: mesh.clone(),
         start,
-        inflight: Inflight::default(),
+        chooser,
         records: Records::new(RECORDS),
         metrics,
         stopping: stop.subscribe(),
@@ -167,6 +183,7 @@
         stop,
     };
     background(&desk, settings, poll, requests);
+    watch_servers(&desk, settings, residencies);
     Ok(desk)
 }
 
@@ -192,10 +209,56 @@
     tokio::spawn(answering.run(requests));
     tokio::spawn(hear(desk.mesh.fleet(), gate.fleet.clone()));
     tokio::spawn(gate.interest.clone().run(gate.clock));
+    let admission = gate.admission.clone();
+    tokio::spawn(admission.follow(gate.name.clone(), gate.rules.clone(), desk.mesh.clone()));
+    tokio::spawn(refresh(Arc::clone(&gate.suspects)));
     tokio::spawn(tidy(Arc::clone(&gate.ledger), desk.mesh.clone()));
+}
+
+/// Starts the tasks that tend the servers and watch their replicas.
+fn watch_servers(desk: &Desk, settings: &Settings, residencies: SharedResidencies) {
+    let watch = IdleWatch {
+        residencies,
+        keeper: desk.keeper.clone(),
+        loads: desk.gate.loads.clone(),
+        metrics: desk.gate.metrics.clone(),
+    };
+    tokio::spawn(watch.run());
+    tokio::spawn(forget(desk.gate.view.clone(), desk.gate.chooser.clone()));
+    tokio::spawn(desk.keeper.clone().run_sweep());
     tokio::spawn(desk.keeper.clone().run(settings.timing.report));
 }
 
+fn turnstile(
+    settings: &Settings,
+    view: &watch::Receiver<Arc<View>>,
+    chooser: &Chooser,
+) -> Address<Turnstile> {
+    let (view, chooser) = (view.clone(), chooser.clone());
+    let room = Arc::new(move |model: &str| gate::has_room(&view, &chooser, model));
+    let queue = QueueSettings {
+        capacity: settings.limits.waiting,
+        ..QueueSettings::default()
+    };
+    Turnstile::start(queue, Clock::Boot, room)
+}
+
+fn ledger(table: &Arc<dyn Table>, objects: Arc<dyn Objects>, start: &Start) -> Ledger {
+    let settings = LedgerSettings {
+        instance: start.to_string(),
+        ..LedgerSettings::default()
+    };
+    Ledger::new(Arc::clone(table), objects, settings)
+}
+
+fn suspects(table: &Arc<dyn Table>, start: &Start) -> Suspects {
+    let settings = SuspectSettings {
+        prefix: format!("{start}-s"),
+        ..SuspectSettings::default()
+    };
+    Suspects::new(Arc::clone(table), settings)
+}
+
 fn bounds(settings: &Settings) -> Bounds {
     Bounds {
         body: settings.limits.body,
@@ -265,3 +328,24 @@
         ledger.tidy().await;
     }
 }
+
+/// Reads the requests tied to crashes, until the process ends.
+async fn refresh(suspects: Arc<Suspects>) {
+    let mut ticks = tokio::time::interval(REFRESH);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        if let Err(error) = suspects.refresh().await {
+            log::warn!(error:% = error; "cannot read the suspected requests");
+        }
+    }
+}
+
+/// Forgets endpoints that are not listed any more, until the process ends.
+async fn forget(mut view: watch::Receiver<Arc<View>>, chooser: Chooser) {
+    while view.changed().await.is_ok() {
+        let seen = Arc::clone(&view.borrow_and_update());
+        chooser.retain(&seen.endpoints);
+        tokio::time::sleep(FORGET).await;
+    }
+}
--- a/src/keeper.rs
+++ b/src/keeper.rs
@@ -3,6 +3,8 @@
 //! Any instance may tend any server: each step is either a transaction or an order that follows
 //! from one. The home of a server does it regularly; a cold start does it while it waits.
 
+mod sweep;
+
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -203,6 +205,18 @@
         }
     }
 
+    /// Decides to let a replica go and orders its unload; running requests end first.
+    ///
+    /// # Errors
+    ///
+    /// [`TendError`] where the decision was not taken or the engine does not answer.
+    pub async fn let_go(&self, endpoint: &Endpoint, model: &str) -> Result<(), TendError> {
+        self.placement.retire(&endpoint.listed.name, model).await?;
+        self.forget_row(&endpoint.listed.name);
+        self.tend(endpoint).await?;
+        Ok(())
+    }
+
     /// The decided replicas of a server as last read, with their counted memory.
     #[must_use]
     pub fn row(&self, server: &str) -> Option<Placed> {
@@ -267,7 +281,8 @@
             return false;
         };
         let fresh = now.saturating_sub(tended.read) < ROW_AGE;
-        fresh && placed.row.boot == report.boot && agrees(placed, report)
+        let settled = placed.row.settling.is_none();
+        fresh && settled && placed.row.boot == report.boot && agrees(placed, report)
     }
 
     async fn take(&self, endpoint: &Endpoint, step: Step) -> Result<(), TendError> {
@@ -276,10 +291,12 @@
         match step {
             Step::Send(order) => self.order(endpoint, order).await?,
             Step::Confirm { model, op } => self.placement.confirm(server, &model, &op).await?,
+            Step::Activate { model, op } => self.placement.activate(server, &model, &op).await?,
             Step::Fail { model, op } => self.placement.fail(server, &model, &op).await?,
             Step::Release { model, op } => self.placement.release(server, &model, &op).await?,
             Step::Abandon { model, op } => self.placement.abandon(server, &model, &op).await?,
             Step::Find(resident) => self.placement.find(server, &resident).await?,
+            Step::Settle(boot) => self.placement.settle(server, &boot).await?,
             Step::Reboot(boot) => {
                 self.placement
                     .vacate(server, &Vacancy::Rebooted(boot))
@@ -301,7 +318,7 @@
         .replicas
         .iter()
         .all(|replica| match replica.state {
-            ReplicaState::Granted => true,
+            ReplicaState::Granted => report.residents.iter().all(|r| r.op != replica.op),
             ReplicaState::Ready => shows(report, &replica.op, Residency::Ready),
             ReplicaState::Loading => shows(report, &replica.op, Residency::Loading),
             ReplicaState::Unloading => shows(report, &replica.op, Residency::Unloading),
@@ -311,7 +328,7 @@
         && report
             .residents
             .iter()
-            .all(|r| placed.row.replica(&r.model).is_some())
+            .all(|r| placed.row.by_op(&r.op).is_some())
 }
 
 fn shows(report: &Report, op: &str, state: Residency) -> bool {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,10 +5,12 @@
 //! [`engine::Engine`], [`instances::Directory`] and [`objects::Objects`].
 
 pub mod admin;
+pub mod admission;
 pub mod ask;
 mod assembly;
 pub mod calls;
 pub mod chart;
+pub mod chooser;
 pub mod cli;
 pub mod clock;
 pub mod commit;
@@ -22,6 +24,7 @@
 pub mod gate;
 pub mod home;
 pub mod http;
+pub mod idle;
 pub mod instances;
 pub mod intake;
 pub mod interest;
@@ -43,11 +46,14 @@
 pub mod poll;
 pub mod records;
 pub mod relay;
+pub mod residency;
 pub mod rules;
 pub mod settings;
 pub mod suspects;
 pub mod table;
 pub mod tool;
+pub mod trials;
+pub mod turnstile;
 pub mod verdict;
 
 /// A boxed future, as returned by the traits at the edges of the process.
--- a/src/placement/rows.rs
+++ b/src/placement/rows.rs
@@ -67,6 +67,10 @@
     pub boot: String,
     /// Replicas, each with its memory counted.
     pub replicas: Vec<Replica>,
+    /// Set after a restart until no order from before it can arrive any more: the revision of the
+    /// row before the restart was recorded. Nothing is decided for the server meanwhile.
+    #[serde(default)]
+    pub settling: Option<u64>,
 }
 
 impl Record for ServerRow {}
@@ -146,6 +150,10 @@
     pub loads: Vec<Holder>,
     /// Loads of adapters.
     pub adapters: Vec<Holder>,
+    /// Process start that alone may activate grants, one load at a time; empty where nobody may.
+    /// One place for a load is kept free for it.
+    #[serde(default)]
+    pub activator: String,
 }
 
 impl Record for StoreRow {}
--- a/src/rules/store.rs
+++ b/src/rules/store.rs
@@ -192,7 +192,10 @@
             .snapshot(proposal.base)
             .await
             .map_err(|e| ApplyError::Unavailable(e.to_string()))?;
-        let known = before.next.as_ref().filter(|v| v.op == proposal.op);
+        let known = before
+            .next
+            .as_ref()
+            .filter(|v| v.op == proposal.op && v.digest == digest);
         let same = before.current.as_ref().filter(|v| v.digest == digest);
         if let Some(version) = known.or(same) {
             return Ok(version.clone());
@@ -244,10 +247,7 @@
         let mut backoff = FIRST_BACKOFF;
         loop {
             match self.snapshot(base).await {
-                Err(_) => {
-                    sleep(backoff).await;
-                    backoff = (backoff * 2).min(LONGEST_BACKOFF);
-                }
+                Err(_) => pause(&mut backoff).await,
                 Ok(now) if now.has(&version.op) => return Ok(version.clone()),
                 Ok(now) if now.number() != base => return Err(self.raced(base, now.current).await),
                 Ok(now) if now.guard != before.guard || now.revision != before.revision => {
@@ -257,7 +257,9 @@
                 // Nothing happened so far. Once the guard has another revision, the transaction
                 // fails its checks whenever it arrives; the next snapshot is then final.
                 Ok(now) => {
-                    let _outcome = self.send(guard(now.guard, &version.op)).await;
+                    if self.send(guard(now.guard, &version.op)).await.is_err() {
+                        pause(&mut backoff).await;
+                    }
                 }
             }
         }
@@ -309,6 +311,12 @@
     }
 }
 
+/// Sleeps, and doubles the time for the next pause.
+async fn pause(backoff: &mut Duration) {
+    sleep(*backoff).await;
+    *backoff = (*backoff * 2).min(LONGEST_BACKOFF);
+}
+
 /// A new operation id.
 ///
 /// # Examples
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod scripted_table;
 pub mod server;
 pub mod service;
+pub mod slopes;
 pub mod store;
 pub mod table;
 pub mod weights;
