--- a/src/policy.rs
+++ b/src/policy.rs
@@ -168,15 +168,11 @@
         keep
     }
 
-    /// Models to load ahead of a predicted wake, the most valuable first.
-    ///
-    /// A model that was in use within the last 15 min is not among them: it was let go or evicted
-    /// for need, and loading it again would take that memory back.
+    /// Models to load ahead of a predicted request, the most valuable first.
     #[must_use]
     pub fn preload(&self, now: Duration, absent: &[Absent]) -> Vec<ModelKey> {
         let mut wanted: Vec<(f64, ModelKey)> = absent
             .iter()
-            .filter(|a| self.models.get(&a.model).is_some_and(|d| d.asleep(now)))
             .filter_map(|a| {
                 let worth = self.worth(a.model, now + a.reload, a.reload)?;
                 (worth > PRELOAD).then_some((worth, a.model))
--- a/src/policy/demand.rs
+++ b/src/policy/demand.rs
@@ -56,13 +56,6 @@
         self.active = Some(self.active.map_or(now, |at| at.max(now)));
     }
 
-    /// Whether a request now would be a wake, after a long gap.
-    #[must_use]
-    pub fn asleep(&self, now: Duration) -> bool {
-        self.active
-            .is_some_and(|at| now.saturating_sub(at) >= WAKE_GAP)
-    }
-
     /// Requests a second to be expected at a time, if none comes before.
     #[must_use]
     pub fn rate(&self, at: Duration, pool: &Pool) -> f64 {
