A model on a leaving endpoint is served elsewhere, within its rule

Cause: a leaving endpoint's replica counts as decided, so the home answered with it; where a second replica stood on a live endpoint, the first in name order was still the answer. Ruled out: letting go of the replica on the leaving endpoint at once (its memory stays counted for the lifetime of an order where fencing numbers are ignored, so it would not help in time). A refusal of a keyed call while the table is down says that only this attempt was not sent.

--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -293,7 +293,10 @@
         let spread = f64::from(hash.as_bytes()[0]) / f64::from(u8::MAX);
         let retry = self.settings.retry.mul_f64(1.0 + spread);
         let refusal = Refusal::not_run(Cause::TableDown).retry_after(retry);
-        refusal.detail("the record of calls that run once cannot be kept now")
+        refusal.detail(
+            "this attempt was not sent: the record of calls that run once cannot be read now; \
+             an earlier attempt with the same key may have run",
+        )
     }
 
     fn local(&self) -> MutexGuard<'_, Local> {
--- a/src/placement/reserve.rs
+++ b/src/placement/reserve.rs
@@ -103,7 +103,11 @@
             ) {
                 continue;
             }
-            let better = found.as_ref().is_none_or(|f| f.state < replica.state);
+            // The asked server takes work; another may be on its way out.
+            let rank = |state, server: &str| (state, server == self.ask.server);
+            let better = found
+                .as_ref()
+                .is_none_or(|f| rank(f.state, &f.server) < rank(replica.state, name));
             if better {
                 found = Some(Reserved {
                     server: name.clone(),
