Adapters load where any instance sees their base; a newcomer takes nobody for gone

Cause: a cold adapter looked for its base only in reports that its home had fetched itself, so with the base's server polled by another instance it was refused for good. An instance that had just started took the claimant of a call for gone because it did not know it yet. Ruled out: asking the table for the base's servers (the fleet's news is there already); waiting for the instance list before judging a claimant (it lags longer than the members). Change: the base's holders by all that was heard; ten seconds of acquaintance before a claimant counts as gone.

--- a/src/loads/job.rs
+++ b/src/loads/job.rs
@@ -248,11 +248,10 @@
     /// Endpoints that may take the model, best first.
     fn candidates(&self, model: &str, rule: &Model) -> Vec<Endpoint> {
         let view = Arc::clone(&self.keeper.view.borrow());
-        let mut found: Vec<Endpoint> = view
-            .members(&rule.engines)
-            .filter(|e| rule.base.as_deref().is_none_or(|base| e.holds(base)))
-            .cloned()
-            .collect();
+        let mut found: Vec<Endpoint> = match &rule.base {
+            Some(base) => view.holders(base).cloned().collect(),
+            None => view.members(&rule.engines).cloned().collect(),
+        };
         found.sort_by_key(|e| {
             let report = e.report.as_ref();
             let cached = report.is_some_and(|r| r.cached.iter().any(|c| c == model));
--- a/src/once.rs
+++ b/src/once.rs
@@ -13,6 +13,7 @@
 
 use crate::calls::ServiceCall;
 use crate::http::Body;
+use crate::idle::epoch;
 use crate::ledger::{self, Call, Claim, StoreError, Token};
 use crate::members::Member;
 use crate::outbound::{Answer, Freshness, SendError};
@@ -25,6 +26,8 @@
 const LONGEST_LOOK: Duration = Duration::from_millis(500);
 /// Time after which a caller should ask for an unfinished call again.
 const COME_BACK: Duration = Duration::from_secs(1);
+/// Milliseconds after its start in which an instance may not know all others.
+const ACQUAINTANCE_MS: u64 = 10_000;
 /// Objections to suspicions that one process start may make, which raise its incarnation.
 const OBJECTIONS: u64 = 100;
 
@@ -98,6 +101,11 @@
         let Ok(start) = claimant.parse::<Start>() else {
             return true;
         };
+        // An instance that has just started does not know all others yet.
+        let age = u64::try_from(epoch().as_millis()).unwrap_or(u64::MAX);
+        if age.saturating_sub(self.gate.start.at) < ACQUAINTANCE_MS {
+            return false;
+        }
         let members = self.gate.mesh.members();
         let members = members.borrow();
         members
