--- a/standins/src/slopes/mesh.rs
+++ b/standins/src/slopes/mesh.rs
@@ -11,7 +11,7 @@
 use rustix::time::{ClockId, clock_gettime};
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::meshes::{MemoryList, mesh_config, until};
 
@@ -97,7 +97,7 @@
     let (idle_bytes, idle_messages, idle_cpu) = rates(&nodes, window, sleep(window)).await;
     let (rules_bytes, rules_ms) = rules_change(&nodes).await;
     let (load_bytes, load_messages, load_cpu) =
-        rates(&nodes, window, traffic(&nodes, window)).await;
+        rates(&nodes, window, bounded(&nodes, window)).await;
     Ok(MeshCost {
         size,
         idle_bytes,
@@ -148,6 +148,11 @@
     (bytes, if spread { took } else { f64::INFINITY })
 }
 
+/// Traffic that ends even where the instances cannot keep up.
+async fn bounded(nodes: &[MeshHandle], window: Duration) {
+    drop(timeout(window * 2, traffic(nodes, window)).await);
+}
+
 /// Publishes changing loads of every instance's servers for a while.
 async fn traffic(nodes: &[MeshHandle], window: Duration) {
     let mut rng = StdRng::seed_from_u64(11);
