--- a/src/placement/reserve.rs
+++ b/src/placement/reserve.rs
@@ -103,7 +103,11 @@
             ) {
                 continue;
             }
-            let better = found.as_ref().is_none_or(|f| f.state < replica.state);
+            // The asked server takes work; another may be on its way out.
+            let rank = |state, server: &str| (state, server == self.ask.server);
+            let better = found
+                .as_ref()
+                .is_none_or(|f| rank(f.state, &f.server) < rank(replica.state, name));
             if better {
                 found = Some(Reserved {
                     server: name.clone(),
@@ -138,7 +142,8 @@
             Slot::Load => ask.loads,
             Slot::Adapter => ask.adapters,
         };
-        let limit = usize::try_from(limit).unwrap_or(usize::MAX);
+        let kept = u32::from(slot == Slot::Load && !store.activator.is_empty());
+        let limit = usize::try_from(limit.saturating_sub(kept)).unwrap_or(usize::MAX);
         if self.event == ReplicaEvent::Reserve && store.holders(slot).len() >= limit {
             return Err(PlaceError::SlotsBusy);
         }
