A stream answers with its first event; overload is refused before dispatch

Cause: engines give the head of a stream at once and its first event only when the request has a place in the batch. The caller got a head that promised an answer, the choice of endpoints learnt times of a millisecond, and the gap limit cut streams that still stood in the engine's queue. Ruled out: a longer gap limit (it would hide silent connections); counting the head as the first token. Change: a stream's head goes back with its first events; until then the request can go elsewhere or be refused with a status. The time to the first event is what the choice learns, and what a wait in turn allows for.

--- a/src/chooser.rs
+++ b/src/chooser.rs
@@ -85,15 +85,19 @@
         candidates.get(at).map(|c| c.endpoint.clone())
     }
 
-    /// Whether the requests at an endpoint let one more begin soon, as far as is known.
+    /// Expected time to the first token of one more request; none where it is not known.
     #[must_use]
-    pub fn has_room(&self, endpoint: &Endpoint) -> bool {
+    pub fn expected(&self, endpoint: &Endpoint) -> Option<Duration> {
         let now = self.clock.now();
         let mut state = self.lock();
         let key = state.key(endpoint, &self.domain);
-        state
-            .pick
-            .expected(key, now)
+        state.pick.expected(key, now)
+    }
+
+    /// Whether the requests at an endpoint let one more begin soon, as far as is known.
+    #[must_use]
+    pub fn has_room(&self, endpoint: &Endpoint) -> bool {
+        self.expected(endpoint)
             .is_none_or(|wait| wait <= SHORT_WAIT)
     }
 
--- a/src/completions.rs
+++ b/src/completions.rs
@@ -1,15 +1,16 @@
 //! The path of a completion: find a replica, send, pass the answer on.
 
 mod source;
+mod stream;
 
 use std::collections::BTreeSet;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
+use hyper::body::Incoming;
 use hyper::header::CONTENT_TYPE;
 use hyper::{HeaderMap, Response, StatusCode};
-use tokio::time::{Instant, timeout};
+use tokio::time::timeout;
 
 use source::Source;
 
@@ -20,7 +21,6 @@
 use crate::http::{self, Body};
 use crate::pick::Prefix;
 use crate::records::Record;
-use crate::relay::{End, Outlet};
 use crate::rules::Class;
 use crate::trials::Suspicion;
 use crate::verdict::{Cause, Refusal, Verdict};
@@ -83,7 +83,10 @@
     /// Serves the completion.
     pub async fn serve(mut self) -> Response<Body> {
         let outcome = match self.source(0).await {
-            Ok(source) if self.prompt.stream => return self.stream(source),
+            Ok(source) if is_stream(&source.reply.response) => match self.begin(source, 0).await {
+                Ok(stream) => return self.stream(stream),
+                Err(refusal) => Err(refusal),
+            },
             Ok(source) => self.whole(source).await,
             Err(refusal) => Err(refusal),
         };
@@ -118,74 +121,11 @@
                 Ok(Err(error)) => error.to_string(),
                 Err(late) => late.to_string(),
             };
-            self.broke(&source.endpoint, detail).await?;
+            self.broke(&source.endpoint, Verdict::Ran, detail).await?;
             source = self.source(0).await?;
         }
     }
 
-    /// Passes an event stream on in a task of its own.
-    fn stream(self, source: Source) -> Response<Body> {
-        let (outlet, body) = Outlet::new();
-        let mut response = Response::new(body);
-        let head = &source.reply.response;
-        copy_head(&mut response, head.status(), head.headers());
-        http::stamp(response.headers_mut(), &self.ask.id);
-        tokio::spawn(self.pass(source, outlet));
-        response
-    }
-
-    async fn pass(mut self, first: Source, mut outlet: Outlet) {
-        let mut source = first;
-        let refusal = loop {
-            let (from, endpoint) = (source.reply.from, source.endpoint.clone());
-            match self.pump(source, &mut outlet).await {
-                End::Whole => break None,
-                End::CallerGone => {
-                    self.suspicion.finish(false).await;
-                    return self.close(StatusCode::OK, None);
-                }
-                end @ (End::Cut | End::Silent) => {
-                    let detail = format!("{end} at {from} after {} events", outlet.passed());
-                    if let Err(refusal) = self.broke(&endpoint, detail).await {
-                        break Some(refusal);
-                    }
-                }
-            }
-            self.ask.due = Instant::now() + self.gate.bounds.timeout;
-            source = match self.source(outlet.passed()).await {
-                Ok(source) => source,
-                Err(refusal) => break Some(refusal),
-            };
-        };
-        let refusal = refusal.map(|r| self.weigh(r));
-        if let Some(refusal) = &refusal {
-            let error = http::error_json(refusal, &self.ask.id);
-            outlet
-                .pass(format!("event: error\ndata: {error}\n\n").into())
-                .await;
-        }
-        self.suspicion.finish(refusal.is_none()).await;
-        self.close(StatusCode::OK, refusal.as_ref());
-    }
-
-    async fn pump(&mut self, source: Source, outlet: &mut Outlet) -> End {
-        let from: SocketAddr = source.reply.from;
-        let (response, sender) = source.reply.into_parts();
-        let mut body = response.into_body();
-        source.flight.answering();
-        if outlet.passed() == 0 {
-            self.answering();
-        }
-        let (metrics, tenant) = (self.gate.metrics.clone(), self.ask.tenant.clone());
-        let class = self.class;
-        let gaps = move |gap: Duration| metrics.gap(&tenant, class, gap);
-        let end = outlet.pump(&mut body, self.gate.bounds.gap, &gaps).await;
-        if end == End::Whole {
-            self.gate.outbound.put(from, sender);
-        }
-        end
-    }
-
     /// Gives a refusal the worst verdict of all attempts.
     fn weigh(&self, refusal: Refusal) -> Refusal {
         Refusal {
@@ -222,3 +162,9 @@
         response.headers_mut().insert(CONTENT_TYPE, kind.clone());
     }
 }
+
+/// Whether an answer is an event stream.
+fn is_stream(response: &Response<Incoming>) -> bool {
+    let kind = http::text(response.headers(), CONTENT_TYPE.as_str()).unwrap_or_default();
+    response.status().is_success() && kind.starts_with("text/event-stream")
+}
--- a/src/completions/source.rs
+++ b/src/completions/source.rs
@@ -62,12 +62,13 @@
     pub(super) async fn broke(
         &mut self,
         endpoint: &Endpoint,
+        verdict: Verdict,
         detail: String,
     ) -> Result<(), Refusal> {
         self.record.step("broke", detail);
-        self.worst = Verdict::Ran;
+        self.worst = self.worst.max(verdict);
         self.suspicion.inspect(endpoint, &self.prompt.model).await;
-        self.spend(Verdict::Ran)
+        self.spend(verdict)
     }
 
     async fn not_held(&mut self, name: String) {
@@ -166,7 +167,7 @@
                 tenant: self.ask.tenant.clone(),
                 class: self.class,
                 deadline: self.gate.clock.now() + self.ask.left(),
-                needs: Duration::ZERO,
+                needs: self.gate.expected(model),
                 cost: 1,
             },
         };
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -150,6 +150,16 @@
         has_room(&self.view, &self.chooser, model)
     }
 
+    /// Expected time to the first token at the best endpoint of a model.
+    #[must_use]
+    pub fn expected(&self, model: &str) -> Duration {
+        let view = Arc::clone(&self.view.borrow());
+        let waits = view
+            .holders(model)
+            .map(|e| self.chooser.expected(e).unwrap_or_default());
+        waits.min().unwrap_or_default()
+    }
+
     /// Tells the fleet that an endpoint could not be reached.
     pub async fn lost(&self, endpoint: &str) {
         if self
--- a/src/pick.rs
+++ b/src/pick.rs
@@ -115,12 +115,12 @@
         self.tracks.get(&endpoint).map_or(0, Track::load)
     }
 
-    /// Expected wait behind the requests at an endpoint; none where its speed is not known.
+    /// Expected time to first token of one more request; none where the speed is not known.
     #[must_use]
     pub fn expected(&self, endpoint: EndpointKey, now: Duration) -> Option<Duration> {
         let track = self.tracks.get(&endpoint)?;
         let unit = track.known(now)?;
-        Duration::try_from_secs_f64(unit * f64::from(track.load())).ok()
+        Duration::try_from_secs_f64(unit * f64::from(track.load() + 1)).ok()
     }
 
     /// Chooses one of some endpoints; `draws` are two random numbers.
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -123,40 +123,74 @@
         self.parts.send(Ok(Frame::data(events))).await.is_ok()
     }
 
-    /// Waits until the caller closes its connection.
-    pub async fn closed(&self) {
-        self.parts.closed().await;
-    }
-
-    /// Reads one endpoint's body to its end.
+    /// Passes one endpoint's events on to their end; each is awaited for at most `limit`.
     ///
     /// `on_gap` is told the time between parts.
     pub async fn pump(
         &mut self,
-        body: &mut Incoming,
+        feed: &mut Feed,
         limit: Duration,
         on_gap: &(dyn Fn(Duration) + Send + Sync),
     ) -> End {
-        let mut events = Events::default();
         loop {
             let since = tokio::time::Instant::now();
-            let frame = tokio::select! {
-                frame = timeout(limit, body.frame()) => frame,
+            let next = tokio::select! {
+                next = feed.next(limit) => next,
                 () = self.parts.closed() => return End::CallerGone,
             };
-            let part = match frame {
-                Err(_late) => return End::Silent,
-                Ok(None) if self.whole => return End::Whole,
-                Ok(None | Some(Err(_))) => return End::Cut,
-                Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
+            match next {
+                Ok(events) => {
+                    on_gap(since.elapsed());
+                    if !self.pass(events).await {
+                        return End::CallerGone;
+                    }
+                }
+                Err(End::Cut) if self.whole => return End::Whole,
+                Err(end) => return end,
+            }
+        }
+    }
+}
+
+/// The endpoint's side of a stream.
+#[derive(Debug)]
+pub struct Feed {
+    body: Incoming,
+    events: Events,
+}
+
+impl Feed {
+    /// A stream whose body is still unread.
+    #[must_use]
+    pub fn new(body: Incoming) -> Self {
+        Self {
+            body,
+            events: Events::default(),
+        }
+    }
+
+    /// The next whole events.
+    ///
+    /// # Errors
+    ///
+    /// [`End::Cut`] at the end of the body, [`End::Silent`] where none comes within the limit.
+    pub async fn next(&mut self, limit: Duration) -> Result<Bytes, End> {
+        timeout(limit, self.read())
+            .await
+            .unwrap_or(Err(End::Silent))
+    }
+
+    async fn read(&mut self) -> Result<Bytes, End> {
+        loop {
+            let Some(Ok(frame)) = self.body.frame().await else {
+                return Err(End::Cut);
             };
-            on_gap(since.elapsed());
-            let whole = events.push(&part);
-            if events.pending() > EVENT_BYTES {
-                return End::Cut;
+            let events = self.events.push(&frame.into_data().unwrap_or_default());
+            if !events.is_empty() {
+                return Ok(events);
             }
-            if !whole.is_empty() && !self.pass(whole).await {
-                return End::CallerGone;
+            if self.events.pending() > EVENT_BYTES {
+                return Err(End::Cut);
             }
         }
     }
--- a/standins/src/rack/parts.rs
+++ b/standins/src/rack/parts.rs
@@ -31,6 +31,8 @@
     pub services: Vec<String>,
     /// Time for each token, as the engines' argument.
     pub gap: String,
+    /// Requests that an engine runs at once, as the engines' argument.
+    pub batch: String,
     /// Rules file.
     pub rules: String,
     /// Lines added to each daemon's settings.
@@ -45,6 +47,7 @@
             engines: text(&[CHECKED_ENGINES, CHECKED_ENGINES, IGNORING_ENGINES]),
             services: text(&[ORDER_SERVICE, ORDER_SERVICE, SEAT_SERVICE]),
             gap: "0s".into(),
+            batch: "64".into(),
             rules: RULES.into(),
             extra: String::new(),
         }
@@ -107,7 +110,11 @@
             _ => "checked",
         };
         let args = ["--weights", &weights, "--orders", orders];
-        let args = [args.as_slice(), &["--token-gap", &settings.gap]].concat();
+        let args = [
+            args.as_slice(),
+            &["--token-gap", &settings.gap, "--batch", &settings.batch],
+        ]
+        .concat();
         Station::start(format!("{service}-{}", index + 1), service, "engine", &args)
     };
     settings.engines.iter().enumerate().map(start).collect()
