--- a/src/loads/job.rs
+++ b/src/loads/job.rs
@@ -26,6 +26,8 @@
     pub pause: Duration,
     /// Longest time for evicted replicas to be released.
     pub eviction: Duration,
+    /// Longest wait where no endpoint takes work.
+    pub absence: Duration,
     /// Longest wait for a replica of the model that is on its way out.
     pub departure: Duration,
     /// Longest time of one cold start.
@@ -38,6 +40,7 @@
             watch: Duration::from_millis(4),
             pause: Duration::from_millis(100),
             eviction: Duration::from_secs(15),
+            absence: Duration::from_secs(2),
             departure: Duration::from_secs(15),
             longest: Duration::from_mins(15),
         }
@@ -128,6 +131,12 @@
         };
         let started = Instant::now();
         while started.elapsed() < self.settings.longest {
+            // An endpoint that could not be reached a moment ago may be back.
+            if self.candidates(model, rule).is_empty() && started.elapsed() < self.settings.absence
+            {
+                sleep(self.settings.pause).await;
+                continue;
+            }
             match self.decide(&mut ask, rule).await {
                 Ok(Some(decided)) => return Ok(decided),
                 Ok(None) => sleep(slot_pause(rule.class)).await,
