Place loads by the policy: memory from the rows, checkpoints from fresh reports

Cause: the home of a model knows reports only of the servers that it polls, so that most servers looked empty and without checkpoints; and a load ahead of need could evict. Change: one read of the rows and the reports of a shortlist, asked at once; the policy's choice orders them; loads ahead evict nothing.

--- a/src/idle.rs
+++ b/src/idle.rs
@@ -127,7 +127,7 @@
         let wanted = lock(&self.residencies).preload(&absent, epoch());
         for model in wanted {
             log::info!(model = model; "load ahead of need");
-            if self.loads.wake(&model, Decider::Home).await.is_err() {
+            if self.loads.wake(&model, Decider::Ahead).await.is_err() {
                 return;
             }
         }
--- a/src/loads.rs
+++ b/src/loads.rs
@@ -2,6 +2,7 @@
 
 mod ask;
 mod job;
+mod places;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -37,6 +38,8 @@
     Home,
     /// This instance, whoever is home.
     Here,
+    /// This instance, ahead of need: nothing is evicted for it.
+    Ahead,
 }
 
 /// Handle of the actor that owns the cold starts.
--- a/src/loads/ask.rs
+++ b/src/loads/ask.rs
@@ -29,14 +29,14 @@
             .await;
         let home = match wake.decider {
             Decider::Home => self.keeper.mesh.home(&format!("model/{}", wake.model)),
-            Decider::Here => None,
+            Decider::Here | Decider::Ahead => None,
         };
         let Some(home) = home else {
-            return self.load(&wake.model, loads, tell).await;
+            return self.load(wake, loads, tell).await;
         };
         match self.ask(&home, &wake.model).await {
             Some(answer) => answer,
-            None => self.load(&wake.model, loads, tell).await,
+            None => self.load(wake, loads, tell).await,
         }
     }
 
--- a/src/loads/job.rs
+++ b/src/loads/job.rs
@@ -6,7 +6,7 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep};
 
-use super::{Decider, Loads, Phase};
+use super::{Decider, Loads, Phase, Wake};
 use crate::chart::ReplicaState;
 use crate::fleet::Endpoint;
 use crate::idle::{SharedResidencies, epoch, lock};
@@ -81,11 +81,12 @@
     /// A refusal that says why no replica can be ready now, and when to come back.
     pub(super) async fn load(
         &self,
-        model: &str,
+        wake: &Wake,
         loads: &Loads,
         tell: &watch::Sender<Phase>,
     ) -> Result<(), Refusal> {
         let started = Instant::now();
+        let model = wake.model.as_str();
         let rules =
             self.keeper.rules.borrow().clone().ok_or_else(|| {
                 Refusal::not_run(Cause::NotReady).retry_after(Duration::from_secs(1))
@@ -96,7 +97,7 @@
         if let Some(base) = &rule.base {
             Box::pin(loads.ready(base, Decider::Home)).await?;
         }
-        let (endpoint, reserved) = self.place(model, rule, &rules.rules).await?;
+        let (endpoint, reserved) = self.place(wake, rule, &rules.rules).await?;
         let decided = Instant::now();
         self.await_ready(model, &endpoint, &reserved, started, tell)
             .await?;
@@ -111,7 +112,7 @@
     /// Decides where the replica goes, waiting for a place at the weight store.
     async fn place(
         &self,
-        model: &str,
+        wake: &Wake,
         rule: &Model,
         rules: &Rules,
     ) -> Result<(Endpoint, Reserved), Refusal> {
@@ -119,7 +120,7 @@
             Refusal::not_run(Cause::Unknown).detail(format!("no rule names '{}'", rule.engines))
         })?;
         let mut ask = Ask {
-            model: model.to_owned(),
+            model: wake.model.clone(),
             base: rule.base.clone(),
             bytes: rule.size,
             capacity: engines.memory,
@@ -132,13 +133,12 @@
         let started = Instant::now();
         while started.elapsed() < self.settings.longest {
             // An endpoint that could not be reached a moment ago may be back.
-            if self.candidates(model, rule).is_empty() && started.elapsed() < self.settings.absence
-            {
+            if self.candidates(rule).is_empty() && started.elapsed() < self.settings.absence {
                 sleep(self.settings.pause).await;
                 continue;
             }
-            match self.decide(&mut ask, rule).await {
-                Ok(Some(decided)) => return Ok(decided),
+            match self.decide(&mut ask, rule, wake.decider).await {
+                Ok(Some(placed)) => return Ok(placed),
                 Ok(None) => sleep(slot_pause(rule.class)).await,
                 // A replica on its way out makes room soon.
                 Err(PlaceError::ReplicaLimit) if started.elapsed() < self.settings.departure => {
@@ -157,17 +157,23 @@
         &self,
         ask: &mut Ask,
         rule: &Model,
+        decider: Decider,
     ) -> Result<Option<(Endpoint, Reserved)>, PlaceError> {
-        let candidates = self.candidates(&ask.model, rule);
+        let candidates = self.ranked(&ask.model, rule, ask.capacity).await?;
         let mut last = PlaceError::NoMemory;
-        for evicting in [false, true] {
+        let evictions: &[bool] = if decider == Decider::Ahead {
+            &[false]
+        } else {
+            &[false, true]
+        };
+        for evicting in evictions.iter().copied() {
             for endpoint in &candidates {
                 if evicting && !self.evict(endpoint, ask.bytes).await {
                     continue;
                 }
                 ask.server.clone_from(&endpoint.listed.name);
                 match self.reserve(ask, rule).await {
-                    Ok(decided) => return Ok(Some(decided)),
+                    Ok(placed) => return Ok(Some(placed)),
                     Err(PlaceError::SlotsBusy) => return Ok(None),
                     Err(
                         error @ (PlaceError::NoMemory | PlaceError::NoBase | PlaceError::Settling),
@@ -254,23 +260,6 @@
             .cloned()
     }
 
-    /// Endpoints that may take the model, best first.
-    fn candidates(&self, model: &str, rule: &Model) -> Vec<Endpoint> {
-        let view = Arc::clone(&self.keeper.view.borrow());
-        let mut found: Vec<Endpoint> = match &rule.base {
-            Some(base) => view.holders(base).cloned().collect(),
-            None => view.members(&rule.engines).cloned().collect(),
-        };
-        found.sort_by_key(|e| {
-            let report = e.report.as_ref();
-            let cached = report.is_some_and(|r| r.cached.iter().any(|c| c == model));
-            let placed = self.keeper.row(&e.listed.name);
-            let taken = placed.map_or(0, |p| p.row.taken());
-            (!cached, taken)
-        });
-        found
-    }
-
     async fn await_ready(
         &self,
         model: &str,
