--- a/src/assembly.rs
+++ b/src/assembly.rs
@@ -32,7 +32,7 @@
 use crate::peers::{Fleet as Loads, Inbound, Mesh, MeshConfig, MeshHandle, MeshSettings};
 use crate::placement::{Placement, PlacementSettings, ReconcileSettings};
 use crate::platform::{Remote, RemoteEngines};
-use crate::poll::Poll;
+use crate::poll::{Poll, last_list};
 use crate::records::Records;
 use crate::residency::Residencies;
 use crate::rules::{RulesStore, StoreSettings};
@@ -100,10 +100,9 @@
     let (fleet, view) = Fleet::start();
     let (keep, rules) = Keep::start();
     let start = this_start(settings);
-    let (mesh, requests) = Mesh::start(
-        mesh_config(settings, &start, &peers, Arc::clone(&directory)),
-        peers,
-    );
+    let (latest, list) = last_list();
+    let (mesh, requests) =
+        Mesh::start(mesh_config(settings, &start, &peers, Arc::new(list)), peers);
     let interest = Interest::new(mesh.clone());
     let store = RulesStore::new(
         Arc::clone(&table),
@@ -146,6 +145,7 @@
     });
     let poll = Poll {
         directory,
+        last: latest,
         fleet: fleet.clone(),
         clock,
         every: settings.timing.list,
