Refusals at admission are on the record; records expire; smaller files

Ruled out: the tenant's name as sent for a label (any caller could add series): tenants that no rule names count as unknown.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeSet;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use tokio::sync::watch;
 use tokio::time::Instant;
 
 use crate::clock::Clock;
@@ -72,7 +71,11 @@
             if let Some(rules) = rules.borrow_and_update().as_ref() {
                 self.tenants().set_tenants(&rules.rules.tenants);
             }
-            if !either(&mut rules, &mut members).await {
+            let changed = tokio::select! {
+                changed = rules.changed() => changed,
+                changed = members.changed() => changed,
+            };
+            if changed.is_err() {
                 return;
             }
         }
@@ -87,14 +90,6 @@
     }
 }
 
-/// Waits for a change of either; false where a side has ended.
-async fn either<A: Sync, B: Sync>(a: &mut watch::Receiver<A>, b: &mut watch::Receiver<B>) -> bool {
-    tokio::select! {
-        changed = a.changed() => changed.is_ok(),
-        changed = b.changed() => changed.is_ok(),
-    }
-}
-
 impl Drop for Pass {
     fn drop(&mut self) {
         self.admission
--- a/src/assembly.rs
+++ b/src/assembly.rs
@@ -14,14 +14,15 @@
 use crate::console::Desk;
 use crate::daemon::StartError;
 use crate::engine::Engine;
-use crate::fleet::{Fleet, Heard, Inflight, View};
-use crate::follow::{Follow, Keep};
+use crate::fleet::{Fleet, Heard, View};
+use crate::follow::{Follow, Keep, RulesWatch};
 use crate::gate::{self, Bounds, Gate};
 use crate::idle::{IdleWatch, SharedResidencies};
+use crate::inflight::Inflight;
 use crate::instances::Directory;
 use crate::interest::Interest;
 use crate::keeper::{Keeper, KeeperParts};
-use crate::ledger::{Ledger, LedgerSettings};
+use crate::ledger::{self, Ledger, LedgerSettings};
 use crate::limits::QueueSettings;
 use crate::loads::{Answering, LoadContext, LoadSettings, Loads as ColdStarts};
 use crate::members::{Member, MemberState};
@@ -45,6 +46,10 @@
 const RECORDS: usize = 10_000;
 /// Bytes a second that a load is expected to move before one was seen.
 const FIRST_SPEED: f64 = 2e9;
+/// Time between two looks for records of calls to forget.
+const EXPIRY: Duration = Duration::from_hours(1);
+/// Time after its last change for which the record of a call is kept.
+const RETENTION: Duration = Duration::from_hours(7 * 24);
 /// Time between two looks at what is left over in the record of calls.
 const TIDY: Duration = Duration::from_secs(1);
 /// Time between two looks for endpoints to forget.
@@ -112,6 +117,7 @@
             ..StoreSettings::default()
         },
     );
+    tokio::spawn(expire(Arc::clone(&table), rules.clone(), mesh.clone()));
     let ledger = ledger(&table, objects, &start);
     let suspects = suspects(&table, &start);
     let placement = Arc::new(Placement::new(
@@ -354,3 +360,22 @@
         tokio::time::sleep(FORGET).await;
     }
 }
+
+/// Forgets calls after their retention where this instance is the home of that, until the
+/// process ends.
+async fn expire(table: Arc<dyn Table>, rules: RulesWatch, mesh: MeshHandle) {
+    loop {
+        tokio::time::sleep(EXPIRY).await;
+        let rules = rules.borrow().clone();
+        let tenants = rules.iter().flat_map(|r| r.rules.tenants.keys());
+        for tenant in tenants {
+            if mesh.home(&format!("request/{tenant}")).is_some() {
+                continue;
+            }
+            match ledger::expire(table.as_ref(), tenant, RETENTION).await {
+                Ok(count) => log::info!(tenant = tenant, count = count; "records of calls expired"),
+                Err(error) => log::warn!(tenant = tenant, error:% = error; "cannot expire records"),
+            }
+        }
+    }
+}
--- a/src/calls.rs
+++ b/src/calls.rs
@@ -51,10 +51,10 @@
         Ok(ask) => ask,
         Err(refusal) => return http::refuse(&refusal, &ask::new_id()),
     };
-    let id = ask.id.clone();
+    let (asked, target) = (ask.clone(), head.uri.path().to_owned());
     let call = match ServiceCall::read(gate, ask, head, body).await {
         Ok(call) => call,
-        Err(refusal) => return http::refuse(&refusal, &id),
+        Err(refusal) => return gate.turn_away(&asked, &target, &refusal),
     };
     match call.rule.repeat {
         Repeat::Safe => call.serve_safe().await,
@@ -83,7 +83,7 @@
             ..ask
         };
         let target = format!("{service} {} {}", rule.method, rule.path);
-        let record = Record::new(&gate.name, &ask, class, target);
+        let record = Record::new(&gate.name, &ask, Some(class), target);
         let body = ask::read_body(body, &gate.bounds).await?;
         Ok(Self {
             gate: gate.clone(),
--- a/src/chooser.rs
+++ b/src/chooser.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use crate::clock::Clock;
-use crate::fleet::{Endpoint, Inflight, Running};
+use crate::fleet::Endpoint;
+use crate::inflight::{Inflight, Running};
 use crate::pick::{EndpointKey, Pick, Prefix};
 
 /// Expected wait at an endpoint beyond which requests wait in this instance instead.
--- a/src/completions.rs
+++ b/src/completions.rs
@@ -63,7 +63,7 @@
         let class = model.class;
         let suspicion = Suspicion::new(gate, &prompt.model, &body);
         let prefix = chooser::prefix(&prompt.model, &body);
-        let record = Record::new(&gate.name, &ask, class, prompt.model.clone());
+        let record = Record::new(&gate.name, &ask, Some(class), prompt.model.clone());
         Ok(Self {
             gate: gate.clone(),
             ask,
--- a/src/console.rs
+++ b/src/console.rs
@@ -17,6 +17,7 @@
 use crate::keeper::Keeper;
 use crate::members::{Member, MemberState};
 use crate::peers::MeshHandle;
+use crate::placement::ServerRow;
 use crate::rules::{InForce, RulesStore, VersionText};
 
 /// What the administration API shows and does.
@@ -74,13 +75,9 @@
         }
     }
 
-    fn server(&self, endpoint: &Endpoint) -> ServerStatus {
+    fn server(&self, endpoint: &Endpoint, row: Option<ServerRow>) -> ServerStatus {
         let listed = &endpoint.listed;
-        let row = self
-            .keeper
-            .row(&listed.name)
-            .map(|p| p.row)
-            .unwrap_or_default();
+        let row = row.unwrap_or_default();
         let seen = endpoint.report.as_ref().map(|_| endpoint.seen);
         let age = seen.map(|at| self.gate.clock.now().saturating_sub(at));
         let replica = |decided: &crate::placement::Replica| {
@@ -157,7 +154,19 @@
     fn servers(&self) -> BoxFuture<'_, Result<Vec<ServerStatus>, ConsoleError>> {
         Box::pin(async move {
             let view = Arc::clone(&self.gate.view.borrow());
-            Ok(view.endpoints.values().map(|e| self.server(e)).collect())
+            // While the table service is down, what this instance read last has to do.
+            let placed = self.keeper.placement.snapshot().await.unwrap_or_default();
+            let mut rows: BTreeMap<String, ServerRow> =
+                placed.into_iter().map(|p| (p.server, p.row)).collect();
+            let row = |name: &String| {
+                rows.remove(name)
+                    .or_else(|| self.keeper.row(name).map(|p| p.row))
+            };
+            let rows: Vec<_> = view.endpoints.keys().map(row).collect();
+            let listed = view.endpoints.values().zip(rows);
+            Ok(listed
+                .map(|(endpoint, row)| self.server(endpoint, row))
+                .collect())
         })
     }
 
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -1,7 +1,7 @@
 //! What an instance knows of the endpoints.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::sync::watch;
@@ -355,54 +355,3 @@
         }
     }
 }
-
-/// Requests that this instance has running, by endpoint.
-#[derive(Debug, Clone, Default)]
-pub struct Inflight(Arc<Mutex<BTreeMap<String, u32>>>);
-
-/// One running request; dropping it ends the count.
-#[derive(Debug)]
-pub struct Running {
-    counts: Inflight,
-    endpoint: String,
-}
-
-impl Inflight {
-    /// Counts a request at an endpoint until the guard is dropped.
-    #[must_use]
-    pub fn start(&self, endpoint: &str) -> Running {
-        *self.lock().entry(endpoint.to_owned()).or_default() += 1;
-        Running {
-            counts: self.clone(),
-            endpoint: endpoint.to_owned(),
-        }
-    }
-
-    /// Requests running at an endpoint.
-    #[must_use]
-    pub fn count(&self, endpoint: &str) -> u32 {
-        self.lock().get(endpoint).copied().unwrap_or_default()
-    }
-
-    /// Requests running at all endpoints.
-    #[must_use]
-    pub fn total(&self) -> u32 {
-        self.lock().values().sum()
-    }
-
-    fn lock(&self) -> std::sync::MutexGuard<'_, BTreeMap<String, u32>> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
-impl Drop for Running {
-    fn drop(&mut self) {
-        let mut counts = self.counts.lock();
-        if let Some(count) = counts.get_mut(&self.endpoint) {
-            *count -= 1;
-            if *count == 0 {
-                counts.remove(&self.endpoint);
-            }
-        }
-    }
-}
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -3,15 +3,19 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hyper::Response;
 use tokio::sync::watch;
 use xtra::Address;
 
 use crate::admission::Admission;
+use crate::ask::Ask;
 use crate::chooser::Chooser;
 use crate::clock::Clock;
 use crate::engine::Engine;
-use crate::fleet::{Fleet, Inflight, Lost, View};
+use crate::fleet::{Fleet, Lost, View};
 use crate::follow::RulesWatch;
+use crate::http::{self, Body};
+use crate::inflight::Inflight;
 use crate::interest::Interest;
 use crate::ledger::Ledger;
 use crate::loads::Loads;
@@ -19,12 +23,14 @@
 use crate::once::Start;
 use crate::outbound::Outbound;
 use crate::peers::MeshHandle;
-use crate::records::Records;
+use crate::records::{Record, Records};
 use crate::rules::InForce;
 use crate::suspects::Suspects;
 use crate::turnstile::Turnstile;
 use crate::verdict::{Cause, Refusal};
 
+/// Label for tenants that no rule names, so that labels stay few.
+const UNKNOWN_TENANT: &str = "unknown";
 /// Requests queued in an engine up to which it takes more.
 const FEW_QUEUED: u32 = 8;
 
@@ -160,6 +166,21 @@
         waits.min().unwrap_or_default()
     }
 
+    /// Answers a request that goes no further than its admission, and keeps its record.
+    #[must_use]
+    pub fn turn_away(&self, ask: &Ask, target: &str, refusal: &Refusal) -> Response<Body> {
+        let known = |r: &Arc<InForce>| r.rules.tenants.contains_key(&ask.tenant);
+        let tenant = if self.rules.borrow().as_ref().is_some_and(known) {
+            ask.tenant.as_str()
+        } else {
+            UNKNOWN_TENANT
+        };
+        self.metrics.refused(tenant, refusal);
+        let record = Record::new(&self.name, ask, None, target.to_owned());
+        self.records.push(record.close(0, Some(refusal)));
+        http::refuse(refusal, &ask.id)
+    }
+
     /// Tells the fleet that an endpoint could not be reached.
     pub async fn lost(&self, endpoint: &str) {
         if self
--- /dev/null
+++ b/src/inflight.rs
@@ -0,0 +1,55 @@
+//! Counts of what is running now.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+/// Running counts by name, such as requests by endpoint.
+#[derive(Debug, Clone, Default)]
+pub struct Inflight(Arc<Mutex<BTreeMap<String, u32>>>);
+
+/// One that is counted; dropping it ends the count.
+#[derive(Debug)]
+pub struct Running {
+    counts: Inflight,
+    name: String,
+}
+
+impl Inflight {
+    /// Counts one under a name until the guard is dropped.
+    #[must_use]
+    pub fn start(&self, name: &str) -> Running {
+        *self.lock().entry(name.to_owned()).or_default() += 1;
+        Running {
+            counts: self.clone(),
+            name: name.to_owned(),
+        }
+    }
+
+    /// Count under a name.
+    #[must_use]
+    pub fn count(&self, name: &str) -> u32 {
+        self.lock().get(name).copied().unwrap_or_default()
+    }
+
+    /// Count under all names.
+    #[must_use]
+    pub fn total(&self) -> u32 {
+        self.lock().values().sum()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<String, u32>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let mut counts = self.counts.lock();
+        if let Some(count) = counts.get_mut(&self.name) {
+            *count -= 1;
+            if *count == 0 {
+                counts.remove(&self.name);
+            }
+        }
+    }
+}
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -194,10 +194,10 @@
         Ok(ask) => ask,
         Err(refusal) => return refuse(&refusal),
     };
-    let id = ask.id.clone();
+    let asked = ask.clone();
     match admit(gate, ask, body).await {
         Ok(completion) => completion.serve().await,
-        Err(refusal) => http::refuse(&refusal, &id),
+        Err(refusal) => gate.turn_away(&asked, "completion", &refusal),
     }
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod home;
 pub mod http;
 pub mod idle;
+pub mod inflight;
 pub mod instances;
 pub mod intake;
 pub mod interest;
--- a/src/loads.rs
+++ b/src/loads.rs
@@ -14,7 +14,7 @@
 pub use ask::Answering;
 pub use job::{LoadContext, LoadSettings};
 
-use crate::fleet::Inflight;
+use crate::inflight::Inflight;
 use crate::verdict::{Cause, Refusal};
 
 /// How far a cold start has come.
--- a/src/records.rs
+++ b/src/records.rs
@@ -28,12 +28,12 @@
 impl Record {
     /// The record of a request that arrived now.
     #[must_use]
-    pub fn new(instance: &str, ask: &Ask, class: Class, target: String) -> Self {
+    pub fn new(instance: &str, ask: &Ask, class: Option<Class>, target: String) -> Self {
         let kept = RequestRecord {
             id: ask.id.clone(),
             instance: instance.to_owned(),
             tenant: ask.tenant.clone(),
-            class: Some(class),
+            class,
             target,
             arrived: humantime::format_rfc3339_millis(SystemTime::now()).to_string(),
             ..RequestRecord::default()
