Bounded mailboxes; the keeper is one struct

Cause: four actors took messages without a bound, so a stalled one could grow memory; the keeper's fields stood twice, once for its construction. Ruled out: dropping messages at the bound (a lost report or offer would be silent); senders wait.

--- a/src/assembly.rs
+++ b/src/assembly.rs
@@ -21,7 +21,7 @@
 use crate::inflight::Inflight;
 use crate::instances::Directory;
 use crate::interest::Interest;
-use crate::keeper::{Keeper, KeeperParts};
+use crate::keeper::{Keeper, Tending};
 use crate::ledger::{self, Ledger, LedgerSettings};
 use crate::limits::QueueSettings;
 use crate::loads::{Answering, LoadContext, LoadSettings, Loads as ColdStarts};
@@ -128,18 +128,17 @@
             ..PlacementSettings::default()
         },
     )?);
-    let keeper = Keeper::new(
-        KeeperParts {
-            placement: Arc::clone(&placement),
-            engines: Arc::clone(&engines),
-            fleet: fleet.clone(),
-            view: view.clone(),
-            rules: rules.clone(),
-            mesh: mesh.clone(),
-            clock,
-        },
-        ReconcileSettings::default(),
-    );
+    let keeper = Keeper {
+        placement: Arc::clone(&placement),
+        engines: Arc::clone(&engines),
+        fleet: fleet.clone(),
+        view: view.clone(),
+        rules: rules.clone(),
+        mesh: mesh.clone(),
+        clock,
+        bounds: ReconcileSettings::default(),
+        tending: Tending::default(),
+    };
     let residencies = Arc::new(Mutex::new(Residencies::new(FIRST_SPEED)));
     let loads = ColdStarts::start(LoadContext {
         residencies: Arc::clone(&residencies),
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -11,6 +11,8 @@
 use crate::instances::{Listed, OWN_SERVICE, Standing};
 use crate::peers::{Fleet as Loads, Load};
 
+/// Messages that wait for the actor at most.
+const MAILBOX: usize = 1024;
 /// Age after which a report no longer counts.
 const REPORT_AGE: Duration = Duration::from_secs(5);
 /// Age after which a hint no longer counts.
@@ -176,7 +178,10 @@
     #[must_use]
     pub fn start() -> (Address<Self>, watch::Receiver<Arc<View>>) {
         let (view, seen) = watch::channel(Arc::default());
-        (xtra::spawn_tokio(Self { view }, Mailbox::unbounded()), seen)
+        (
+            xtra::spawn_tokio(Self { view }, Mailbox::bounded(MAILBOX)),
+            seen,
+        )
     }
 }
 
--- a/src/follow.rs
+++ b/src/follow.rs
@@ -10,6 +10,8 @@
 use crate::peers::MeshHandle;
 use crate::rules::{CURRENT_KEY, Holder, InForce, Offer, RulesStore, Version, VersionText};
 
+/// Messages that wait for the actor at most.
+const MAILBOX: usize = 1024;
 /// Intervals between two reads of an instance that is not home of the configuration.
 const SELDOM: u32 = 10;
 /// Longest time for a peer to send the text.
@@ -40,7 +42,7 @@
             holder: Holder::default(),
             tell,
         };
-        (xtra::spawn_tokio(keep, Mailbox::unbounded()), seen)
+        (xtra::spawn_tokio(keep, Mailbox::bounded(MAILBOX)), seen)
     }
 }
 
--- a/src/keeper.rs
+++ b/src/keeper.rs
@@ -52,6 +52,10 @@
     sent: BTreeMap<String, Duration>,
 }
 
+/// What was last done for each server; clones share it.
+#[derive(Debug, Clone, Default)]
+pub struct Tending(Arc<Mutex<BTreeMap<String, Tended>>>);
+
 /// Tends servers.
 #[derive(Debug, Clone)]
 pub struct Keeper {
@@ -71,55 +75,11 @@
     pub clock: Clock,
     /// Bounds of the comparison.
     pub bounds: ReconcileSettings,
-    tended: Arc<Mutex<BTreeMap<String, Tended>>>,
-}
-
-/// What a keeper needs.
-#[derive(Debug, Clone)]
-pub struct KeeperParts {
-    /// Decisions.
-    pub placement: Arc<Placement>,
-    /// The engines.
-    pub engines: Arc<dyn Engine>,
-    /// Owner of the view.
-    pub fleet: Address<Fleet>,
-    /// The endpoints.
-    pub view: watch::Receiver<Arc<View>>,
-    /// The configuration in force.
-    pub rules: RulesWatch,
-    /// The other instances.
-    pub mesh: MeshHandle,
-    /// Time.
-    pub clock: Clock,
+    /// What was last done for each server.
+    pub tending: Tending,
 }
 
 impl Keeper {
-    /// A keeper that has tended nothing yet.
-    #[must_use]
-    pub fn new(parts: KeeperParts, bounds: ReconcileSettings) -> Self {
-        let KeeperParts {
-            placement,
-            engines,
-            fleet,
-            view,
-            rules,
-            mesh,
-            clock,
-        } = parts;
-        let tended = Arc::default();
-        Self {
-            placement,
-            engines,
-            fleet,
-            view,
-            rules,
-            mesh,
-            clock,
-            bounds,
-            tended,
-        }
-    }
-
     /// Fetches a server's report, then takes the steps that its row asks for.
     ///
     /// Returns the report.
@@ -316,7 +276,10 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, BTreeMap<String, Tended>> {
-        self.tended.lock().unwrap_or_else(PoisonError::into_inner)
+        self.tending
+            .0
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 }
 
--- a/src/loads.rs
+++ b/src/loads.rs
@@ -17,6 +17,9 @@
 use crate::inflight::Inflight;
 use crate::verdict::{Cause, Refusal};
 
+/// Messages that wait for the actor at most.
+const MAILBOX: usize = 1024;
+
 /// How far a cold start has come.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Phase {
@@ -79,7 +82,7 @@
             running: BTreeMap::new(),
         };
         Self {
-            loader: xtra::spawn_tokio(loader, Mailbox::unbounded()),
+            loader: xtra::spawn_tokio(loader, Mailbox::bounded(MAILBOX)),
             waiters,
         }
     }
--- a/src/turnstile.rs
+++ b/src/turnstile.rs
@@ -15,6 +15,8 @@
 use crate::limits::{QueueSettings, WaitQueue, Waiting};
 use crate::verdict::{Cause, Refusal};
 
+/// Messages that wait for the actor at most.
+const MAILBOX: usize = 1024;
 /// Time between two looks at the queues.
 const LOOK: Duration = Duration::from_millis(5);
 /// Time to come back for a request that waited in vain.
@@ -74,7 +76,7 @@
             room,
             next: 0,
         };
-        xtra::spawn_tokio(turnstile, Mailbox::unbounded())
+        xtra::spawn_tokio(turnstile, Mailbox::bounded(MAILBOX))
     }
 }
 
