A slow table only delays: a process test

Cause: PROOFS listed a slow table service under the daemon as not proved. Ruled out: a slow table beyond the platform's time limit; that is an outage, which the other test has. Change: a table that answers after 500 ms under a cold start, an order repeated at two instances and warm traffic. Conclusion: proved as far as that test goes.

--- a/tests/table_outage.rs
+++ b/tests/table_outage.rs
@@ -89,3 +89,18 @@
     let reply = rack.call(0, &chat(&cold, "papirnica")).await.unwrap();
     assert_eq!(reply.text(), cold.bytes());
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_slow_table_only_delays() {
+    let rack = Rack::start(Settings::default()).await.unwrap();
+    fault(&rack, Fault::Slow(500)).await;
+    let cold = prompt("counter-draft");
+    let reply = rack.call(0, &chat(&cold, "papirnica")).await.unwrap();
+    assert_eq!(reply.text(), cold.bytes());
+    let order = paid(ORDER_SERVICE, "/orders", "slow-1", "papirnica");
+    for turn in 0..2 {
+        assert_eq!(rack.call(turn, &order).await.unwrap().status, 201);
+    }
+    assert_eq!(rack.runs("/orders", "slow-1").await.unwrap(), 1);
+    check_warm(&rack).await;
+}
