Connections beyond the bound are told; callers that read nothing are bounded

Cause: a connection beyond the bound was closed without an answer, so its caller could not tell that nothing ran; a caller that reads nothing kept its stream's place at an engine for good. Ruled out: leaving such connections in the kernel's queue (they would wait without a bound). Change: up to 64 spare connections get one refusal, overload and not-run, and close; a stream whose caller takes no part for 30 s ends. The stalled reader is not tested.

--- a/src/intake.rs
+++ b/src/intake.rs
@@ -19,6 +19,8 @@
 use crate::http::{self, Body};
 use crate::verdict::{Cause, Refusal};
 
+/// Connections beyond the bound that are told so before they are closed.
+const SPARE_CONNECTIONS: usize = 64;
 /// Pause after a failed accept, such as one for want of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -53,6 +55,7 @@
     stop: watch::Receiver<bool>,
 ) {
     let slots = Arc::new(Semaphore::new(bounds.connections));
+    let spare = Arc::new(Semaphore::new(SPARE_CONNECTIONS));
     let open = TaskTracker::new();
     let mut stopping = stop.clone();
     loop {
@@ -64,11 +67,17 @@
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        let Ok(slot) = Arc::clone(&slots).try_acquire_owned() else {
-            log::warn!("too many connections; one was closed");
-            continue;
+        let (slot, mode) = match Arc::clone(&slots).try_acquire_owned() {
+            Ok(slot) => (slot, Mode::Serving),
+            Err(_full) => match Arc::clone(&spare).try_acquire_owned() {
+                Ok(slot) => (slot, Mode::Refusing),
+                Err(_full) => {
+                    log::warn!("too many connections; one was closed");
+                    continue;
+                }
+            },
         };
-        let connection = serve(stream, gate.clone(), bounds.clone(), stop.clone());
+        let connection = serve(stream, gate.clone(), bounds.clone(), mode, stop.clone());
         open.spawn(async move {
             connection.await;
             drop(slot);
@@ -78,13 +87,28 @@
     open.wait().await;
 }
 
-async fn serve(stream: TcpStream, gate: Gate, bounds: Admittance, mut stop: watch::Receiver<bool>) {
+/// What a connection is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Mode {
+    /// Requests are served.
+    Serving,
+    /// There are too many connections: one request is refused, then the connection closes.
+    Refusing,
+}
+
+async fn serve(
+    stream: TcpStream,
+    gate: Gate,
+    bounds: Admittance,
+    mode: Mode,
+    mut stop: watch::Receiver<bool>,
+) {
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!(error:% = error; "cannot tune a caller's connection");
     }
     let service = service_fn(move |request| {
         let gate = gate.clone();
-        async move { Ok::<_, std::convert::Infallible>(answer(gate, request).await) }
+        async move { Ok::<_, std::convert::Infallible>(answer(gate, mode, request).await) }
     });
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
@@ -106,9 +130,16 @@
 }
 
 /// Answers one request of a caller; while the instance stops, its connection closes after it.
-async fn answer(gate: Gate, request: Request<Incoming>) -> Response<Body> {
-    let mut answer = route(&gate, request).await;
-    if *gate.stopping.borrow() {
+async fn answer(gate: Gate, mode: Mode, request: Request<Incoming>) -> Response<Body> {
+    let mut answer = match mode {
+        Mode::Serving => route(&gate, request).await,
+        Mode::Refusing => refuse(
+            &Refusal::not_run(Cause::Overload)
+                .detail("too many connections")
+                .retry_after(Duration::from_secs(1)),
+        ),
+    };
+    if mode == Mode::Refusing || *gate.stopping.borrow() {
         answer
             .headers_mut()
             .insert(CONNECTION, HeaderValue::from_static("close"));
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -19,6 +19,8 @@
 const END: &[u8] = b"data: [DONE]";
 /// Parts of a stream that wait for a slow caller.
 const QUEUED_PARTS: usize = 32;
+/// Longest time for which a caller may read nothing while its stream waits.
+const CALLER_STALL: Duration = Duration::from_secs(30);
 /// Largest single event, in bytes.
 const EVENT_BYTES: usize = 1 << 20;
 
@@ -116,11 +118,14 @@
         self.passed
     }
 
-    /// Passes whole events on; false where the caller is gone.
+    /// Passes whole events on; false where the caller is gone or reads nothing for too long.
     pub async fn pass(&mut self, events: Bytes) -> bool {
         self.passed += ends(&events).count() as u64;
         self.whole |= events.windows(END.len()).any(|w| w == END);
-        self.parts.send(Ok(Frame::data(events))).await.is_ok()
+        let sent = self.parts.send(Ok(Frame::data(events)));
+        timeout(CALLER_STALL, sent)
+            .await
+            .is_ok_and(|sent| sent.is_ok())
     }
 
     /// Passes one endpoint's events on to their end; each is awaited for at most `limit`.
--- a/tests/bad_requests.rs
+++ b/tests/bad_requests.rs
@@ -1,7 +1,7 @@
 //! Bad input of callers: a clear refusal each, as not run, on the record, with nothing disturbed.
 
 use brassrack_standins::answer::Prompt;
-use brassrack_standins::client::{Ask, call};
+use brassrack_standins::client::{Ask, Connection, call};
 use brassrack_standins::rack::{ORDER_SERVICE, Rack, Settings, chat, service_path};
 
 const CHAT: &str = "/v1/chat/completions";
@@ -159,3 +159,29 @@
     let counted = |line: &str| line.contains("refused") && line.contains(r#"cause="unknown""#);
     assert!(metrics.lines().any(counted), "{metrics}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn too_many_connections_are_told() {
+    let settings = Settings {
+        daemons: 1,
+        extra: "limits:\n  connections: 8\n".into(),
+        ..Settings::default()
+    };
+    let rack = Rack::start(settings).await.unwrap();
+    let to = rack.daemons[0].callers;
+    let mut held = Vec::new();
+    for _ in 0..8 {
+        held.push(Connection::open(to).await.unwrap());
+    }
+    let refused = call(to, &Ask::get("/v1/models")).await.unwrap();
+    assert_eq!(
+        refused.header("brassrack-cause"),
+        "overload",
+        "{}",
+        refused.text()
+    );
+    assert_eq!(refused.header("brassrack-verdict"), "not-run");
+    held.clear();
+    tokio::time::sleep(std::time::Duration::from_millis(300)).await;
+    assert_eq!(call(to, &Ask::get("/v1/models")).await.unwrap().status, 200);
+}
