A call that ran is not refused as not run for want of another endpoint

Cause: a repeatable service call that was sent and lost its answer looked for another endpoint; where none was left, that refusal went back with its own verdict, not-run, though the call had run. Ruled out: refusing with the first error instead (it would hide that no endpoint is left). Change: a refusal is raised to the verdict of the attempts before it, in one place for service calls, calls that run once and completions. Conclusion: the worst verdict of all attempts holds on all three paths.

--- a/src/calls.rs
+++ b/src/calls.rs
@@ -119,7 +119,10 @@
             } else {
                 Freshness::Fresh
             };
-            let (endpoint, link, flight) = self.connect(&mut tried, freshness).await?;
+            let (endpoint, link, flight) = self
+                .connect(&mut tried, freshness)
+                .await
+                .map_err(|refusal| refusal.at_least(worst))?;
             match self.exchange(link, self.ask.left()).await {
                 Ok(answer) => {
                     flight.answering();
--- a/src/completions.rs
+++ b/src/completions.rs
@@ -128,10 +128,7 @@
 
     /// Gives a refusal the worst verdict of all attempts.
     fn weigh(&self, refusal: Refusal) -> Refusal {
-        Refusal {
-            verdict: refusal.verdict.max(self.worst),
-            ..refusal
-        }
+        refusal.at_least(self.worst)
     }
 
     fn answering(&mut self) {
--- a/src/once.rs
+++ b/src/once.rs
@@ -126,10 +126,7 @@
                 Ok(connected) => connected,
                 Err(refusal) => {
                     self.settle(token, worst).await;
-                    return drop(tell.send(Err(Refusal {
-                        verdict: worst,
-                        ..refusal
-                    })));
+                    return drop(tell.send(Err(refusal.at_least(worst))));
                 }
             };
             match self.exchange(link, self.rule.timeout).await {
--- a/src/verdict.rs
+++ b/src/verdict.rs
@@ -167,6 +167,22 @@
         Self::new(Verdict::NotRun, cause)
     }
 
+    /// Raises the verdict to that of an earlier attempt, where that is worse.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use brassrack::verdict::{Cause, Refusal, Verdict};
+    ///
+    /// let refusal = Refusal::not_run(Cause::NoEndpoint).at_least(Verdict::MayHaveRun);
+    /// assert_eq!(refusal.verdict, Verdict::MayHaveRun);
+    /// ```
+    #[must_use]
+    pub fn at_least(mut self, verdict: Verdict) -> Self {
+        self.verdict = self.verdict.max(verdict);
+        self
+    }
+
     /// Adds one sentence for the caller.
     #[must_use]
     pub fn detail(mut self, detail: impl Into<String>) -> Self {
