A plan of writes is made in one place

Cause: the choice between a commit and nothing to write stood twice in the suspects. Change: Plan::of. Conclusion: no behaviour changes.

--- a/src/commit.rs
+++ b/src/commit.rs
@@ -127,6 +127,23 @@
     Widen(Vec<String>),
 }
 
+impl Plan {
+    /// A commit of these writes; settled where there is none.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// assert_eq!(brassrack::commit::Plan::of(Vec::new()), brassrack::commit::Plan::Settled);
+    /// ```
+    #[must_use]
+    pub fn of(writes: Vec<Write>) -> Self {
+        if writes.is_empty() {
+            return Self::Settled;
+        }
+        Self::Commit(writes)
+    }
+}
+
 /// A decision over a snapshot; it is taken again after a conflict or a lost answer.
 pub type Decide<'a> = dyn FnMut(&Snapshot) -> Result<Plan, Malformed> + Send + 'a;
 
--- a/src/suspects.rs
+++ b/src/suspects.rs
@@ -190,11 +190,7 @@
                     value: None,
                 });
             }
-            Ok(if writes.is_empty() {
-                Plan::Settled
-            } else {
-                Plan::Commit(writes)
-            })
+            Ok(Plan::of(writes))
         };
         let keys = vec![key.clone(), place.clone()];
         self.committer.transact(keys, &mut decide).await?;
@@ -252,11 +248,7 @@
                     value: None,
                 });
             }
-            Ok(if writes.is_empty() {
-                Plan::Settled
-            } else {
-                Plan::Commit(writes)
-            })
+            Ok(Plan::of(writes))
         };
         self.committer.transact(keys, &mut decide).await?;
         Ok(())
