--- /dev/null
+++ b/src/gateway/edge.rs
@@ -0,0 +1,264 @@
+//! Edges of the process towards the platform: its protocol and its feed of changed rows.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt::Debug;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::http::{request, response};
+use hyper::{HeaderMap, Request, Response, Uri};
+
+use super::catalog::Catalog;
+use crate::BoxFuture;
+use crate::http::Body;
+use crate::table::TableError;
+use crate::verdict::Refusal;
+
+/// A row that changed, or is there.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct FeedRow {
+    /// Key in its table.
+    pub key: String,
+    /// Text of the row; none where it was deleted.
+    pub value: Option<String>,
+}
+
+/// Rows up to a version.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Batch {
+    /// The rows, oldest change first.
+    pub rows: Vec<FeedRow>,
+    /// Version up to which the rows are complete.
+    pub version: u64,
+}
+
+/// Why rows could not be followed.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum FeedError {
+    /// The changes since the version are not kept any more; all rows have to be read.
+    #[error("the table's history since the version is gone")]
+    HistoryGone,
+    /// The store did not answer.
+    #[error(transparent)]
+    Table(#[from] TableError),
+}
+
+/// The platform's tables as they change.
+pub trait Feed: Debug + Send + Sync {
+    /// All rows of a table at one moment.
+    ///
+    /// # Errors
+    ///
+    /// [`FeedError::Table`] where the store does not answer.
+    fn all<'a>(&'a self, table: &'a str) -> BoxFuture<'a, Result<Batch, FeedError>>;
+
+    /// The changes after a version; waits until there is one, at most for `wait`.
+    ///
+    /// # Errors
+    ///
+    /// [`FeedError::HistoryGone`] where the version is too old.
+    fn changes<'a>(
+        &'a self,
+        table: &'a str,
+        after: u64,
+        wait: Duration,
+    ) -> BoxFuture<'a, Result<Batch, FeedError>>;
+}
+
+/// Whether an endpoint takes work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum EndpointState {
+    /// Takes work.
+    Ready,
+    /// Finishes what it has; no new work.
+    Draining,
+}
+
+/// An endpoint as it describes itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Endpoint {
+    /// Id of this incarnation.
+    pub id: String,
+    /// Service that it belongs to.
+    pub service: String,
+    /// Address.
+    pub address: SocketAddr,
+    /// Failure domain.
+    pub domain: String,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// State.
+    pub state: EndpointState,
+    /// Time of its start, in Unix milliseconds; 0 where unknown.
+    pub born: u64,
+    /// Orders that it accepted since its start.
+    pub accepted: u64,
+    /// Models that it holds, each with its adapters.
+    pub models: BTreeMap<String, BTreeSet<String>>,
+    /// Models whose weights lie in its main memory.
+    pub warm: BTreeSet<String>,
+    /// Models whose weights lie on its disk.
+    pub disk: BTreeSet<String>,
+}
+
+/// A model, or an adapter of it.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Target {
+    /// Base model.
+    pub model: String,
+    /// Adapter, where one is asked for.
+    pub adapter: Option<String>,
+}
+
+/// What a request's head says.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Call {
+    /// Id of this attempt of the caller.
+    pub id: String,
+    /// Host, as named.
+    pub host: String,
+    /// Time that the caller will wait; none where it does not say.
+    pub deadline: Option<Duration>,
+    /// Model or adapter.
+    pub target: Option<Target>,
+    /// Tokens of the prompt.
+    pub prompt: u32,
+    /// Most tokens of the answer.
+    pub output: u32,
+    /// Id of the first part of the prompt, which requests share.
+    pub shared: Option<String>,
+    /// Id of the last event that the caller has.
+    pub resume: Option<u64>,
+}
+
+/// What to tell an endpoint with a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Dispatch {
+    /// Time that is left.
+    pub left: Duration,
+    /// Endpoint that may run the request; any other refuses it.
+    pub endpoint: String,
+    /// Urgency among requests that wait at an engine, 0 to 9; 0 is first.
+    pub urgency: Option<u8>,
+    /// Last event that the caller has.
+    pub resume: Option<u64>,
+}
+
+/// What the head of an answer says.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Receipt {
+    /// Id of the request that it answers.
+    pub id: Option<String>,
+    /// Whether an endpoint signed it.
+    pub signed: bool,
+    /// Whether it states that the request did not run.
+    pub unrun: bool,
+    /// Requests running, waiting and slots of the endpoint.
+    pub load: Option<(u32, u32, u32)>,
+}
+
+/// An engine's report, some hundred milliseconds old.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Report {
+    /// Start of the engine, in Unix milliseconds; 0 where unknown.
+    pub born: u64,
+    /// Orders accepted since the start.
+    pub accepted: u64,
+    /// Whether an order is being carried out.
+    pub busy: bool,
+    /// Requests running.
+    pub running: u32,
+    /// Requests waiting.
+    pub queued: u32,
+    /// Models held, each with its adapters.
+    pub models: BTreeMap<String, BTreeSet<String>>,
+    /// Adapters on their way.
+    pub coming: BTreeSet<Target>,
+    /// Models whose weights lie in main memory.
+    pub warm: BTreeSet<String>,
+    /// Models whose weights lie on disk.
+    pub disk: BTreeSet<String>,
+    /// Whether the engine is leaving.
+    pub leaving: bool,
+}
+
+/// What an engine is ordered to do.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Action {
+    /// Load a model or an adapter.
+    Load,
+    /// Unload it.
+    Unload,
+}
+
+/// An order to an engine.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Order {
+    /// What to do.
+    pub action: Action,
+    /// With which model or adapter.
+    pub target: Target,
+    /// Orders that the engine must have accepted so far.
+    pub expected: u64,
+    /// Instance that gives the order.
+    pub holder: String,
+    /// Fencing token.
+    pub fence: u64,
+    /// Endpoint that the order is meant for.
+    pub endpoint: String,
+}
+
+/// Bytes of the platform that cannot be read.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("{0}")]
+pub struct WireError(pub String);
+
+/// The platform's protocol.
+pub trait Wire: Debug + Send + Sync {
+    /// Decodes a configuration.
+    ///
+    /// # Errors
+    ///
+    /// [`WireError`] where a field is missing or of another type.
+    fn catalog(&self, text: &str) -> Result<Catalog, WireError>;
+
+    /// Decodes an endpoint's description of itself.
+    ///
+    /// # Errors
+    ///
+    /// [`WireError`] where a field is missing or of another type.
+    fn endpoint(&self, id: &str, text: &str) -> Result<Endpoint, WireError>;
+
+    /// Decodes the head of a caller's request.
+    ///
+    /// # Errors
+    ///
+    /// [`WireError`] where a header cannot be read.
+    fn call(&self, head: &request::Parts) -> Result<Call, WireError>;
+
+    /// Headers of a request on its way to an endpoint.
+    fn dispatch(&self, headers: &mut HeaderMap, dispatch: &Dispatch);
+
+    /// Decodes the head of an answer.
+    fn receipt(&self, head: &response::Parts) -> Receipt;
+
+    /// An answer of our own to a request with an id.
+    fn refuse(&self, refusal: &Refusal, id: &str) -> Response<Body>;
+
+    /// The request for an engine's report.
+    fn ask_report(&self) -> Uri;
+
+    /// Decodes an engine's report.
+    ///
+    /// # Errors
+    ///
+    /// [`WireError`] where a field is missing or of another type.
+    fn report(&self, body: &[u8]) -> Result<Report, WireError>;
+
+    /// Encodes an order.
+    fn order(&self, order: &Order) -> Request<Full<Bytes>>;
+}
--- /dev/null
+++ b/src/gateway/orders/give.rs
@@ -0,0 +1,283 @@
+//! Sends orders to one engine and settles the ones without an answer.
+//!
+//! An order is sent with the count of orders that the engine must have accepted. A copy that
+//! arrives late finds another count and does nothing, so an order without an answer can be sent
+//! again, and at most one of the orders with one count ever takes effect.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Request, StatusCode};
+use tokio::time::sleep;
+
+use super::super::edge::{Action, Order, Report, Target};
+use super::super::lease::Lease;
+use super::super::planner::Change;
+use super::super::shared::Gateway;
+use crate::outbound::Freshness;
+
+/// Longest wait for an order's or a report's answer; engines answer in milliseconds.
+const ANSWER: Duration = Duration::from_millis(700);
+/// Largest report, in bytes.
+const REPORT_BYTES: usize = 1 << 20;
+/// Pause before an order is sent again to an engine that carries out another one.
+const BUSY_PAUSE: Duration = Duration::from_millis(40);
+/// Times that an order is sent: an unload may wait for running requests.
+const SENDS: u32 = 60;
+/// Time between two looks at whether a load has ended.
+const LOOK: Duration = Duration::from_millis(40);
+/// Looks between two reports that are asked for meanwhile.
+const LOOKS_A_REPORT: u32 = 3;
+/// Loads take longer while many run; after this many times the expected time one has failed.
+const OVERRUN: u32 = 6;
+/// Least time after which a load has failed.
+const OVERRUN_LEAST: Duration = Duration::from_secs(4);
+/// Age of what engines report.
+const REPORT_LAG: Duration = Duration::from_millis(150);
+
+/// How a change ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Outcome {
+    /// The engine holds what it was ordered to.
+    Done,
+    /// The engine accepted other orders meanwhile.
+    Conflict,
+    /// The engine refused the order.
+    Refused,
+    /// Another engine, or none, is at the address.
+    Gone,
+    /// The lease ended.
+    NoLease,
+    /// The load did not end in time.
+    Overrun,
+    /// The engine was busy all the while.
+    Busy,
+}
+
+/// How an engine answered an order.
+enum Answer {
+    Accepted,
+    Holds,
+    Conflict,
+    Refused,
+    Gone,
+    Unknown,
+}
+
+/// Gives orders to one engine.
+#[derive(Debug)]
+pub(super) struct Engineer {
+    pub(super) gateway: Arc<Gateway>,
+    pub(super) lease: Arc<Mutex<Lease>>,
+    pub(super) engine: String,
+    pub(super) address: SocketAddr,
+    pub(super) accepted: Arc<AtomicU64>,
+}
+
+impl Engineer {
+    /// Carries out a change whose load takes some time.
+    pub(super) async fn carry_out(&self, change: &Change, takes: Duration) -> Outcome {
+        match change {
+            Change::Swap { out, model, .. } => {
+                for old in out {
+                    let outcome = self.order(Action::Unload, base(old)).await;
+                    if outcome != Outcome::Done {
+                        return outcome;
+                    }
+                }
+                let outcome = self.order(Action::Load, base(model)).await;
+                if outcome != Outcome::Done {
+                    return outcome;
+                }
+                self.await_load(&base(model), takes).await
+            }
+            Change::Adapter { out, target } => {
+                for old in out {
+                    let outcome = self.order(Action::Unload, old.clone()).await;
+                    if outcome != Outcome::Done {
+                        return outcome;
+                    }
+                }
+                let outcome = self.order(Action::Load, target.clone()).await;
+                if outcome != Outcome::Done {
+                    return outcome;
+                }
+                self.await_load(target, Duration::ZERO).await
+            }
+        }
+    }
+
+    /// Gives one order until the engine has accepted it.
+    async fn order(&self, action: Action, target: Target) -> Outcome {
+        for _ in 0..SENDS {
+            let Some(fence) = self.fence() else {
+                return Outcome::NoLease;
+            };
+            let order = Order {
+                action,
+                target: target.clone(),
+                expected: self.accepted.load(Ordering::Relaxed),
+                holder: self.gateway.settings.name.clone(),
+                fence,
+                endpoint: self.engine.clone(),
+            };
+            let answer = self.send(&order).await;
+            match answer {
+                Answer::Accepted => {
+                    self.accepted.store(order.expected + 1, Ordering::Relaxed);
+                    return Outcome::Done;
+                }
+                Answer::Holds => return Outcome::Done,
+                Answer::Refused => return Outcome::Refused,
+                Answer::Gone => return Outcome::Gone,
+                Answer::Conflict | Answer::Unknown => {}
+            }
+            let unknown = matches!(answer, Answer::Unknown);
+            sleep(if unknown { REPORT_LAG } else { BUSY_PAUSE }).await;
+            let Some(report) = self.report().await else {
+                continue;
+            };
+            if report.accepted == order.expected {
+                continue;
+            }
+            if unknown && report.accepted == order.expected + 1 {
+                self.accepted.store(report.accepted, Ordering::Relaxed);
+                return Outcome::Done;
+            }
+            if report.accepted > order.expected {
+                self.accepted.store(report.accepted, Ordering::Relaxed);
+                return Outcome::Conflict;
+            }
+        }
+        Outcome::Busy
+    }
+
+    fn fence(&self) -> Option<u64> {
+        let lease = self.lease.lock().unwrap_or_else(PoisonError::into_inner);
+        lease.fence(self.gateway.now())
+    }
+
+    async fn send(&self, order: &Order) -> Answer {
+        let request = self.gateway.edges.wire.order(order);
+        let outbound = &self.gateway.outbound;
+        let called = outbound.call(self.address, request, Freshness::Proved, ANSWER, REPORT_BYTES);
+        let (answer, status) = match called.await {
+            Err(error) => {
+                log::warn!(engine = self.engine.as_str(), action:% = order.action,
+                    expected = order.expected, error:% = error; "order without an answer");
+                (Answer::Unknown, 0)
+            }
+            Ok(answer) => {
+                let status = answer.head.status;
+                (read(status), status.as_u16())
+            }
+        };
+        let outcome = match answer {
+            Answer::Accepted => "accepted",
+            Answer::Holds => "holds",
+            Answer::Conflict => "conflict",
+            Answer::Refused => "refused",
+            Answer::Gone => "gone",
+            Answer::Unknown => "unknown",
+        };
+        self.gateway.stats.ordered(outcome);
+        log::info!(engine = self.engine.as_str(), action:% = order.action,
+            model = order.target.model.as_str(),
+            adapter = order.target.adapter.as_deref().unwrap_or_default(),
+            expected = order.expected, fence = order.fence, status = status, outcome = outcome;
+            "order answered");
+        answer
+    }
+
+    /// Asks the engine for its report.
+    pub(super) async fn report(&self) -> Option<Report> {
+        let mut request = Request::new(Full::new(Bytes::new()));
+        *request.uri_mut() = self.gateway.edges.wire.ask_report();
+        let outbound = &self.gateway.outbound;
+        let call = outbound.call(self.address, request, Freshness::Proved, ANSWER, REPORT_BYTES);
+        let answer = match call.await {
+            Ok(answer) if answer.head.status == StatusCode::OK => answer,
+            Ok(answer) => {
+                log::debug!(engine = self.engine.as_str(), status = answer.head.status.as_u16();
+                    "report refused");
+                return None;
+            }
+            Err(error) => {
+                log::debug!(engine = self.engine.as_str(), error:% = error; "no report");
+                return None;
+            }
+        };
+        match self.gateway.edges.wire.report(&answer.body) {
+            Ok(report) => Some(report),
+            Err(error) => {
+                log::warn!(engine = self.engine.as_str(), error:% = error;
+                    "report cannot be read; the last one stays");
+                None
+            }
+        }
+    }
+
+    /// Waits until the engine holds a model or adapter.
+    async fn await_load(&self, target: &Target, takes: Duration) -> Outcome {
+        let accepted = self.accepted.load(Ordering::Relaxed);
+        let end = self.gateway.now() + (takes * OVERRUN).max(OVERRUN_LEAST);
+        sleep(takes.mul_f64(0.9)).await;
+        for look in 0.. {
+            if self.gateway.now() >= end {
+                break;
+            }
+            if self.listed(target, accepted) {
+                return Outcome::Done;
+            }
+            let reports = takes.is_zero() || look % LOOKS_A_REPORT == 0;
+            if reports && let Some(report) = self.report().await {
+                if report.accepted > accepted {
+                    return Outcome::Conflict;
+                }
+                let holds = report.accepted == accepted && held(&report.models, target);
+                if holds && !report.coming.contains(target) {
+                    return Outcome::Done;
+                }
+            }
+            sleep(LOOK).await;
+        }
+        Outcome::Overrun
+    }
+
+    /// Whether the server list says that the engine holds a model.
+    fn listed(&self, target: &Target, accepted: u64) -> bool {
+        let endpoint = self.gateway.servers.endpoint(&self.engine);
+        endpoint.is_some_and(|e| e.accepted >= accepted && held(&e.models, target))
+    }
+}
+
+fn held(
+    models: &std::collections::BTreeMap<String, std::collections::BTreeSet<String>>,
+    target: &Target,
+) -> bool {
+    models
+        .get(&target.model)
+        .is_some_and(|held| target.adapter.as_ref().is_none_or(|a| held.contains(a)))
+}
+
+fn read(status: StatusCode) -> Answer {
+    match status {
+        StatusCode::ACCEPTED => Answer::Accepted,
+        StatusCode::OK => Answer::Holds,
+        StatusCode::CONFLICT => Answer::Conflict,
+        StatusCode::MISDIRECTED_REQUEST => Answer::Gone,
+        _ => Answer::Refused,
+    }
+}
+
+fn base(model: &str) -> Target {
+    Target {
+        model: model.to_owned(),
+        adapter: None,
+    }
+}
--- /dev/null
+++ b/src/gateway/pick.rs
@@ -0,0 +1,73 @@
+//! Choice of an endpoint among those that can run a request.
+
+/// An endpoint that can run a request.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Candidate {
+    /// Place among the candidates, to tell them apart.
+    pub index: usize,
+    /// Requests running and waiting there, as far as known.
+    pub load: u32,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it is in the failure domain of this instance.
+    pub near: bool,
+    /// Whether it likely keeps the shared start of the prompt.
+    pub cached: bool,
+    /// Share of its recent answers that failed, 0 to 1.
+    pub failing: f64,
+    /// Whether it is out of use for a short time after failures in a row.
+    pub ejected: bool,
+}
+
+/// Worth of staying in the failure domain, as a share of an endpoint's slots.
+///
+/// A crossing costs about a millisecond, less than one more request in a batch does at this share.
+const NEAR_SHARE: f64 = 0.04;
+/// Worth of a kept prompt, as a share of an endpoint's slots: tens of milliseconds of prefill.
+const CACHED_SHARE: f64 = 0.08;
+/// Cost of an endpoint that fails all requests, as a share of its slots: more than a full one.
+const FAILING_SHARE: f64 = 2.0;
+/// Cost of an ejected endpoint: used only where no other is left.
+const EJECTED_SHARE: f64 = 100.0;
+/// Cost of each request beyond the slots, which waits for another to end.
+const WAITING_SHARE: f64 = 1.0;
+
+impl Candidate {
+    fn cost(&self) -> f64 {
+        let slots = f64::from(self.slots.max(1));
+        let load = f64::from(self.load) / slots;
+        let waiting = f64::from((self.load + 1).saturating_sub(self.slots)) / slots;
+        let flag = |on: bool, cost: f64| if on { cost } else { 0.0 };
+        load + waiting * WAITING_SHARE
+            + flag(!self.near, NEAR_SHARE)
+            + flag(!self.cached, CACHED_SHARE)
+            + self.failing * FAILING_SHARE
+            + flag(self.ejected, EJECTED_SHARE)
+    }
+}
+
+/// The cheapest candidate; `draw` decides between equal ones.
+///
+/// # Examples
+///
+/// ```
+/// use brassrack::gateway::pick::{Candidate, choose};
+///
+/// let idle = Candidate {
+///     index: 0, load: 0, slots: 6, near: true, cached: false, failing: 0.0, ejected: false,
+/// };
+/// let busy = Candidate { index: 1, load: 6, ..idle };
+/// assert_eq!(choose(&[busy, idle], 0), Some(0));
+/// ```
+#[must_use]
+pub fn choose(candidates: &[Candidate], draw: usize) -> Option<usize> {
+    let best = candidates
+        .iter()
+        .map(Candidate::cost)
+        .min_by(f64::total_cmp)?;
+    let equal: Vec<&Candidate> = candidates
+        .iter()
+        .filter(|c| c.cost() <= best + f64::EPSILON)
+        .collect();
+    equal.get(draw % equal.len().max(1)).map(|c| c.index)
+}
--- /dev/null
+++ b/src/gateway/planner.rs
@@ -0,0 +1,488 @@
+//! Decides which engine loads or unloads which model or adapter.
+//!
+//! Pure: the state of all engines and the demand go in, the next orders come out. Three loads are
+//! answered here: rare models asked for at once (swap in from the nearest copy), demand that moves
+//! to another model (replicas follow the running requests), and a fleet whose copies lie unevenly
+//! (copies are spread over the disks while the weight store is idle).
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use super::catalog::{Engine, Model};
+use super::edge::Target;
+
+/// Share of an engine's slots that the requests of one model may fill before it gets a replica.
+const REPLICA_SHARE: f64 = 0.4;
+/// Requests a second from which a model is kept on two engines, so that one may fail.
+const TWICE_RATE: f64 = 1.5;
+/// Time for which a model that has just been loaded is kept, so that its waiting requests arrive.
+const SETTLE: Duration = Duration::from_millis(800);
+/// Adapters that may be on their way to one engine.
+const COMING_MOST: usize = 4;
+/// Free load slots that are kept for waiting requests when copies are spread ahead of demand.
+const AHEAD_RESERVE: u32 = 1;
+
+/// A model on an engine.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Holding {
+    /// Requests that run on it, over all instances.
+    pub running: u32,
+    /// Its adapters, with the requests that run on each.
+    pub adapters: BTreeMap<String, u32>,
+    /// When it was loaded, as far as known.
+    pub since: Duration,
+}
+
+/// An engine.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct EngineState {
+    /// Id of the incarnation.
+    pub id: String,
+    /// Failure domain.
+    pub domain: String,
+    /// Models that it holds.
+    pub models: BTreeMap<String, Holding>,
+    /// Adapters on their way.
+    pub coming: BTreeSet<Target>,
+    /// Models that lie in its main memory.
+    pub warm: BTreeSet<String>,
+    /// Models that lie on its disk.
+    pub disk: BTreeSet<String>,
+    /// Model that it is about to hold.
+    pub loading: Option<String>,
+    /// Whether it takes no order for a model now.
+    pub busy: bool,
+    /// Whether it takes no new work.
+    pub leaving: bool,
+}
+
+/// Demand for a model or adapter.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Want {
+    /// Requests that wait for it.
+    pub waiting: u32,
+    /// When the one that has waited longest arrived.
+    pub since: Duration,
+    /// Requests a second, lately.
+    pub rate: f64,
+}
+
+/// Loads that the weight store allows now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StoreRoom {
+    /// Loads that may begin without slowing the others.
+    pub slots: u32,
+    /// Loads that the rate allows.
+    pub tokens: u32,
+}
+
+/// What the planner decides on.
+#[derive(Debug, Clone, Default)]
+pub struct Fleet {
+    /// The engines of one service.
+    pub engines: Vec<EngineState>,
+    /// Demand.
+    pub wants: BTreeMap<Target, Want>,
+}
+
+/// Where the weights of a load come from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, strum::Display, strum::IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Source {
+    /// The engine's main memory.
+    Memory,
+    /// The engine's disk.
+    Disk,
+    /// The weight store.
+    Store,
+}
+
+/// An order, or a series of them, for one engine.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Change {
+    /// Unload these models, then load one.
+    Swap {
+        /// Models to unload first.
+        out: Vec<String>,
+        /// Model to load.
+        model: String,
+        /// Where its weights come from.
+        source: Source,
+    },
+    /// Unload these adapters, then load one.
+    Adapter {
+        /// Adapters to unload first.
+        out: Vec<Target>,
+        /// Adapter to load.
+        target: Target,
+    },
+}
+
+/// A change and the engine that makes it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Step {
+    /// Id of the engine.
+    pub engine: String,
+    /// The change.
+    pub change: Change,
+    /// Whether requests wait for it; a copy made ahead is not urgent.
+    pub urgent: bool,
+}
+
+/// Where an engine would load a model from.
+#[must_use]
+pub fn source(engine: &EngineState, model: &str) -> Source {
+    if engine.warm.contains(model) {
+        return Source::Memory;
+    }
+    if engine.disk.contains(model) {
+        return Source::Disk;
+    }
+    Source::Store
+}
+
+/// Time that a load takes.
+#[must_use]
+pub const fn load_time(model: &Model, source: Source) -> Duration {
+    match source {
+        Source::Memory => model.warm,
+        Source::Disk => model.disk,
+        Source::Store => model.cold,
+    }
+}
+
+/// The changes to begin now.
+#[must_use]
+pub fn plan(spec: &Engine, fleet: &Fleet, mut room: StoreRoom, now: Duration) -> Vec<Step> {
+    let mut planner = Planner {
+        spec,
+        engines: fleet.engines.clone(),
+        wants: &fleet.wants,
+        demands: demands(&fleet.wants),
+        now,
+    };
+    let mut steps = Vec::new();
+    for model in planner.wanted_models() {
+        if let Some(step) = planner.swap(&model, &mut room, true) {
+            steps.push(step);
+        }
+    }
+    for target in planner.wanted_adapters() {
+        if let Some(step) = planner.adapter(&target) {
+            steps.push(step);
+        }
+    }
+    for model in planner.uncopied() {
+        if room.slots <= AHEAD_RESERVE {
+            break;
+        }
+        if let Some(step) = planner.swap(&model, &mut room, false) {
+            steps.push(step);
+        }
+    }
+    steps
+}
+
+struct Planner<'a> {
+    spec: &'a Engine,
+    engines: Vec<EngineState>,
+    wants: &'a BTreeMap<Target, Want>,
+    demands: BTreeMap<String, Want>,
+    now: Duration,
+}
+
+/// Demand for each model, its adapters included.
+fn demands(wants: &BTreeMap<Target, Want>) -> BTreeMap<String, Want> {
+    let mut demands: BTreeMap<String, Want> = BTreeMap::new();
+    for (target, want) in wants {
+        let sum = demands.entry(target.model.clone()).or_insert(Want {
+            since: Duration::MAX,
+            ..Want::default()
+        });
+        sum.waiting += want.waiting;
+        sum.rate += want.rate;
+        if want.waiting > 0 {
+            sum.since = sum.since.min(want.since);
+        }
+    }
+    demands
+}
+
+/// A way to load a model.
+struct Way {
+    engine: usize,
+    source: Source,
+    out: Vec<String>,
+    loss: f64,
+}
+
+impl Planner<'_> {
+    fn demand(&self, model: &str) -> Want {
+        self.demands.get(model).copied().unwrap_or_default()
+    }
+
+    fn usable<'b>(&'b self, model: &'b str) -> impl Iterator<Item = &'b EngineState> {
+        let has = move |e: &&EngineState| {
+            !e.leaving && (e.models.contains_key(model) || e.loading.as_deref() == Some(model))
+        };
+        self.engines.iter().filter(has)
+    }
+
+    fn replicas(&self, model: &str) -> usize {
+        self.usable(model).count()
+    }
+
+    /// Replicas that the demand for a model asks for.
+    fn needed(&self, model: &str, want: &Want) -> usize {
+        let running: u32 = self
+            .usable(model)
+            .filter_map(|e| e.models.get(model))
+            .map(|h| h.running)
+            .sum();
+        let each = (f64::from(self.spec.slots) * REPLICA_SHARE).max(1.0);
+        let by_load = (f64::from(running + want.waiting) / each).ceil();
+        let floor = if want.rate >= TWICE_RATE {
+            2
+        } else {
+            usize::from(want.waiting > 0)
+        };
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "a small count that is never negative"
+        )]
+        floor.max(by_load as usize)
+    }
+
+    /// Models that need one more replica, the longest waiting first.
+    fn wanted_models(&self) -> Vec<String> {
+        let mut wanted: Vec<(bool, Duration, String)> = Vec::new();
+        for (name, want) in &self.demands {
+            if !self.spec.models.contains_key(name) {
+                continue;
+            }
+            let replicas = self.replicas(name);
+            if replicas < self.needed(name, want) {
+                wanted.push((replicas > 0, want.since, name.clone()));
+            }
+        }
+        wanted.sort();
+        wanted.into_iter().map(|(_, _, name)| name).collect()
+    }
+
+    /// Models of which no live engine keeps a copy, the most asked for first.
+    fn uncopied(&self) -> Vec<String> {
+        let kept = |model: &str| {
+            self.engines.iter().any(|e| {
+                !e.leaving
+                    && (e.models.contains_key(model)
+                        || e.loading.as_deref() == Some(model)
+                        || e.disk.contains(model)
+                        || e.warm.contains(model))
+            })
+        };
+        let mut models: Vec<(f64, String)> = self
+            .spec
+            .models
+            .keys()
+            .filter(|m| !kept(m))
+            .map(|m| (self.demand(m).rate, m.clone()))
+            .collect();
+        models.sort_by(|a, b| b.0.total_cmp(&a.0));
+        models.into_iter().map(|(_, model)| model).collect()
+    }
+
+    fn swap(&mut self, model: &str, room: &mut StoreRoom, urgent: bool) -> Option<Step> {
+        let store = room.slots > 0 && room.tokens > 0;
+        let ways = (0..self.engines.len()).filter_map(|at| self.way(model, at));
+        let way = ways
+            .filter(|w| w.source != Source::Store || store)
+            .min_by(|a, b| (a.source, a.loss).partial_cmp(&(b.source, b.loss)).unwrap_or(std::cmp::Ordering::Equal))?;
+        if way.source == Source::Store {
+            if urgent && self.copy_soon(model) {
+                return None;
+            }
+            room.slots -= 1;
+            room.tokens -= 1;
+        }
+        let engine = &mut self.engines[way.engine];
+        for out in &way.out {
+            engine.models.remove(out);
+        }
+        engine.busy = true;
+        engine.loading = Some(model.to_owned());
+        Some(Step {
+            engine: engine.id.clone(),
+            change: Change::Swap {
+                out: way.out,
+                model: model.to_owned(),
+                source: way.source,
+            },
+            urgent,
+        })
+    }
+
+    /// Whether an engine with a copy of its own will be free sooner than the weight store delivers.
+    fn copy_soon(&self, model: &str) -> bool {
+        let copied = |e: &EngineState| !e.leaving && source(e, model) != Source::Store;
+        let cold = self.spec.models.get(model).map_or(Duration::ZERO, |m| m.cold);
+        let waited = self.now.saturating_sub(self.demand(model).since);
+        waited < cold / 2 && self.engines.iter().any(copied)
+    }
+
+    /// How an engine would make room for a model, if it can now.
+    fn way(&self, model: &str, at: usize) -> Option<Way> {
+        let engine = &self.engines[at];
+        if engine.busy || engine.leaving || engine.models.contains_key(model) {
+            return None;
+        }
+        let size = self.spec.models.get(model)?.weights;
+        let mut free = self.spec.memory - self.used(engine);
+        let mut idle: Vec<(f64, &str)> = engine
+            .models
+            .iter()
+            .filter(|(name, holding)| self.may_go(name, holding))
+            .map(|(name, _)| (self.loss(engine, name), name.as_str()))
+            .collect();
+        idle.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let mut out = Vec::new();
+        let mut loss = 0.0;
+        for (cost, name) in idle {
+            if free >= size {
+                break;
+            }
+            free += self.held(name, &engine.models[name]);
+            loss += cost;
+            out.push(name.to_owned());
+        }
+        // Spreads equal choices: an engine with fewer copies on disk keeps more models near.
+        #[expect(clippy::cast_precision_loss, reason = "a small count")]
+        let crowd = engine.disk.len() as f64 * 1e-6;
+        (free >= size).then(|| Way {
+            engine: at,
+            source: source(engine, model),
+            out,
+            loss: loss + crowd,
+        })
+    }
+
+    fn may_go(&self, name: &str, holding: &Holding) -> bool {
+        holding.running == 0
+            && self.now >= holding.since + SETTLE
+            && (self.demand(name).waiting == 0 || self.replicas(name) > 1)
+    }
+
+    /// What unloading a model costs: requests a second that would have to wait for it again.
+    fn loss(&self, engine: &EngineState, name: &str) -> f64 {
+        #[expect(clippy::cast_precision_loss, reason = "a small count")]
+        let replicas = self.replicas(name).max(1) as f64;
+        let again = self.spec.models.get(name).map_or(1.0, |m| {
+            load_time(m, source(engine, name)).as_secs_f64()
+        });
+        let rate = self.demand(name).rate;
+        (rate + 1e-3) * again / (replicas * replicas)
+    }
+
+    fn held(&self, name: &str, holding: &Holding) -> f64 {
+        let Some(model) = self.spec.models.get(name) else {
+            return 0.0;
+        };
+        let adapters = u32::try_from(holding.adapters.len()).unwrap_or(u32::MAX);
+        model.weights + model.adapter * f64::from(adapters)
+    }
+
+    fn used(&self, engine: &EngineState) -> f64 {
+        let held: f64 = engine.models.iter().map(|(n, h)| self.held(n, h)).sum();
+        let coming: f64 = engine
+            .coming
+            .iter()
+            .filter_map(|t| self.spec.models.get(&t.model))
+            .map(|m| m.adapter)
+            .sum();
+        held + coming
+    }
+
+    /// Adapters that requests wait for and that no engine holds or fetches.
+    fn wanted_adapters(&self) -> Vec<Target> {
+        let mut wanted: Vec<(Duration, Target)> = self
+            .wants
+            .iter()
+            .filter(|(t, w)| w.waiting > 0 && t.adapter.is_some() && !self.served(t))
+            .map(|(t, w)| (w.since, t.clone()))
+            .collect();
+        wanted.sort();
+        wanted.into_iter().map(|(_, target)| target).collect()
+    }
+
+    fn served(&self, target: &Target) -> bool {
+        let name = target.adapter.as_deref().unwrap_or_default();
+        self.engines.iter().filter(|e| !e.leaving).any(|e| {
+            let held = |h: &Holding| h.adapters.contains_key(name);
+            e.coming.contains(target) || e.models.get(&target.model).is_some_and(held)
+        })
+    }
+
+    fn adapter(&mut self, target: &Target) -> Option<Step> {
+        let best = (0..self.engines.len())
+            .filter_map(|at| Some((self.place(target, at)?, at)))
+            .min_by(|a, b| a.0.partial_cmp(&b.0).unwrap_or(std::cmp::Ordering::Equal))?;
+        let ((_, _, out), at) = best;
+        let engine = &mut self.engines[at];
+        for old in &out {
+            if let Some(holding) = engine.models.get_mut(&old.model) {
+                holding.adapters.remove(old.adapter.as_deref().unwrap_or_default());
+            }
+        }
+        engine.coming.insert(target.clone());
+        Some(Step {
+            engine: engine.id.clone(),
+            change: Change::Adapter {
+                out,
+                target: target.clone(),
+            },
+            urgent: true,
+        })
+    }
+
+    /// Cost of an adapter on an engine and the adapters that have to go, if it fits.
+    fn place(&self, target: &Target, at: usize) -> Option<(usize, u32, Vec<Target>)> {
+        let engine = &self.engines[at];
+        if engine.leaving || engine.busy || engine.coming.len() >= COMING_MOST {
+            return None;
+        }
+        let holding = engine.models.get(&target.model)?;
+        let held: usize = engine.models.values().map(|h| h.adapters.len()).sum();
+        let places = usize::try_from(self.spec.places).unwrap_or(usize::MAX);
+        let size = self.spec.models.get(&target.model)?.adapter;
+        let mut free = self.spec.memory - self.used(engine);
+        let mut open = places.saturating_sub(held + engine.coming.len());
+        let mut out = Vec::new();
+        let mut idle = self.idle_adapters(engine);
+        while open == 0 || free < size {
+            let (_, old) = idle.pop()?;
+            free += self.spec.models.get(&old.model)?.adapter;
+            open += 1;
+            out.push(old);
+        }
+        Some((out.len(), holding.running, out))
+    }
+
+    /// Adapters that no request uses or waits for, the least asked for last.
+    fn idle_adapters(&self, engine: &EngineState) -> Vec<(f64, Target)> {
+        let mut idle = Vec::new();
+        for (model, holding) in &engine.models {
+            for (adapter, running) in &holding.adapters {
+                let target = Target {
+                    model: model.clone(),
+                    adapter: Some(adapter.clone()),
+                };
+                let want = self.wants.get(&target).copied().unwrap_or_default();
+                if *running == 0 && want.waiting == 0 {
+                    idle.push((want.rate, target));
+                }
+            }
+        }
+        idle.sort_by(|a, b| b.0.total_cmp(&a.0));
+        idle
+    }
+}
--- /dev/null
+++ b/src/gateway/servers.rs
@@ -0,0 +1,430 @@
+//! What this instance believes of the endpoints.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use slotmap::SlotMap;
+use tokio::sync::watch;
+
+use super::edge::{Endpoint, EndpointState, Target};
+use super::pick::{Candidate, choose};
+
+slotmap::new_key_type! {
+    /// Key of an endpoint's incarnation.
+    pub struct ServerKey;
+}
+
+/// Failures in a row after which an endpoint is ejected.
+const STRIKES: u32 = 3;
+/// Time for which an endpoint is ejected: a few health intervals of its own.
+const EJECTED: Duration = Duration::from_millis(1500);
+/// Weight of the newest answer in the share of failed ones; about ten answers count.
+const NEWEST: f64 = 0.12;
+/// Time after which the lease holder's view of an endpoint no longer outranks the server list.
+const VIEW_FRESH: Duration = Duration::from_secs(1);
+/// Time for which a refused model counts as absent, unless the endpoint tells otherwise.
+const ABSENT: Duration = Duration::from_millis(400);
+
+/// How a request at an endpoint ended, as far as it speaks about the endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Health {
+    /// It answered.
+    Good,
+    /// It failed, fell silent or broke off.
+    Bad,
+}
+
+/// The lease holder's view of an endpoint.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct View {
+    /// Id of the incarnation.
+    pub id: String,
+    /// Start of the incarnation, in Unix milliseconds; 0 where unknown.
+    pub born: u64,
+    /// Orders that it accepted.
+    pub accepted: u64,
+    /// Models that it holds, each with its adapters.
+    pub models: BTreeMap<String, BTreeSet<String>>,
+    /// Models that are about to be unloaded there.
+    pub closing: BTreeSet<String>,
+    /// Requests running or waiting there, from all instances.
+    pub load: u32,
+}
+
+/// An endpoint and what is believed of it.
+#[derive(Debug, Clone)]
+pub struct Server {
+    /// Its description of itself.
+    pub endpoint: Endpoint,
+    /// Models that it is believed to hold.
+    pub models: BTreeMap<String, BTreeSet<String>>,
+    /// Orders that it accepted, as far as known.
+    pub accepted: u64,
+    /// Models that take no new requests here.
+    pub closing: BTreeSet<String>,
+    /// Requests of this instance that run here, by model.
+    pub running: BTreeMap<Target, u32>,
+    /// Requests of all instances, as the lease holder last told.
+    told: u32,
+    own: u32,
+    absent: BTreeMap<Target, Duration>,
+    failing: f64,
+    strikes: u32,
+    ejected: Duration,
+    viewed: Option<Duration>,
+    lapses: Option<Duration>,
+    seen: BTreeMap<String, BTreeSet<String>>,
+}
+
+impl Server {
+    fn new(endpoint: Endpoint) -> Self {
+        Self {
+            models: endpoint.models.clone(),
+            accepted: endpoint.accepted,
+            endpoint,
+            closing: BTreeSet::new(),
+            running: BTreeMap::new(),
+            told: 0,
+            own: 0,
+            absent: BTreeMap::new(),
+            failing: 0.0,
+            strikes: 0,
+            ejected: Duration::ZERO,
+            viewed: None,
+            lapses: None,
+            seen: BTreeMap::new(),
+        }
+    }
+
+    /// Whether it takes new work.
+    #[must_use]
+    pub fn takes_work(&self) -> bool {
+        self.endpoint.state == EndpointState::Ready
+    }
+
+    /// Whether it can run a request for a model or adapter.
+    #[must_use]
+    pub fn holds(&self, target: &Target, now: Duration) -> bool {
+        if self.closing.contains(&target.model) {
+            return false;
+        }
+        if self.absent.get(target).is_some_and(|until| *until > now) {
+            return false;
+        }
+        let Some(adapters) = self.models.get(&target.model) else {
+            return false;
+        };
+        target.adapter.as_ref().is_none_or(|a| adapters.contains(a))
+    }
+
+    fn adopt(&mut self, endpoint: Endpoint, now: Duration) {
+        let restarted = endpoint.born != self.endpoint.born;
+        let leaving = !restarted && self.endpoint.state == EndpointState::Draining;
+        let viewed = self.viewed.is_some_and(|at| now < at + VIEW_FRESH);
+        if restarted {
+            *self = Self::new(endpoint);
+            return;
+        }
+        if endpoint.accepted > self.accepted || (endpoint.accepted == self.accepted && !viewed) {
+            self.models.clone_from(&endpoint.models);
+            self.accepted = endpoint.accepted;
+            if !viewed {
+                self.closing.clear();
+            }
+        }
+        self.endpoint = endpoint;
+        if leaving {
+            self.endpoint.state = EndpointState::Draining;
+        }
+        self.lapses = None;
+    }
+
+    fn candidate(&self, index: usize, near: &str, shared: Option<&str>, now: Duration) -> Candidate {
+        let cached = shared.is_some_and(|part| self.seen.values().any(|s| s.contains(part)));
+        Candidate {
+            index,
+            load: self.told.max(self.own),
+            slots: self.endpoint.slots,
+            near: self.endpoint.domain == near,
+            cached,
+            failing: self.failing,
+            ejected: self.ejected > now,
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+struct State {
+    arena: SlotMap<ServerKey, Server>,
+    ids: BTreeMap<String, ServerKey>,
+}
+
+/// An endpoint that was chosen.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Picked {
+    /// Its key.
+    pub key: ServerKey,
+    /// Its id.
+    pub id: String,
+    /// Its address.
+    pub address: SocketAddr,
+}
+
+/// What a request needs of an endpoint.
+#[derive(Debug, Clone, Default)]
+pub struct Need<'a> {
+    /// Service.
+    pub service: &'a str,
+    /// Model or adapter.
+    pub target: Option<&'a Target>,
+    /// Failure domain of this instance.
+    pub domain: &'a str,
+    /// Shared start of the prompt.
+    pub shared: Option<&'a str>,
+    /// Endpoints that were tried before.
+    pub tried: &'a [String],
+}
+
+/// The endpoints, shared by all tasks of an instance.
+#[derive(Debug, Clone)]
+pub struct Servers {
+    state: Arc<Mutex<State>>,
+    version: Arc<watch::Sender<u64>>,
+}
+
+impl Default for Servers {
+    fn default() -> Self {
+        Self {
+            state: Arc::default(),
+            version: Arc::new(watch::Sender::new(0)),
+        }
+    }
+}
+
+impl Servers {
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn bump(&self) {
+        self.version.send_modify(|v| *v += 1);
+    }
+
+    /// Changes whenever another endpoint may be able to run a request.
+    #[must_use]
+    pub fn changes(&self) -> watch::Receiver<u64> {
+        self.version.subscribe()
+    }
+
+    /// Number of endpoints of a service that take work.
+    #[must_use]
+    pub fn ready(&self, service: &str) -> usize {
+        let state = self.state();
+        let fits = |s: &&Server| s.endpoint.service == service && s.takes_work();
+        state.arena.values().filter(fits).count()
+    }
+
+    /// Takes over an endpoint's description.
+    pub fn adopt(&self, endpoint: Endpoint, now: Duration) {
+        {
+            let mut state = self.state();
+            let known = state.ids.get(&endpoint.id).copied();
+            if let Some(server) = known.and_then(|k| state.arena.get_mut(k)) {
+                server.adopt(endpoint, now);
+            } else {
+                let id = endpoint.id.clone();
+                log::info!(endpoint = id.as_str(), service = endpoint.service.as_str(),
+                    address:% = endpoint.address; "endpoint listed");
+                let key = state.arena.insert(Server::new(endpoint));
+                state.ids.insert(id, key);
+            }
+        }
+        self.bump();
+    }
+
+    /// Forgets an endpoint.
+    pub fn remove(&self, id: &str) {
+        let mut state = self.state();
+        if let Some(key) = state.ids.remove(id) {
+            state.arena.remove(key);
+            log::info!(endpoint = id; "endpoint no longer listed");
+        }
+    }
+
+    /// Forgets an endpoint at a later time, unless it is listed again before.
+    pub fn lapse(&self, id: &str, at: Duration) {
+        let mut state = self.state();
+        let Some(key) = state.ids.get(id).copied() else {
+            return;
+        };
+        if let Some(server) = state.arena.get_mut(key) {
+            server.lapses.get_or_insert(at);
+        }
+    }
+
+    /// Forgets endpoints whose entries have lapsed for too long.
+    pub fn sweep(&self, now: Duration) {
+        let lapsed: Vec<String> = {
+            let state = self.state();
+            let due = |s: &&Server| s.lapses.is_some_and(|at| at <= now);
+            let ids = state.arena.values().filter(due);
+            ids.map(|s| s.endpoint.id.clone()).collect()
+        };
+        for id in lapsed {
+            self.remove(&id);
+        }
+    }
+
+    /// Ids of all endpoints.
+    #[must_use]
+    pub fn ids(&self) -> Vec<String> {
+        self.state().ids.keys().cloned().collect()
+    }
+
+    /// An endpoint's newest description of itself.
+    #[must_use]
+    pub fn endpoint(&self, id: &str) -> Option<Endpoint> {
+        let state = self.state();
+        let key = state.ids.get(id)?;
+        state.arena.get(*key).map(|s| s.endpoint.clone())
+    }
+
+    /// Copies of the endpoints of a service.
+    #[must_use]
+    pub fn of_service(&self, service: &str) -> Vec<Server> {
+        let state = self.state();
+        let fits = |s: &&Server| s.endpoint.service == service;
+        state.arena.values().filter(fits).cloned().collect()
+    }
+
+    /// Takes over the lease holder's view.
+    pub fn view(&self, views: &[View], now: Duration) {
+        {
+            let mut state = self.state();
+            for view in views {
+                let key = state.ids.get(&view.id).copied();
+                let Some(server) = key.and_then(|k| state.arena.get_mut(k)) else {
+                    continue;
+                };
+                if view.born != server.endpoint.born || view.accepted < server.accepted {
+                    continue;
+                }
+                server.viewed = Some(now);
+                server.accepted = view.accepted;
+                server.models.clone_from(&view.models);
+                server.closing.clone_from(&view.closing);
+                server.told = view.load;
+            }
+        }
+        self.bump();
+    }
+
+    /// Chooses an endpoint.
+    #[must_use]
+    pub fn pick(&self, need: &Need<'_>, now: Duration) -> Option<Picked> {
+        let state = self.state();
+        let fits = |s: &Server| {
+            s.endpoint.service == need.service
+                && s.takes_work()
+                && !need.tried.contains(&s.endpoint.id)
+                && need.target.is_none_or(|t| s.holds(t, now))
+        };
+        let fitting: Vec<(ServerKey, &Server)> =
+            state.arena.iter().filter(|(_, s)| fits(s)).collect();
+        let candidates: Vec<Candidate> = fitting
+            .iter()
+            .enumerate()
+            .map(|(at, (_, s))| s.candidate(at, need.domain, need.shared, now))
+            .collect();
+        let (key, server) = fitting.get(choose(&candidates, rand::random::<u16>().into())?)?;
+        Some(Picked {
+            key: *key,
+            id: server.endpoint.id.clone(),
+            address: server.endpoint.address,
+        })
+    }
+
+    /// Counts a request at an endpoint until the guard is dropped.
+    #[must_use]
+    pub fn enter(&self, key: ServerKey, target: Option<&Target>, shared: Option<&str>) -> Running {
+        let mut state = self.state();
+        if let Some(server) = state.arena.get_mut(key) {
+            server.own += 1;
+            server.told += 1;
+            if let Some(target) = target {
+                *server.running.entry(target.clone()).or_default() += 1;
+                if let Some(part) = shared {
+                    let seen = server.seen.entry(target.model.clone()).or_default();
+                    seen.insert(part.to_owned());
+                }
+            }
+        }
+        Running {
+            servers: self.clone(),
+            key,
+            target: target.cloned(),
+        }
+    }
+
+    fn leave(&self, key: ServerKey, target: Option<&Target>) {
+        let mut state = self.state();
+        let Some(server) = state.arena.get_mut(key) else {
+            return;
+        };
+        server.own = server.own.saturating_sub(1);
+        server.told = server.told.saturating_sub(1);
+        let Some(target) = target else {
+            return;
+        };
+        if let Some(count) = server.running.get_mut(target) {
+            *count -= 1;
+            if *count == 0 {
+                server.running.remove(target);
+            }
+        }
+    }
+
+    /// Learns from how a request ended.
+    pub fn learn(&self, key: ServerKey, health: Health, now: Duration) {
+        let mut state = self.state();
+        let Some(server) = state.arena.get_mut(key) else {
+            return;
+        };
+        let failed = f64::from(u8::from(health == Health::Bad));
+        server.failing += NEWEST * (failed - server.failing);
+        match health {
+            Health::Good => server.strikes = 0,
+            Health::Bad => server.strikes += 1,
+        }
+        if server.strikes >= STRIKES {
+            server.strikes = 0;
+            server.ejected = now + EJECTED;
+            log::warn!(endpoint = server.endpoint.id.as_str(), failing = server.failing;
+                "endpoint ejected for a short time");
+        }
+    }
+
+    /// Learns that an endpoint does not hold a model or adapter.
+    pub fn lacks(&self, key: ServerKey, target: &Target, now: Duration) {
+        if let Some(server) = self.state().arena.get_mut(key) {
+            server.absent.retain(|_, until| *until > now);
+            server.absent.insert(target.clone(), now + ABSENT);
+        }
+    }
+}
+
+/// A request that runs at an endpoint.
+#[derive(Debug)]
+pub struct Running {
+    servers: Servers,
+    key: ServerKey,
+    target: Option<Target>,
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.servers.leave(self.key, self.target.as_ref());
+    }
+}
--- /dev/null
+++ b/src/gateway/stats.rs
@@ -0,0 +1,94 @@
+//! Counters and latency histograms of the gateway.
+
+use std::time::Duration;
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Histogram};
+
+use crate::metrics::{MetricsError, Registered};
+
+/// The instruments of an instance's gateway.
+#[derive(Debug, Clone)]
+pub struct Stats {
+    registered: Registered,
+    requests: Counter<u64>,
+    sends: Counter<u64>,
+    orders: Counter<u64>,
+    store: Counter<u64>,
+    first: Histogram<f64>,
+    total: Histogram<f64>,
+}
+
+impl Stats {
+    /// Sets up the instruments.
+    ///
+    /// # Errors
+    ///
+    /// [`MetricsError`] where the exporter cannot be built.
+    pub fn new() -> Result<Self, MetricsError> {
+        let registered = Registered::new()?;
+        let meter = registered.meter();
+        Ok(Self {
+            requests: meter.u64_counter("brassrack_gateway_requests").build(),
+            sends: meter.u64_counter("brassrack_gateway_sends").build(),
+            orders: meter.u64_counter("brassrack_gateway_orders").build(),
+            store: meter.u64_counter("brassrack_gateway_store_calls").build(),
+            first: crate::metrics::seconds(
+                &meter,
+                "brassrack_gateway_first",
+                "Time to the answer, or to the first event of a stream",
+            ),
+            total: crate::metrics::seconds(
+                &meter,
+                "brassrack_gateway_total",
+                "Time to the end of the answer",
+            ),
+            registered,
+        })
+    }
+
+    /// A request ended.
+    pub fn ended(&self, route: &str, outcome: &'static str, took: Duration) {
+        let labels = [
+            KeyValue::new("route", route.to_owned()),
+            KeyValue::new("outcome", outcome),
+        ];
+        self.requests.add(1, &labels);
+        self.total.record(took.as_secs_f64(), &labels);
+    }
+
+    /// The answer, or the first event of a stream, went to the caller.
+    pub fn first(&self, route: &str, took: Duration) {
+        let label = KeyValue::new("route", route.to_owned());
+        self.first.record(took.as_secs_f64(), &[label]);
+    }
+
+    /// A request was sent to an endpoint.
+    pub fn sent(&self, service: &str, repeated: bool) {
+        let labels = [
+            KeyValue::new("service", service.to_owned()),
+            KeyValue::new("repeated", repeated),
+        ];
+        self.sends.add(1, &labels);
+    }
+
+    /// An order was answered.
+    pub fn ordered(&self, outcome: &'static str) {
+        self.orders.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// The platform's store was called.
+    pub fn store_call(&self, call: &'static str, failed: bool) {
+        let labels = [KeyValue::new("call", call), KeyValue::new("failed", failed)];
+        self.store.add(1, &labels);
+    }
+
+    /// All metrics in the Prometheus text format.
+    ///
+    /// # Errors
+    ///
+    /// [`MetricsError`] where they cannot be encoded.
+    pub fn text(&self) -> Result<String, MetricsError> {
+        self.registered.text()
+    }
+}
--- a/src/http.rs
+++ b/src/http.rs
@@ -113,8 +113,11 @@
     }
 }
 
-/// Sets the `host` header that HTTP/1.1 asks for.
+/// Sets the `host` header that HTTP/1.1 asks for, where there is none.
 pub fn set_host(headers: &mut HeaderMap, to: std::net::SocketAddr) {
+    if headers.contains_key(hyper::header::HOST) {
+        return;
+    }
     if let Ok(host) = HeaderValue::from_str(&to.to_string()) {
         headers.insert(hyper::header::HOST, host);
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod fleet;
 pub mod follow;
 pub mod gate;
+pub mod gateway;
 pub mod home;
 pub mod http;
 pub mod idle;
--- a/src/limits/retries.rs
+++ b/src/limits/retries.rs
@@ -59,6 +59,12 @@
         }
     }
 
+    /// Changes the settings; what is saved up stays, within the new burst.
+    pub fn resize(&mut self, settings: RetrySettings) {
+        self.settings = settings;
+        self.balance = self.balance.min(settings.burst);
+    }
+
     /// Counts a first attempt.
     pub fn request(&mut self) {
         self.earn(self.settings.ratio);
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -21,8 +21,7 @@
 /// The instruments of an instance.
 #[derive(Debug, Clone)]
 pub struct Metrics {
-    registry: Registry,
-    _provider: SdkMeterProvider,
+    registered: Registered,
     first: Histogram<f64>,
     gap: Histogram<f64>,
     wait: Histogram<f64>,
@@ -45,13 +44,8 @@
     ///
     /// [`MetricsError`] where the exporter cannot be built.
     pub fn new() -> Result<Self, MetricsError> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .build()
-            .map_err(|e| MetricsError(e.to_string()))?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("brassrack");
+        let registered = Registered::new()?;
+        let meter = registered.meter();
         Ok(Self {
             first: seconds(
                 &meter,
@@ -76,8 +70,7 @@
                 .f64_counter("brassrack_idle_accelerator")
                 .with_unit("s")
                 .build(),
-            registry,
-            _provider: provider,
+            registered,
         })
     }
 
@@ -143,6 +136,33 @@
     ///
     /// [`MetricsError`] where they cannot be encoded.
     pub fn text(&self) -> Result<String, MetricsError> {
+        self.registered.text()
+    }
+}
+
+/// A registry of instruments and the provider that feeds it.
+#[derive(Debug, Clone)]
+pub(crate) struct Registered {
+    registry: Registry,
+    provider: SdkMeterProvider,
+}
+
+impl Registered {
+    pub(crate) fn new() -> Result<Self, MetricsError> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .map_err(|e| MetricsError(e.to_string()))?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        Ok(Self { registry, provider })
+    }
+
+    pub(crate) fn meter(&self) -> Meter {
+        self.provider.meter("brassrack")
+    }
+
+    pub(crate) fn text(&self) -> Result<String, MetricsError> {
         let mut text = Vec::new();
         TextEncoder::new()
             .encode(&self.registry.gather(), &mut text)
@@ -151,7 +171,7 @@
     }
 }
 
-fn seconds(meter: &Meter, name: &'static str, what: &'static str) -> Histogram<f64> {
+pub(crate) fn seconds(meter: &Meter, name: &'static str, what: &'static str) -> Histogram<f64> {
     meter
         .f64_histogram(name)
         .with_unit("s")
--- a/src/outbound.rs
+++ b/src/outbound.rs
@@ -31,6 +31,8 @@
     pub kept: usize,
     /// Longest time that sent bytes may stay unacknowledged.
     pub unacked: Duration,
+    /// Header in which the other end repeats the id of a request.
+    pub echo: String,
 }
 
 impl Default for OutboundSettings {
@@ -40,6 +42,7 @@
             idle: Duration::from_secs(1),
             kept: 32,
             unacked: Duration::from_secs(3),
+            echo: crate::http::REQUEST_ID.to_owned(),
         }
     }
 }
@@ -125,6 +128,7 @@
     sender: Sender,
     to: SocketAddr,
     reused: bool,
+    echo: String,
 }
 
 /// An answer whose body is still to be read.
@@ -166,18 +170,17 @@
             Freshness::Proved => self.take(to),
             Freshness::Fresh => None,
         };
-        match pooled {
-            Some(sender) => Ok(Link {
-                sender,
-                to,
-                reused: true,
-            }),
-            None => Ok(Link {
-                sender: self.connect(to).await?,
-                to,
-                reused: false,
-            }),
-        }
+        let reused = pooled.is_some();
+        let sender = match pooled {
+            Some(sender) => sender,
+            None => self.connect(to).await?,
+        };
+        Ok(Link {
+            sender,
+            to,
+            reused,
+            echo: self.settings.echo.clone(),
+        })
     }
 
     /// Sends a request and waits for the head of the answer.
@@ -271,6 +274,16 @@
 }
 
 impl Reply {
+    /// An answer that was taken apart before.
+    #[must_use]
+    pub const fn new(response: Response<Incoming>, from: SocketAddr, sender: Sender) -> Self {
+        Self {
+            response,
+            from,
+            sender,
+        }
+    }
+
     /// Takes the answer apart; the sender keeps the connection open.
     #[must_use]
     pub fn into_parts(self) -> (Response<Incoming>, Sender) {
@@ -321,7 +334,8 @@
     async fn exchange(mut self, mut request: Request<Full<Bytes>>) -> Result<Reply, SendError> {
         let to = self.to;
         crate::http::set_host(request.headers_mut(), to);
-        let asked = request.headers().get(crate::http::REQUEST_ID).cloned();
+        let echo = self.echo.as_str();
+        let asked = request.headers().get(echo).cloned();
         let response = self
             .sender
             .try_send_request(request)
@@ -335,7 +349,7 @@
                 };
                 SendError::new(fault, to, &e.into_error())
             })?;
-        let echoed = response.headers().get(crate::http::REQUEST_ID);
+        let echoed = response.headers().get(echo);
         if asked.is_some() && asked.as_ref() != echoed {
             let detail = format!("the answer carries the request id {echoed:?}");
             return Err(SendError::new(SendFault::Crossed, to, &detail));
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -4,7 +4,7 @@
 //! the membership and of the version of the rules are passed on over these links; requests for
 //! one peer and endpoint loads go over a direct link, which is opened on demand.
 
-mod codec;
+pub(crate) mod codec;
 mod dial;
 mod fleet;
 mod handle;
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -118,6 +118,19 @@
         self.passed
     }
 
+    /// Waits until the caller is gone.
+    pub async fn closed(&self) {
+        self.parts.closed().await;
+    }
+
+    /// Breaks the answer off, so that the caller does not take it for a whole one.
+    pub async fn cut(self) {
+        let broken = std::io::Error::from(std::io::ErrorKind::UnexpectedEof);
+        if self.parts.send(Err(broken)).await.is_err() {
+            log::debug!("the caller of a broken stream has left");
+        }
+    }
+
     /// Passes whole events on; false where the caller is gone or reads nothing for too long.
     pub async fn pass(&mut self, events: Bytes) -> bool {
         self.passed += ends(&events).count() as u64;
@@ -162,6 +175,7 @@
 pub struct Feed {
     body: Incoming,
     events: Events,
+    finished: bool,
 }
 
 impl Feed {
@@ -171,9 +185,16 @@
         Self {
             body,
             events: Events::default(),
+            finished: false,
         }
     }
 
+    /// Whether the body ended as its framing says, behind a whole event.
+    #[must_use]
+    pub const fn finished(&self) -> bool {
+        self.finished
+    }
+
     /// The next whole events.
     ///
     /// # Errors
@@ -187,8 +208,16 @@
 
     async fn read(&mut self) -> Result<Bytes, End> {
         loop {
-            let Some(Ok(frame)) = self.body.frame().await else {
-                return Err(End::Cut);
+            let frame = match self.body.frame().await {
+                Some(Ok(frame)) => frame,
+                Some(Err(error)) => {
+                    log::debug!(error:% = error; "a stream broke off");
+                    return Err(End::Cut);
+                }
+                None => {
+                    self.finished = self.events.pending() == 0;
+                    return Err(End::Cut);
+                }
             };
             let events = self.events.push(&frame.into_data().unwrap_or_default());
             if !events.is_empty() {
