--- a/src/gateway/edge.rs
+++ b/src/gateway/edge.rs
@@ -94,8 +94,8 @@
     pub state: EndpointState,
     /// Time of its start, in Unix milliseconds; 0 where unknown.
     pub born: u64,
-    /// Orders that it accepted since its start.
-    pub accepted: u64,
+    /// Number of this description since its start.
+    pub beat: u64,
     /// Models that it holds, each with its adapters.
     pub models: BTreeMap<String, BTreeSet<String>>,
     /// Models whose weights lie in its main memory.
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -66,7 +66,8 @@
     settled: Duration,
     asked: Duration,
     leaving: bool,
-    strange: bool,
+    /// Whether what it holds is unknown until its next report.
+    unknown: bool,
 }
 
 impl Book {
@@ -76,7 +77,7 @@
             address: endpoint.address,
             domain: endpoint.domain.clone(),
             born: endpoint.born,
-            accepted: Arc::new(AtomicU64::new(endpoint.accepted)),
+            accepted: Arc::default(),
             models: endpoint.models.clone(),
             since: BTreeMap::new(),
             coming: BTreeSet::new(),
@@ -87,7 +88,7 @@
             settled: Duration::ZERO,
             asked: Duration::ZERO,
             leaving: false,
-            strange: false,
+            unknown: true,
         }
     }
 
@@ -114,7 +115,7 @@
             return;
         }
         // Somebody else's order runs: nothing may be added to what is not yet known.
-        self.strange = report.busy;
+        self.unknown = report.busy;
         self.accepted.store(report.accepted, Ordering::Relaxed);
         self.models = report.models;
         self.coming = report.coming;
@@ -351,7 +352,7 @@
                     Change::Swap { model, .. } => Some(model.clone()),
                     Change::Adapter { .. } => None,
                 }),
-                busy: book.swap.is_some() || book.adapters > 0 || book.strange,
+                busy: book.swap.is_some() || book.adapters > 0 || book.unknown,
                 leaving: book.leaving,
             }
         });
@@ -469,6 +470,7 @@
         let views: Vec<View> = self
             .books
             .iter()
+            .filter(|(_, book)| !book.unknown)
             .map(|(id, book)| View {
                 id: id.clone(),
                 born: book.born,
@@ -578,7 +580,7 @@
                     book.models.entry(model).or_default();
                 } else {
                     // Unknown until the engine reports: count nothing as free, offer nothing.
-                    book.strange = true;
+                    book.unknown = true;
                     book.warm.extend(out);
                 }
             }
@@ -590,7 +592,7 @@
                         adapters.extend(target.adapter);
                     }
                 } else {
-                    book.strange = true;
+                    book.unknown = true;
                     log::warn!(engine = settled.engine.as_str(), model = target.model.as_str(),
                         adapter = target.adapter.unwrap_or_default(),
                         outcome:% = settled.outcome, took_ms = took; "adapter load ended");
--- a/src/gateway/orders/give.rs
+++ b/src/gateway/orders/give.rs
@@ -28,6 +28,8 @@
 const BUSY_PAUSE: Duration = Duration::from_millis(40);
 /// Times that an order is sent: an unload may wait for running requests.
 const SENDS: u32 = 60;
+/// Sends after which a report is no longer older than the last accepted order.
+const LAGGING: u32 = 8;
 /// Time between two looks at whether a load has ended.
 const LOOK: Duration = Duration::from_millis(40);
 /// Looks between two reports that are asked for meanwhile.
@@ -114,7 +116,7 @@
 
     /// Gives one order until the engine has accepted it.
     async fn order(&self, action: Action, target: Target) -> Outcome {
-        for _ in 0..SENDS {
+        for sends in 0..SENDS {
             let Some(fence) = self.fence() else {
                 return Outcome::NoLease;
             };
@@ -149,7 +151,8 @@
                 self.accepted.store(report.accepted, Ordering::Relaxed);
                 return Outcome::Done;
             }
-            if report.accepted > order.expected {
+            let lagging = sends < LAGGING && report.accepted < order.expected;
+            if !lagging && !report.busy {
                 self.accepted.store(report.accepted, Ordering::Relaxed);
                 return Outcome::Conflict;
             }
@@ -231,7 +234,7 @@
             if self.gateway.now() >= end {
                 break;
             }
-            if self.listed(target, accepted) {
+            if self.listed(target) {
                 return Outcome::Done;
             }
             let reports = takes.is_zero() || look % LOOKS_A_REPORT == 0;
@@ -250,9 +253,9 @@
     }
 
     /// Whether the server list says that the engine holds a model.
-    fn listed(&self, target: &Target, accepted: u64) -> bool {
+    fn listed(&self, target: &Target) -> bool {
         let endpoint = self.gateway.servers.endpoint(&self.engine);
-        endpoint.is_some_and(|e| e.accepted >= accepted && held(&e.models, target))
+        endpoint.is_some_and(|e| held(&e.models, target))
     }
 }
 
--- a/src/gateway/servers.rs
+++ b/src/gateway/servers.rs
@@ -82,7 +82,7 @@
     fn new(endpoint: Endpoint) -> Self {
         Self {
             models: endpoint.models.clone(),
-            accepted: endpoint.accepted,
+            accepted: 0,
             endpoint,
             closing: BTreeSet::new(),
             running: BTreeMap::new(),
@@ -127,12 +127,12 @@
             *self = Self::new(endpoint);
             return;
         }
-        if endpoint.accepted > self.accepted || (endpoint.accepted == self.accepted && !viewed) {
+        if endpoint.beat < self.endpoint.beat {
+            return;
+        }
+        if !viewed {
             self.models.clone_from(&endpoint.models);
-            self.accepted = endpoint.accepted;
-            if !viewed {
-                self.closing.clear();
-            }
+            self.closing.clear();
         }
         self.endpoint = endpoint;
         if leaving {
@@ -308,7 +308,8 @@
                 let Some(server) = key.and_then(|k| state.arena.get_mut(k)) else {
                     continue;
                 };
-                if view.born != server.endpoint.born || view.accepted < server.accepted {
+                let stale = view.accepted < server.accepted;
+                if view.born != server.endpoint.born || stale {
                     continue;
                 }
                 server.viewed = Some(now);
