Orders to one engine go one after the other, and an unanswered one is read from the report

Ruled out: late orders of an earlier holder (the log shows one holder). An unload answered 200 counts as accepted. Change: one order at a time per engine, and an order counts as carried out only if the report shows its effect.

--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -2,7 +2,6 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -55,7 +54,10 @@
     address: SocketAddr,
     domain: String,
     born: u64,
-    accepted: Arc<AtomicU64>,
+    /// Orders accepted; locked while one is under way.
+    accepted: Arc<tokio::sync::Mutex<u64>>,
+    /// The same, as last seen.
+    counted: u64,
     models: BTreeMap<String, BTreeSet<String>>,
     since: BTreeMap<String, Duration>,
     coming: BTreeSet<Target>,
@@ -78,6 +80,7 @@
             domain: endpoint.domain.clone(),
             born: endpoint.born,
             accepted: Arc::default(),
+            counted: 0,
             models: endpoint.models.clone(),
             since: BTreeMap::new(),
             coming: BTreeSet::new(),
@@ -92,6 +95,14 @@
         }
     }
 
+    /// Orders accepted, as far as known while one may be under way.
+    fn count(&mut self) -> u64 {
+        if let Ok(accepted) = self.accepted.try_lock() {
+            self.counted = *accepted;
+        }
+        self.counted
+    }
+
     const fn idle(&self) -> bool {
         self.swap.is_none() && self.adapters == 0
     }
@@ -110,13 +121,19 @@
         if report.born != 0 && self.born != 0 && report.born != self.born {
             return;
         }
-        let known = self.accepted.load(Ordering::Relaxed);
-        if report.accepted < known || now < self.settled + REPORT_LAG || !self.idle() {
+        if now < self.settled + REPORT_LAG || !self.idle() {
+            return;
+        }
+        let Ok(mut known) = self.accepted.try_lock() else {
+            return;
+        };
+        if report.accepted < *known && now < self.settled + REPORT_LAG * 4 {
             return;
         }
+        *known = report.accepted;
+        self.counted = report.accepted;
         // Somebody else's order runs: nothing may be added to what is not yet known.
         self.unknown = report.busy;
-        self.accepted.store(report.accepted, Ordering::Relaxed);
         self.models = report.models;
         self.coming = report.coming;
         self.warm = report.warm;
@@ -387,7 +404,7 @@
                 log::info!(engine = step.engine.as_str(), model = model.as_str(),
                     out = out.join(","), source:% = source, urgent = step.urgent,
                     waiting = want.map_or(0, |(_, w)| w.waiting), fence = fence,
-                    accepted = book.accepted.load(Ordering::Relaxed); "load decided");
+                    accepted = book.count(); "load decided");
             }
             Change::Adapter { out, target } => {
                 book.adapters += 1;
@@ -469,12 +486,12 @@
         }
         let views: Vec<View> = self
             .books
-            .iter()
+            .iter_mut()
             .filter(|(_, book)| !book.unknown)
             .map(|(id, book)| View {
                 id: id.clone(),
                 born: book.born,
-                accepted: book.accepted.load(Ordering::Relaxed),
+                accepted: book.count(),
                 models: book.models.clone(),
                 closing: book.closing(),
                 load: loads.get(id).copied().unwrap_or_default(),
--- a/src/gateway/orders/give.rs
+++ b/src/gateway/orders/give.rs
@@ -5,7 +5,6 @@
 //! again, and at most one of the orders with one count ever takes effect.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -26,6 +25,8 @@
 const REPORT_BYTES: usize = 1 << 20;
 /// Pause before an order is sent again to an engine that carries out another one.
 const BUSY_PAUSE: Duration = Duration::from_millis(40);
+/// Time that an engine takes to unload a model that no request uses.
+const UNLOAD_PAUSE: Duration = Duration::from_millis(60);
 /// Times that an order is sent: an unload may wait for running requests.
 const SENDS: u32 = 60;
 /// Sends after which a report is no longer older than the last accepted order.
@@ -47,6 +48,8 @@
 pub enum Outcome {
     /// The engine holds what it was ordered to.
     Done,
+    /// The engine is carrying the order out.
+    Accepted,
     /// The engine accepted other orders meanwhile.
     Conflict,
     /// The engine refused the order.
@@ -61,6 +64,14 @@
     Busy,
 }
 
+impl Outcome {
+    /// Whether the engine has done what it was ordered to, or is doing it.
+    #[must_use]
+    pub const fn taken(self) -> bool {
+        matches!(self, Self::Done | Self::Accepted)
+    }
+}
+
 /// How an engine answered an order.
 enum Answer {
     Accepted,
@@ -78,7 +89,7 @@
     pub(super) lease: Arc<Mutex<Lease>>,
     pub(super) engine: String,
     pub(super) address: SocketAddr,
-    pub(super) accepted: Arc<AtomicU64>,
+    pub(super) accepted: Arc<tokio::sync::Mutex<u64>>,
 }
 
 impl Engineer {
@@ -88,25 +99,26 @@
             Change::Swap { out, model, .. } => {
                 for old in out {
                     let outcome = self.order(Action::Unload, base(old)).await;
-                    if outcome != Outcome::Done {
+                    if !outcome.taken() {
                         return outcome;
                     }
+                    sleep(UNLOAD_PAUSE).await;
                 }
                 let outcome = self.order(Action::Load, base(model)).await;
-                if outcome != Outcome::Done {
+                if outcome != Outcome::Accepted {
                     return outcome;
                 }
                 self.await_load(&base(model), takes).await
             }
             Change::Adapter { out, target } => {
                 for old in out {
-                    let outcome = self.order(Action::Unload, old.clone()).await;
+                    let outcome = self.unload_adapter(old).await;
                     if outcome != Outcome::Done {
                         return outcome;
                     }
                 }
                 let outcome = self.order(Action::Load, target.clone()).await;
-                if outcome != Outcome::Done {
+                if outcome != Outcome::Accepted {
                     return outcome;
                 }
                 self.await_load(target, Duration::ZERO).await
@@ -115,7 +127,11 @@
     }
 
     /// Gives one order until the engine has accepted it.
+    ///
+    /// Orders to one engine go one after the other, so that what an engine accepted meanwhile is
+    /// known to be this one.
     async fn order(&self, action: Action, target: Target) -> Outcome {
+        let mut accepted = self.accepted.lock().await;
         for sends in 0..SENDS {
             let Some(fence) = self.fence() else {
                 return Outcome::NoLease;
@@ -123,38 +139,40 @@
             let order = Order {
                 action,
                 target: target.clone(),
-                expected: self.accepted.load(Ordering::Relaxed),
+                expected: *accepted,
                 holder: self.gateway.settings.name.clone(),
                 fence,
                 endpoint: self.engine.clone(),
             };
-            let answer = self.send(&order).await;
-            match answer {
+            match self.send(&order).await {
                 Answer::Accepted => {
-                    self.accepted.store(order.expected + 1, Ordering::Relaxed);
+                    *accepted += 1;
+                    return Outcome::Accepted;
+                }
+                Answer::Holds if action == Action::Load => return Outcome::Done,
+                Answer::Holds => {
+                    // An adapter that no request uses goes at once, and the order counts.
+                    *accepted += 1;
                     return Outcome::Done;
                 }
-                Answer::Holds => return Outcome::Done,
                 Answer::Refused => return Outcome::Refused,
                 Answer::Gone => return Outcome::Gone,
-                Answer::Conflict | Answer::Unknown => {}
+                Answer::Conflict => sleep(BUSY_PAUSE).await,
+                Answer::Unknown => sleep(REPORT_LAG).await,
             }
-            let unknown = matches!(answer, Answer::Unknown);
-            sleep(if unknown { REPORT_LAG } else { BUSY_PAUSE }).await;
             let Some(report) = self.report().await else {
                 continue;
             };
-            if report.accepted == order.expected {
-                continue;
-            }
-            if unknown && report.accepted == order.expected + 1 {
-                self.accepted.store(report.accepted, Ordering::Relaxed);
-                return Outcome::Done;
-            }
-            let lagging = sends < LAGGING && report.accepted < order.expected;
-            if !lagging && !report.busy {
-                self.accepted.store(report.accepted, Ordering::Relaxed);
-                return Outcome::Conflict;
+            match settle(&order, &report, sends) {
+                Settled::Again => {}
+                Settled::Accepted => {
+                    *accepted += 1;
+                    return Outcome::Accepted;
+                }
+                Settled::Other => {
+                    *accepted = report.accepted;
+                    return Outcome::Conflict;
+                }
             }
         }
         Outcome::Busy
@@ -225,9 +243,29 @@
         }
     }
 
+    /// Unloads an adapter; one that a request still uses goes only when that has ended.
+    async fn unload_adapter(&self, adapter: &Target) -> Outcome {
+        let outcome = self.order(Action::Unload, adapter.clone()).await;
+        if outcome != Outcome::Accepted {
+            return outcome;
+        }
+        let accepted = *self.accepted.lock().await;
+        let end = self.gateway.now() + OVERRUN_LEAST;
+        while self.gateway.now() < end {
+            sleep(LOOK).await;
+            let Some(report) = self.report().await else {
+                continue;
+            };
+            if report.accepted >= accepted && !held(&report.models, adapter) {
+                return Outcome::Done;
+            }
+        }
+        Outcome::Overrun
+    }
+
     /// Waits until the engine holds a model or adapter.
     async fn await_load(&self, target: &Target, takes: Duration) -> Outcome {
-        let accepted = self.accepted.load(Ordering::Relaxed);
+        let accepted = *self.accepted.lock().await;
         let end = self.gateway.now() + (takes * OVERRUN).max(OVERRUN_LEAST);
         sleep(takes.mul_f64(0.9)).await;
         for look in 0.. {
@@ -239,10 +277,7 @@
             }
             let reports = takes.is_zero() || look % LOOKS_A_REPORT == 0;
             if reports && let Some(report) = self.report().await {
-                if report.accepted > accepted {
-                    return Outcome::Conflict;
-                }
-                let holds = report.accepted == accepted && held(&report.models, target);
+                let holds = report.accepted >= accepted && held(&report.models, target);
                 if holds && !report.coming.contains(target) {
                     return Outcome::Done;
                 }
@@ -259,6 +294,44 @@
     }
 }
 
+/// What a report says of an order that was not accepted in so many words.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Settled {
+    /// Not carried out; it may be sent again.
+    Again,
+    /// Carried out.
+    Accepted,
+    /// The engine accepted another order.
+    Other,
+}
+
+/// Reads from a report what became of an order that was sent some times without success.
+#[must_use]
+pub fn settle(order: &Order, report: &Report, sends: u32) -> Settled {
+    if report.accepted == order.expected {
+        return Settled::Again;
+    }
+    if report.accepted == order.expected + 1 && shows(order, report) {
+        return Settled::Accepted;
+    }
+    let lagging = sends < LAGGING && report.accepted < order.expected;
+    if lagging || report.busy {
+        return Settled::Again;
+    }
+    Settled::Other
+}
+
+/// Whether an engine's state is what an order asks for.
+fn shows(order: &Order, report: &Report) -> bool {
+    let holds = held(&report.models, &order.target);
+    match (order.action, order.target.adapter.is_some()) {
+        (Action::Load, true) => holds || report.coming.contains(&order.target),
+        (Action::Load, false) => holds || report.busy,
+        (Action::Unload, true) => !holds,
+        (Action::Unload, false) => !holds || report.busy,
+    }
+}
+
 fn held(
     models: &std::collections::BTreeMap<String, std::collections::BTreeSet<String>>,
     target: &Target,
