--- /dev/null
+++ b/tests/endpoint_beliefs.rs
@@ -0,0 +1,175 @@
+//! What an instance believes of endpoints and which one it picks.
+
+#![expect(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use brassrack::gateway::edge::{Endpoint, EndpointState, Target};
+use brassrack::gateway::servers::{Health, Need, Servers, View};
+
+const NOW: Duration = Duration::from_secs(50);
+
+fn endpoint(id: &str, models: &[&str]) -> Endpoint {
+    Endpoint {
+        id: id.into(),
+        service: "writers".into(),
+        address: ([127, 0, 0, 1], 9).into(),
+        domain: "east".into(),
+        slots: 8,
+        state: EndpointState::Ready,
+        born: 1,
+        beat: 1,
+        models: models
+            .iter()
+            .map(|m| ((*m).to_owned(), BTreeSet::new()))
+            .collect(),
+        warm: BTreeSet::new(),
+        disk: BTreeSet::new(),
+    }
+}
+
+fn pick(servers: &Servers, model: &str, tried: &[String]) -> Option<String> {
+    let target = Target {
+        model: model.into(),
+        adapter: None,
+    };
+    let need = Need {
+        service: "writers",
+        target: Some(&target),
+        domain: "east",
+        shared: None,
+        tried,
+    };
+    servers.pick(&need, NOW).map(|p| p.id)
+}
+
+fn two() -> Servers {
+    let servers = Servers::default();
+    servers.adopt(endpoint("1", &["m"]), NOW);
+    servers.adopt(endpoint("2", &["n"]), NOW);
+    servers
+}
+
+#[test]
+fn holder_is_picked() {
+    assert_eq!(pick(&two(), "n", &[]).as_deref(), Some("2"));
+}
+
+#[test]
+fn failed_endpoint_is_left_out() {
+    assert_eq!(pick(&two(), "n", &["2".into()]), None);
+}
+
+#[test]
+fn draining_endpoint_gets_nothing() {
+    let servers = two();
+    let leaving = Endpoint {
+        state: EndpointState::Draining,
+        beat: 2,
+        ..endpoint("1", &["m"])
+    };
+    servers.adopt(leaving, NOW);
+    // A later row of another writer does not bring it back.
+    let back = Endpoint {
+        beat: 3,
+        ..endpoint("1", &["m"])
+    };
+    servers.adopt(back, NOW);
+    assert_eq!(pick(&servers, "m", &[]), None);
+}
+
+#[test]
+fn older_row_changes_nothing() {
+    let servers = two();
+    let newer = Endpoint {
+        beat: 5,
+        ..endpoint("1", &["m", "x"])
+    };
+    servers.adopt(newer, NOW);
+    servers.adopt(endpoint("1", &["m"]), NOW);
+    assert_eq!(pick(&servers, "x", &[]).as_deref(), Some("1"));
+}
+
+#[test]
+fn restart_under_the_same_id() {
+    let servers = two();
+    let reborn = Endpoint {
+        born: 2,
+        ..endpoint("1", &[])
+    };
+    servers.adopt(reborn, NOW);
+    assert_eq!(pick(&servers, "m", &[]), None);
+}
+
+#[test]
+fn view_outranks_the_list() {
+    let servers = two();
+    let view = View {
+        id: "1".into(),
+        born: 1,
+        accepted: 3,
+        models: BTreeMap::from([("z".into(), BTreeSet::new())]),
+        closing: BTreeSet::new(),
+        load: 0,
+    };
+    servers.view(&[view], NOW);
+    let row = Endpoint {
+        beat: 2,
+        ..endpoint("1", &["m"])
+    };
+    servers.adopt(row, NOW);
+    assert_eq!(pick(&servers, "z", &[]).as_deref(), Some("1"));
+}
+
+#[test]
+fn closing_model_gets_nothing() {
+    let servers = two();
+    let view = View {
+        id: "1".into(),
+        born: 1,
+        accepted: 1,
+        models: BTreeMap::from([("m".into(), BTreeSet::new())]),
+        closing: BTreeSet::from(["m".into()]),
+        load: 0,
+    };
+    servers.view(&[view], NOW);
+    assert_eq!(pick(&servers, "m", &[]), None);
+}
+
+#[test]
+fn lapsed_entry_comes_back() {
+    let servers = two();
+    servers.lapse("1", NOW + Duration::from_secs(2));
+    servers.sweep(NOW + Duration::from_secs(1));
+    servers.adopt(endpoint("1", &["m"]), NOW);
+    servers.sweep(NOW + Duration::from_secs(3));
+    assert_eq!(pick(&servers, "m", &[]).as_deref(), Some("1"));
+}
+
+#[test]
+fn lapsed_entry_is_gone() {
+    let servers = two();
+    servers.lapse("1", NOW + Duration::from_secs(2));
+    servers.sweep(NOW + Duration::from_secs(2));
+    assert_eq!(servers.ids(), ["2"]);
+}
+
+/// Pattern: one of two endpoints fails most of its answers while it looks healthy.
+#[test]
+fn failing_endpoint_is_avoided() {
+    let servers = Servers::default();
+    servers.adopt(endpoint("bad", &["m"]), NOW);
+    servers.adopt(endpoint("good", &["m"]), NOW);
+    let need = Need {
+        service: "writers",
+        domain: "east",
+        tried: &["good".into()],
+        ..Need::default()
+    };
+    let bad = servers.pick(&need, NOW).unwrap();
+    for _ in 0..3 {
+        servers.learn(bad.key, Health::Bad, NOW);
+    }
+    assert_eq!(pick(&servers, "m", &[]).as_deref(), Some("good"));
+}
--- /dev/null
+++ b/tests/load_plans.rs
@@ -0,0 +1,231 @@
+//! Which engine loads what, by pattern of load.
+
+#![expect(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use brassrack::gateway::catalog::{Engine, Model};
+use brassrack::gateway::edge::Target;
+use brassrack::gateway::planner::{
+    Change, EngineState, Fleet, Holding, Source, Step, StoreRoom, Want, plan,
+};
+
+const NOW: Duration = Duration::from_secs(100);
+const ROOM: StoreRoom = StoreRoom {
+    slots: 4,
+    tokens: 10,
+};
+
+fn spec(models: &[&str]) -> Engine {
+    let model = Model {
+        weights: 70.0,
+        cold: Duration::from_secs(6),
+        disk: Duration::from_secs(1),
+        warm: Duration::from_millis(800),
+        adapters: 4,
+        adapter: 1.0,
+    };
+    Engine {
+        slots: 64,
+        tokens: 100_000,
+        memory: 220.0,
+        places: 2,
+        loads: 4.0,
+        disk: 1300.0,
+        backups: false,
+        models: models.iter().map(|m| ((*m).to_owned(), model.clone())).collect(),
+    }
+}
+
+fn engine(id: &str, models: &[&str]) -> EngineState {
+    let names: BTreeSet<String> = models.iter().map(|m| (*m).to_owned()).collect();
+    EngineState {
+        id: id.into(),
+        models: names.iter().map(|m| (m.clone(), Holding::default())).collect(),
+        disk: names,
+        ..EngineState::default()
+    }
+}
+
+fn on(model: &str, adapter: Option<&str>) -> Target {
+    Target {
+        model: model.into(),
+        adapter: adapter.map(str::to_owned),
+    }
+}
+
+fn waiting(count: u32) -> Want {
+    Want {
+        waiting: count,
+        since: NOW,
+        rate: 0.1,
+    }
+}
+
+fn decide(spec: &Engine, engines: Vec<EngineState>, wants: &[(Target, Want)]) -> Vec<Step> {
+    let fleet = Fleet {
+        engines,
+        wants: wants.iter().cloned().collect::<BTreeMap<_, _>>(),
+    };
+    let steps = plan(spec, &fleet, ROOM, NOW);
+    steps.into_iter().filter(|s| s.urgent).collect()
+}
+
+fn swap(step: &Step) -> (&str, &[String], Source) {
+    match &step.change {
+        Change::Swap { out, source, .. } => (&step.engine, out, *source),
+        Change::Adapter { .. } => panic!("a swap was expected: {step:?}"),
+    }
+}
+
+/// Pattern: a rare model is asked for that lies on one engine's disk.
+#[test]
+fn rare_model_from_disk() {
+    let mut near = engine("near", &["a", "b", "c"]);
+    near.disk.insert("rare".into());
+    let far = engine("far", &["d", "e", "f"]);
+    let spec = spec(&["a", "b", "c", "d", "e", "f", "rare"]);
+    let steps = decide(&spec, vec![far, near], &[(on("rare", None), waiting(1))]);
+    assert_eq!(swap(&steps[0]).0, "near");
+    assert_eq!(swap(&steps[0]).2, Source::Disk);
+}
+
+/// Pattern: rare models are asked for at once; each engine takes one.
+#[test]
+fn rare_models_at_once() {
+    let engines = vec![engine("1", &["a", "b", "c"]), engine("2", &["d", "e", "f"])];
+    let spec = spec(&["a", "b", "c", "d", "e", "f", "x", "y", "z"]);
+    let wants = [
+        (on("x", None), waiting(1)),
+        (on("y", None), waiting(1)),
+        (on("z", None), waiting(1)),
+    ];
+    let steps = decide(&spec, engines, &wants);
+    let taken: BTreeSet<&str> = steps.iter().map(|s| s.engine.as_str()).collect();
+    assert_eq!(taken, BTreeSet::from(["1", "2"]));
+}
+
+/// Pattern: a busy model shares an engine with idle ones; the least asked for goes.
+#[test]
+fn idle_model_goes() {
+    let mut full = engine("1", &["busy", "used", "idle"]);
+    full.models.get_mut("busy").unwrap().running = 3;
+    let used = Want {
+        rate: 5.0,
+        ..Want::default()
+    };
+    let spec = spec(&["busy", "used", "idle", "x"]);
+    let wants = [(on("x", None), waiting(1)), (on("used", None), used)];
+    let steps = decide(&spec, vec![full], &wants);
+    assert_eq!(swap(&steps[0]).1, ["idle".to_owned()]);
+}
+
+/// Pattern: every model of the only engine runs requests; nothing is unloaded under them.
+#[test]
+fn running_models_stay() {
+    let mut full = engine("1", &["a", "b", "c"]);
+    for holding in full.models.values_mut() {
+        holding.running = 1;
+    }
+    let spec = spec(&["a", "b", "c", "x"]);
+    let steps = decide(&spec, vec![full], &[(on("x", None), waiting(1))]);
+    assert!(steps.is_empty());
+}
+
+/// Pattern: demand moves to one model; its running requests outgrow one engine.
+#[test]
+fn demand_moves() {
+    let mut first = engine("1", &["hot", "b", "c"]);
+    first.models.get_mut("hot").unwrap().running = 40;
+    let mut second = engine("2", &["d", "e", "f"]);
+    second.disk.insert("hot".into());
+    let spec = spec(&["hot", "b", "c", "d", "e", "f"]);
+    let want = Want {
+        rate: 12.0,
+        ..Want::default()
+    };
+    let steps = decide(&spec, vec![first, second], &[(on("hot", None), want)]);
+    assert_eq!(swap(&steps[0]).0, "2");
+}
+
+/// Pattern: copies lie unevenly; a model without any copy is fetched while the store is idle.
+#[test]
+fn copies_spread() {
+    let spec = spec(&["a", "b", "c", "lost"]);
+    let fleet = Fleet {
+        engines: vec![engine("1", &["a", "b", "c"])],
+        wants: BTreeMap::new(),
+    };
+    let steps = plan(&spec, &fleet, ROOM, NOW);
+    assert!(!steps[0].urgent);
+    assert_eq!(swap(&steps[0]).2, Source::Store);
+}
+
+/// Pattern: the weight store's slots are taken; nothing more is fetched from it.
+#[test]
+fn store_is_full() {
+    let spec = spec(&["a", "b", "c", "x"]);
+    let fleet = Fleet {
+        engines: vec![engine("1", &["a", "b", "c"])],
+        wants: BTreeMap::from([(on("x", None), waiting(1))]),
+    };
+    let none = StoreRoom {
+        slots: 0,
+        tokens: 10,
+    };
+    assert!(plan(&spec, &fleet, none, NOW).is_empty());
+}
+
+/// Pattern: an adapter is asked for; places are full, and an unused adapter makes room.
+#[test]
+fn adapter_places() {
+    let mut full = engine("1", &["a"]);
+    let holding = full.models.get_mut("a").unwrap();
+    holding.adapters = BTreeMap::from([("a1".into(), 1), ("a2".into(), 0)]);
+    let steps = decide(&spec(&["a"]), vec![full], &[(on("a", Some("a3")), waiting(1))]);
+    let Change::Adapter { out, target } = &steps[0].change else {
+        panic!("an adapter was expected");
+    };
+    assert_eq!((out.as_slice(), target), (&[on("a", Some("a2"))][..], &on("a", Some("a3"))));
+}
+
+/// No plan ever takes more memory or places than an engine has, whatever it holds and runs.
+#[test]
+fn plans_fit() {
+    arbtest::arbtest(|u| {
+        let names = ["a", "b", "c", "d", "e", "f", "g"];
+        let spec = spec(&names);
+        let mut engines = Vec::new();
+        for id in 0..u.int_in_range(1..=4)? {
+            let mut state = engine(&id.to_string(), &[]);
+            for name in names {
+                if state.models.len() < 3 && u.ratio(1, 2)? {
+                    let holding = Holding {
+                        running: u.int_in_range(0..=1)?,
+                        ..Holding::default()
+                    };
+                    state.models.insert(name.into(), holding);
+                }
+            }
+            state.busy = u.ratio(1, 5)?;
+            engines.push(state);
+        }
+        let mut wants = BTreeMap::new();
+        for name in names {
+            if u.arbitrary()? {
+                wants.insert(on(name, None), waiting(u.int_in_range(0..=30)?));
+            }
+        }
+        let fleet = Fleet { engines, wants };
+        for step in plan(&spec, &fleet, ROOM, NOW) {
+            let at = fleet.engines.iter().find(|e| e.id == step.engine).unwrap();
+            assert!(!at.busy);
+            let (_, out, _) = swap(&step);
+            assert!(out.iter().all(|m| at.models[m].running == 0));
+            let left = at.models.len() - out.len() + 1;
+            assert!(left <= 3, "{step:?}");
+        }
+        Ok(())
+    });
+}
--- /dev/null
+++ b/tests/order_lease.rs
@@ -0,0 +1,133 @@
+//! The lease of the instance that gives orders to engines.
+
+use std::time::Duration;
+
+use brassrack::gateway::lease::{Lease, LeaseRow, Step, Terms};
+
+const TERMS: Terms = Terms {
+    term: Duration::from_secs(5),
+    quiet: Duration::from_secs(3),
+};
+
+fn at(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+fn row(holder: &str) -> LeaseRow {
+    LeaseRow {
+        holder: holder.into(),
+        address: ([127, 0, 0, 1], 7).into(),
+        released: false,
+    }
+}
+
+fn lease() -> Lease {
+    Lease::new(row("me"), TERMS)
+}
+
+#[test]
+fn free_row_is_claimed() {
+    let mut lease = lease();
+    lease.observe(None, 0, at(1));
+    assert_eq!(lease.step(at(1)), Step::Write(0));
+}
+
+#[test]
+fn fence_is_the_claim() {
+    let mut lease = lease();
+    lease.granted(7, at(1));
+    lease.granted(9, at(2));
+    assert_eq!(lease.fence(at(3)), Some(7));
+}
+
+#[test]
+fn term_ends_by_clock() {
+    let mut lease = lease();
+    lease.granted(7, at(1));
+    assert_eq!(lease.fence(at(6)), None);
+}
+
+/// A successor's first order comes later than the quiet time after the last one that may have left.
+#[test]
+fn takeover_waits() {
+    let mut lease = lease();
+    lease.observe(Some(row("other")), 4, at(10));
+    assert_eq!(lease.step(at(17)), Step::Wait);
+    assert_eq!(lease.step(at(18)), Step::Write(4));
+}
+
+#[test]
+fn renewal_restarts_the_wait() {
+    let mut lease = lease();
+    lease.observe(Some(row("other")), 4, at(10));
+    lease.observe(Some(row("other")), 5, at(17));
+    assert_eq!(lease.step(at(20)), Step::Wait);
+}
+
+#[test]
+fn released_row_waits_quiet() {
+    let mut lease = lease();
+    let given_back = LeaseRow {
+        released: true,
+        ..row("other")
+    };
+    lease.observe(Some(given_back), 4, at(10));
+    assert_eq!(lease.step(at(12)), Step::Wait);
+    assert_eq!(lease.step(at(13)), Step::Write(4));
+}
+
+/// The same machine's new process is the same holder.
+#[test]
+fn own_row_is_taken_again() {
+    let mut lease = lease();
+    lease.observe(Some(row("me")), 4, at(10));
+    assert_eq!(lease.step(at(10)), Step::Write(4));
+}
+
+#[test]
+fn lost_row_ends_orders() {
+    let mut lease = lease();
+    lease.granted(7, at(1));
+    lease.observe(Some(row("other")), 8, at(2));
+    assert_eq!(lease.fence(at(2)), None);
+}
+
+/// Over any schedule of outages and pauses, two instances never hold the fence at the same time,
+/// and a quiet time lies between them.
+#[test]
+fn one_holder() {
+    arbtest::arbtest(|u| {
+        let names = ["a", "b", "c"];
+        let mut leases: Vec<Lease> = names.iter().map(|n| Lease::new(row(n), TERMS)).collect();
+        let mut stored: (Option<LeaseRow>, u64) = (None, 0);
+        let mut last: Option<(usize, Duration)> = None;
+        for tick in 0..300_u64 {
+            let now = Duration::from_millis(tick * 200);
+            let which = u.choose_index(leases.len())?;
+            if u.ratio(2, 3)? {
+                let lease = &mut leases[which];
+                if lease.fence(now).is_none() {
+                    lease.observe(stored.0.clone(), stored.1, now);
+                }
+                if let Step::Write(version) = lease.step(now)
+                    && version == stored.1
+                {
+                    stored = (Some(row(names[which])), stored.1 + 1);
+                    lease.granted(stored.1, now);
+                }
+            }
+            for (holder, lease) in leases.iter().enumerate() {
+                if lease.fence(now).is_none() {
+                    continue;
+                }
+                if let Some((before, until)) = last
+                    && before != holder
+                {
+                    assert!(now >= until + TERMS.quiet, "{before} then {holder} at {now:?}");
+                }
+                last = Some((holder, now));
+            }
+        }
+        Ok(())
+    });
+}
--- /dev/null
+++ b/tests/order_settling.rs
@@ -0,0 +1,65 @@
+//! What became of an order without a clear answer, read from the engine's report.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use brassrack::gateway::edge::{Action, Order, Report, Target};
+use brassrack::gateway::orders::give::{Settled, settle};
+
+fn order(action: Action, adapter: Option<&str>) -> Order {
+    Order {
+        action,
+        target: Target {
+            model: "m".into(),
+            adapter: adapter.map(str::to_owned),
+        },
+        expected: 5,
+        holder: "me".into(),
+        fence: 1,
+        endpoint: "e".into(),
+    }
+}
+
+fn report(accepted: u64, adapters: &[&str]) -> Report {
+    let held: BTreeSet<String> = adapters.iter().map(|a| (*a).to_owned()).collect();
+    Report {
+        accepted,
+        models: BTreeMap::from([("m".into(), held)]),
+        ..Report::default()
+    }
+}
+
+#[test]
+fn not_carried_out() {
+    let load = order(Action::Load, Some("a1"));
+    assert_eq!(settle(&load, &report(5, &[]), 0), Settled::Again);
+}
+
+#[test]
+fn load_shows() {
+    let load = order(Action::Load, Some("a1"));
+    assert_eq!(settle(&load, &report(6, &["a1"]), 0), Settled::Accepted);
+}
+
+/// The engine accepted another order with the same count: an adapter that is still held was not
+/// unloaded, and its place is not free.
+#[test]
+fn other_order_took_the_count() {
+    let unload = order(Action::Unload, Some("a4"));
+    assert_eq!(settle(&unload, &report(6, &["a4", "a15"]), 0), Settled::Other);
+}
+
+#[test]
+fn old_report_is_waited_out() {
+    let load = order(Action::Load, None);
+    assert_eq!(settle(&load, &report(4, &[]), 0), Settled::Again);
+    assert_eq!(settle(&load, &report(4, &[]), 20), Settled::Other);
+}
+
+#[test]
+fn busy_engine_is_waited_for() {
+    let busy = Report {
+        busy: true,
+        ..report(7, &[])
+    };
+    assert_eq!(settle(&order(Action::Unload, None), &busy, 0), Settled::Again);
+}
--- /dev/null
+++ b/tests/shared_budget.rs
@@ -0,0 +1,60 @@
+//! Repeated sends that all instances share, and requests that crash endpoints.
+
+use std::time::Duration;
+
+use brassrack::gateway::budget::{Allowance, Budgets};
+use brassrack::gateway::suspicion::Suspicion;
+
+const ALLOWANCE: Allowance = Allowance {
+    ratio: 0.2,
+    slack: 54.0,
+    window: Duration::from_secs(10),
+};
+
+/// Repeats that one of `instances` instances sends in a window in which every request fails.
+fn spent(instances: u32, requests: u32) -> u32 {
+    let mut budgets = Budgets::new(ALLOWANCE, instances);
+    let mut sent = 0;
+    for request in 0..requests {
+        let now = ALLOWANCE.window * request / requests;
+        budgets.request("s");
+        while budgets.retry("s", now) {
+            sent += 1;
+        }
+    }
+    sent
+}
+
+#[test]
+fn window_holds_over_all_instances() {
+    for instances in [1, 7, 40] {
+        for requests in [10, 100, 1000] {
+            let all = f64::from(spent(instances, requests) * instances);
+            let bound = f64::from(requests * instances) * ALLOWANCE.ratio + ALLOWANCE.slack;
+            assert!(all <= bound, "{instances} instances, {requests} requests: {all}");
+        }
+    }
+}
+
+#[test]
+fn fresh_instance_has_nothing() {
+    let mut budgets = Budgets::new(ALLOWANCE, 7);
+    assert!(!budgets.retry("s", Duration::ZERO));
+}
+
+#[test]
+fn crashing_request_is_refused() {
+    let mut here = Suspicion::default();
+    here.broke(1, Duration::ZERO);
+    here.count(1, Duration::ZERO);
+    assert!(!here.refuses(1));
+    here.count(1, Duration::ZERO);
+    assert!(here.refuses(1) && !here.refuses(2));
+}
+
+#[test]
+fn refusal_is_taken_over() {
+    let mut here = Suspicion::default();
+    here.adopt(&[9]);
+    assert!(here.refuses(9));
+}
