--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -3,6 +3,7 @@
 //! Requests are opaque here: a route says what may be repeated or resumed, and the edge that decodes
 //! the platform's protocol stands behind [`edge::Wire`], [`edge::Feed`] and [`crate::table::Table`].
 
+pub mod admission;
 pub mod budget;
 pub mod catalog;
 pub mod daemon;
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -88,7 +88,7 @@
         gateway: Arc::clone(gateway),
         lease,
         whereabouts,
-        linked: is_linked,
+        linked: is_linked.clone(),
         me,
     };
     tokio::spawn(keeper.run());
@@ -96,7 +96,8 @@
     tokio::spawn(link::follow(Arc::clone(gateway), known, linked));
     tokio::spawn(feed::follow_config(Arc::clone(gateway)));
     let holding = gateway.holding.subscribe();
-    tokio::spawn(feed::follow_servers(Arc::clone(gateway), holding));
+    let servers = feed::follow_servers(Arc::clone(gateway), holding, is_linked.clone());
+    tokio::spawn(servers);
     tokio::spawn(count_dropped());
 }
 
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::sync::watch;
 use tokio::time::sleep;
 
 use super::edge::{Batch, FeedError};
@@ -17,10 +18,12 @@
 const SERVERS: &str = "servers";
 /// Longest wait of one call for a change of the configuration; also the time after which a silent
 /// connection to the store is noticed.
-const CONFIG_WAIT: Duration = Duration::from_millis(2500);
-/// Time between two reads of the server list's changes; endpoints that leave have to be left alone
-/// within two seconds, and each call costs.
-const SERVERS_PACE: Duration = Duration::from_millis(700);
+const CONFIG_WAIT: Duration = Duration::from_millis(5000);
+/// Share of the time to leave a draining endpoint alone after which the list's changes are read
+/// again; each call costs.
+const SERVERS_PACE: f64 = 0.35;
+/// The same while the holder of the lease tells of endpoints that leave.
+const LINKED_PACE: f64 = 0.6;
 /// The same at the holder of the lease, whose loads end at a row's change.
 const HOLDER_PACE: Duration = Duration::from_millis(250);
 /// Longest wait of one call for a change of the server list; it changes several times a second.
@@ -121,8 +124,12 @@
 }
 
 /// Follows the server list until the process ends; `holding` says whether this instance gives
-/// orders.
-pub async fn follow_servers(gateway: Arc<Gateway>, holding: tokio::sync::watch::Receiver<bool>) {
+/// orders, `linked` whether it hears the one that does.
+pub async fn follow_servers(
+    gateway: Arc<Gateway>,
+    holding: watch::Receiver<bool>,
+    linked: watch::Receiver<bool>,
+) {
     let mut follower = Follower::new(SERVERS);
     let mut away_until = Duration::ZERO;
     loop {
@@ -138,7 +145,14 @@
         }
         apply(&gateway, &batch, whole, away_until);
         gateway.listed.send_if_modified(|l| !std::mem::replace(l, true));
-        let pace = if *holding.borrow() { HOLDER_PACE } else { SERVERS_PACE };
+        let drain = gateway.settings.drain;
+        let pace = if *holding.borrow() {
+            HOLDER_PACE
+        } else if *linked.borrow() {
+            drain.mul_f64(LINKED_PACE)
+        } else {
+            drain.mul_f64(SERVERS_PACE)
+        };
         sleep(pace).await;
     }
 }
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -128,6 +128,15 @@
     /// Requests that run there, from all instances.
     #[prost(uint32, tag = "5")]
     pub load: u32,
+    /// Requests that its engine ran when it reported last.
+    #[prost(uint32, tag = "6")]
+    pub running: u32,
+    /// Requests that waited in its engine then.
+    #[prost(uint32, tag = "7")]
+    pub queued: u32,
+    /// Whether it is leaving.
+    #[prost(bool, tag = "8")]
+    pub leaving: bool,
 }
 
 impl EngineView {
@@ -154,6 +163,9 @@
             accepted: view.accepted,
             models,
             load: view.load,
+            running: view.running,
+            queued: view.queued,
+            leaving: view.leaving,
         }
     }
 
@@ -171,6 +183,9 @@
                 .collect::<BTreeMap<String, BTreeSet<String>>>(),
             closing: closing.map(|m| m.name.clone()).collect(),
             load: self.load,
+            running: self.running,
+            queued: self.queued,
+            leaving: self.leaving,
         }
     }
 }
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -26,8 +26,14 @@
 const MAILBOX: usize = 1024;
 /// Time between two plans where nothing changes.
 const TICK: Duration = Duration::from_millis(50);
+/// Least time between two plans that demand asks for; the time of one order's answer.
+const RUN_EVERY: Duration = Duration::from_millis(10);
 /// Time between two reports that are asked of an engine without a running order.
 const REPORT_EVERY: Duration = Duration::from_millis(900);
+/// The same for an engine that is loaded, whose queue decides who is refused.
+const REPORT_LOADED: Duration = Duration::from_millis(250);
+/// Part of an engine's slots from which it counts as loaded: a third.
+const LOADED_SHARE: u32 = 3;
 /// Time after an order's end within which reports may still be older than it.
 const REPORT_LAG: Duration = Duration::from_millis(400);
 /// Time over which the rate of requests for a model is averaged: a few swaps' time.
@@ -65,6 +71,9 @@
     disk: BTreeSet<String>,
     swap: Option<Job>,
     adapters: u32,
+    running: u32,
+    queued: u32,
+    load: u32,
     settled: Duration,
     asked: Duration,
     leaving: bool,
@@ -88,6 +97,9 @@
             disk: endpoint.disk.clone(),
             swap: None,
             adapters: 0,
+            running: 0,
+            queued: 0,
+            load: 0,
             settled: Duration::ZERO,
             asked: Duration::ZERO,
             leaving: false,
@@ -121,6 +133,8 @@
         if report.born != 0 && self.born != 0 && report.born != self.born {
             return;
         }
+        self.running = report.running;
+        self.queued = report.queued;
         if now < self.settled + REPORT_LAG || !self.idle() {
             return;
         }
@@ -177,6 +191,7 @@
     me: Option<Address<Self>>,
     peers: BTreeMap<u64, Peer>,
     own: Demand,
+    ran: Duration,
     rates: BTreeMap<BoardKey, Rate>,
     books: BTreeMap<String, Book>,
     store: StoreLoads,
@@ -214,6 +229,7 @@
                 me: None,
                 peers: BTreeMap::new(),
                 own: Demand::default(),
+                ran: Duration::ZERO,
                 rates: BTreeMap::new(),
                 books: BTreeMap::new(),
                 store: StoreLoads::new(window),
@@ -261,6 +277,7 @@
 
     fn run(&mut self) {
         let now = self.gateway.now();
+        self.ran = now;
         let Some(fence) = self.fence() else {
             self.idle();
             return;
@@ -283,7 +300,8 @@
                 self.begin(engine, step, &fleet, fence, now);
             }
         }
-        self.ask_reports(now);
+        let slots = engines(&catalog).map(|(_, e)| e.slots).max().unwrap_or(1);
+        self.ask_reports(slots, now);
         self.tell(&catalog, now);
     }
 
@@ -447,12 +465,14 @@
         });
     }
 
-    fn ask_reports(&mut self, now: Duration) {
+    fn ask_reports(&mut self, slots: u32, now: Duration) {
         let Some(me) = self.me.clone() else {
             return;
         };
         for (id, book) in &mut self.books {
-            if !book.idle() || now < book.asked + REPORT_EVERY {
+            let loaded = book.load * LOADED_SHARE >= slots || book.queued > 0;
+            let every = if loaded { REPORT_LOADED } else { REPORT_EVERY };
+            if now < book.asked + every {
                 continue;
             }
             // Spreads the reports, so that they do not come all at once.
@@ -484,6 +504,9 @@
                 *loads.entry(count.place.clone()).or_default() += count.count;
             }
         }
+        for (id, book) in &mut self.books {
+            book.load = loads.get(id).copied().unwrap_or_default();
+        }
         let views: Vec<View> = self
             .books
             .iter_mut()
@@ -494,7 +517,10 @@
                 accepted: book.count(),
                 models: book.models.clone(),
                 closing: book.closing(),
-                load: loads.get(id).copied().unwrap_or_default(),
+                load: book.load,
+                running: book.running,
+                queued: book.queued,
+                leaving: book.leaving,
             })
             .collect();
         let estimates = self.estimates(catalog, now);
@@ -627,7 +653,8 @@
         for view in views {
             let same = self.told.get(&view.id).is_some_and(|told| {
                 let near = told.load.abs_diff(view.load) < LOAD_STEP;
-                near && told.models == view.models && told.accepted == view.accepted
+                let queue = told.queued.abs_diff(view.queued) < LOAD_STEP;
+                near && queue && told.leaving == view.leaving && told.models == view.models && told.accepted == view.accepted
             });
             if whole || !same {
                 self.told.insert(view.id.clone(), view.clone());
@@ -691,7 +718,7 @@
                         self.peers.insert(number, peer);
                     }
                 }
-                if urgent {
+                if urgent && heard >= self.ran + RUN_EVERY {
                     self.run();
                 }
             }
--- a/src/gateway/pick.rs
+++ b/src/gateway/pick.rs
@@ -32,6 +32,9 @@
 /// Cost of each request beyond the slots, which waits for another to end.
 const WAITING_SHARE: f64 = 1.0;
 
+/// Bits of a draw that decide on the half.
+const DRAWN_BITS: usize = 16;
+
 impl Candidate {
     fn cost(&self) -> f64 {
         let slots = f64::from(self.slots.max(1));
@@ -46,7 +49,11 @@
     }
 }
 
-/// The cheapest candidate; `draw` decides between equal ones.
+/// Candidates from which on only a random half is looked at, so that instances with the same
+/// somewhat old view do not all choose the same endpoint.
+const HERD: usize = 4;
+
+/// The cheapest candidate; `draw` decides between equal ones, and which half is looked at.
 ///
 /// # Examples
 ///
@@ -61,6 +68,14 @@
 /// ```
 #[must_use]
 pub fn choose(candidates: &[Candidate], draw: usize) -> Option<usize> {
+    let drawn = |at: usize| draw >> (at % DRAWN_BITS) & 1 == 1;
+    let half: Vec<Candidate> = candidates
+        .iter()
+        .enumerate()
+        .filter(|(at, _)| candidates.len() >= HERD && drawn(*at))
+        .map(|(_, c)| *c)
+        .collect();
+    let candidates = if half.is_empty() { candidates } else { &half };
     let best = candidates
         .iter()
         .map(Candidate::cost)
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -17,7 +17,7 @@
 use super::servers::{Health, Need, Picked};
 use super::shared::Gateway;
 use super::suspicion::{Fingerprint, fingerprint};
-use super::{forward, stream};
+use super::{admission, forward, stream};
 use crate::ask;
 use crate::gate::Bounds;
 use crate::http::Body;
@@ -303,7 +303,7 @@
                 return Err(refusal(Cause::NoCapacity).retry_after(FULL_RETRY));
             }
             if let Some(picked) = servers.pick(&self.need(tries), now) {
-                return Ok(picked);
+                return self.admit(picked, tries);
             }
             if *self.gateway.stopping.borrow() {
                 return Err(refusal(Cause::Stopping).retry_after(STOPPING_RETRY));
@@ -335,6 +335,17 @@
         }
     }
 
+    /// Refuses a request that would wait too long in the queue of the best endpoint.
+    fn admit(&self, picked: Picked, tries: &Tries) -> Result<Picked, Refusal> {
+        if tries.ran > 0 || picked.wait <= admission::longest_wait(&self.route) {
+            return Ok(picked);
+        }
+        log::info!(id = self.call.id.as_str(), endpoint = picked.id.as_str(),
+            wait_ms = super::link::millis(picked.wait); "engines are full");
+        let retry = admission::retry_after(picked.wait, rand::random());
+        Err(Refusal::not_run(Cause::Overload).retry_after(retry))
+    }
+
     /// Whether the request may be sent once more.
     #[must_use]
     pub fn may_repeat(&self, tries: &Tries) -> bool {
--- a/src/gateway/servers.rs
+++ b/src/gateway/servers.rs
@@ -24,6 +24,10 @@
 const NEWEST: f64 = 0.12;
 /// Time after which the lease holder's view of an endpoint no longer outranks the server list.
 const VIEW_FRESH: Duration = Duration::from_secs(1);
+/// Time that a stream is assumed to run before one was seen.
+const RUN_TIME: Duration = Duration::from_secs(2);
+/// Weight of the newest stream in the time that streams run; about twenty count.
+const RUN_NEWEST: f64 = 0.05;
 /// Time for which a refused model counts as absent, unless the endpoint tells otherwise.
 const ABSENT: Duration = Duration::from_millis(400);
 
@@ -51,6 +55,12 @@
     pub closing: BTreeSet<String>,
     /// Requests running or waiting there, from all instances.
     pub load: u32,
+    /// Requests that its engine ran when it reported last.
+    pub running: u32,
+    /// Requests that waited in its engine then.
+    pub queued: u32,
+    /// Whether it is leaving.
+    pub leaving: bool,
 }
 
 /// An endpoint and what is believed of it.
@@ -69,6 +79,8 @@
     /// Requests of all instances, as the lease holder last told.
     told: u32,
     own: u32,
+    reported: (u32, u32),
+    sent: u32,
     absent: BTreeMap<Target, Duration>,
     failing: f64,
     strikes: u32,
@@ -88,6 +100,8 @@
             running: BTreeMap::new(),
             told: 0,
             own: 0,
+            reported: (0, 0),
+            sent: 0,
             absent: BTreeMap::new(),
             failing: 0.0,
             strikes: 0,
@@ -141,6 +155,16 @@
         self.lapses = None;
     }
 
+    /// Time that a request waits before it runs: the queue moves on as fast as runs end.
+    fn wait(&self, run_time: Duration) -> Duration {
+        let (running, queued) = self.reported;
+        if queued == 0 {
+            return Duration::ZERO;
+        }
+        let ahead = f64::from(queued + self.sent);
+        run_time.mul_f64(ahead / f64::from(running.max(1)))
+    }
+
     fn candidate(&self, index: usize, near: &str, shared: Option<&str>, now: Duration) -> Candidate {
         let cached = shared.is_some_and(|part| self.seen.values().any(|s| s.contains(part)));
         Candidate {
@@ -157,6 +181,7 @@
 
 #[derive(Debug, Default)]
 struct State {
+    run_time: Option<Duration>,
     arena: SlotMap<ServerKey, Server>,
     ids: BTreeMap<String, ServerKey>,
 }
@@ -170,6 +195,8 @@
     pub id: String,
     /// Its address.
     pub address: SocketAddr,
+    /// Time that a request is expected to wait there before it runs.
+    pub wait: Duration,
 }
 
 /// What a request needs of an endpoint.
@@ -317,6 +344,11 @@
                 server.models.clone_from(&view.models);
                 server.closing.clone_from(&view.closing);
                 server.told = view.load;
+                server.reported = (view.running, view.queued);
+                server.sent = 0;
+                if view.leaving {
+                    server.endpoint.state = EndpointState::Draining;
+                }
             }
         }
         self.bump();
@@ -344,9 +376,17 @@
             key: *key,
             id: server.endpoint.id.clone(),
             address: server.endpoint.address,
+            wait: server.wait(state.run_time.unwrap_or(RUN_TIME)),
         })
     }
 
+    /// Learns how long a stream ran after its first event.
+    pub fn ran(&self, time: Duration) {
+        let mut state = self.state();
+        let before = state.run_time.unwrap_or(RUN_TIME);
+        state.run_time = Some(before.mul_f64(1.0 - RUN_NEWEST) + time.mul_f64(RUN_NEWEST));
+    }
+
     /// Counts a request at an endpoint until the guard is dropped.
     #[must_use]
     pub fn enter(&self, key: ServerKey, target: Option<&Target>, shared: Option<&str>) -> Running {
@@ -354,6 +394,7 @@
         if let Some(server) = state.arena.get_mut(key) {
             server.own += 1;
             server.told += 1;
+            server.sent += 1;
             if let Some(target) = target {
                 *server.running.entry(target.clone()).or_default() += 1;
                 if let Some(part) = shared {
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -44,6 +44,8 @@
     pub allowance: Allowance,
     /// Window of the ceiling on loads.
     pub window: Duration,
+    /// Time after which a draining endpoint has to be left alone.
+    pub drain: Duration,
     /// Time after the store's return within which endpoints' entries are back.
     pub relist: Duration,
     /// Header in which endpoints repeat a request's id.
@@ -67,6 +69,7 @@
             terms: Terms::default(),
             allowance: Allowance::default(),
             window: Duration::from_secs(5),
+            drain: Duration::from_secs(2),
             relist: Duration::from_secs(2),
             echo: crate::http::REQUEST_ID.to_owned(),
             connections: 2048,
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -108,7 +108,7 @@
     let target = job.call.target.as_ref();
     let running = job.gateway.servers.enter(picked.key, target, shared);
     let started = job.now();
-    let limit = first_limit(job, tries);
+    let limit = first_limit(job, tries, picked.wait);
     let checked = match job.send(&picked, tries, last, limit).await {
         Sent::Answered(checked) => checked,
         Sent::Unrun | Sent::Failed => return Begun::Nothing,
@@ -148,9 +148,11 @@
 }
 
 /// Time for the first event, shorter where the request can be asked for elsewhere.
-fn first_limit(job: &Job, tries: &Tries) -> Duration {
+///
+/// A request that waits in a queue is not sent elsewhere: it would lose its place.
+fn first_limit(job: &Job, tries: &Tries, wait: Duration) -> Duration {
     let left = job.left();
-    if job.route.kind.repeats() && tries.ran + 1 < job.route.attempts {
+    if wait.is_zero() && job.route.kind.repeats() && tries.ran + 1 < job.route.attempts {
         let patience = job.route.objective * FIRST_PATIENCE;
         return left.min(patience.max(FIRST_PATIENCE_LEAST));
     }
@@ -200,6 +202,7 @@
     last: Option<u64>,
     status: u16,
 ) {
+    let started = job.now();
     let mut last = last_id(&first).or(last);
     if !outlet.pass(first).await {
         job.ended("caller-gone", &tries, status, &source.picked.id);
@@ -211,6 +214,7 @@
             End::Whole => {
                 let Source { picked, sender, running, .. } = source;
                 drop(running);
+                job.gateway.servers.ran(job.now().saturating_sub(started));
                 job.gateway.servers.learn(picked.key, Health::Good, job.now());
                 job.gateway.outbound.put(picked.address, sender);
                 job.ended("answered", &tries, status, &picked.id);
--- a/tests/endpoint_beliefs.rs
+++ b/tests/endpoint_beliefs.rs
@@ -111,7 +111,7 @@
         accepted: 3,
         models: BTreeMap::from([("z".into(), BTreeSet::new())]),
         closing: BTreeSet::new(),
-        load: 0,
+        ..View::default()
     };
     servers.view(&[view], NOW);
     let row = Endpoint {
@@ -131,7 +131,7 @@
         accepted: 1,
         models: BTreeMap::from([("m".into(), BTreeSet::new())]),
         closing: BTreeSet::from(["m".into()]),
-        load: 0,
+        ..View::default()
     };
     servers.view(&[view], NOW);
     assert_eq!(pick(&servers, "m", &[]), None);
@@ -173,3 +173,26 @@
     }
     assert_eq!(pick(&servers, "m", &[]).as_deref(), Some("good"));
 }
+
+/// Pattern: a model's only engine has a queue; the wait is known before the request is sent.
+#[test]
+fn queue_is_expected() {
+    let servers = two();
+    let view = View {
+        id: "1".into(),
+        born: 1,
+        accepted: 1,
+        models: BTreeMap::from([("m".into(), BTreeSet::new())]),
+        running: 8,
+        queued: 8,
+        ..View::default()
+    };
+    servers.view(&[view], NOW);
+    let need = Need {
+        service: "writers",
+        tried: &["2".into()],
+        ..Need::default()
+    };
+    // As many wait as run: the wait is one run, two seconds before any was seen.
+    assert_eq!(servers.pick(&need, NOW).unwrap().wait, Duration::from_secs(2));
+}
