--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -31,7 +31,11 @@
 /// ```
 #[must_use]
 pub fn longest_wait(route: &Route) -> Duration {
-    let share = if route.rank == 0 { URGENT_SHARE } else { WAIT_SHARE };
+    let share = if route.rank == 0 {
+        URGENT_SHARE
+    } else {
+        WAIT_SHARE
+    };
     route.objective.mul_f64(share)
 }
 
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -82,8 +82,8 @@
     let lease = Arc::new(Mutex::new(Lease::new(me.clone(), settings.terms)));
     let (whereabouts, known) = watch::channel(Whereabouts::default());
     let (linked, is_linked) = watch::channel(false);
-    let (heard, hears) = mpsc::channel(HEARD);
-    Orders::start(Arc::clone(gateway), Arc::clone(&lease), hears);
+    let (heard, inbox) = mpsc::channel(HEARD);
+    Orders::start(Arc::clone(gateway), Arc::clone(&lease), inbox);
     let keeper = LeaseKeeper {
         gateway: Arc::clone(gateway),
         lease,
@@ -92,7 +92,12 @@
         me,
     };
     tokio::spawn(keeper.run());
-    tokio::spawn(link::serve(Arc::clone(gateway), peers, known.clone(), heard));
+    tokio::spawn(link::serve(
+        Arc::clone(gateway),
+        peers,
+        known.clone(),
+        heard,
+    ));
     tokio::spawn(link::follow(Arc::clone(gateway), known, linked));
     tokio::spawn(feed::follow_config(Arc::clone(gateway)));
     let holding = gateway.holding.subscribe();
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -16,9 +16,6 @@
 const CONFIG: &str = "config";
 /// Table of the server list.
 const SERVERS: &str = "servers";
-/// Longest wait of one call for a change of the configuration; also the time after which a silent
-/// connection to the store is noticed.
-const CONFIG_WAIT: Duration = Duration::from_millis(5000);
 /// Share of the time to leave a draining endpoint alone after which the list's changes are read
 /// again; each call costs.
 const SERVERS_PACE: f64 = 0.35;
@@ -27,7 +24,7 @@
 /// The same at the holder of the lease, whose loads end at a row's change.
 const HOLDER_PACE: Duration = Duration::from_millis(250);
 /// Longest wait of one call for a change of the server list; it changes several times a second.
-const SERVERS_WAIT: Duration = Duration::from_millis(1000);
+const SERVERS_WAIT: Duration = Duration::from_secs(1);
 /// Pause after a failed call, first and longest; it doubles in between.
 const PAUSE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(800));
 /// Time for which endpoints are kept that vanish together: more than half of a service at once is
@@ -112,7 +109,7 @@
 pub async fn follow_config(gateway: Arc<Gateway>) {
     let mut follower = Follower::new(OPERATOR);
     loop {
-        let Some((batch, _)) = follower.next(&gateway, CONFIG_WAIT).await else {
+        let Some((batch, _)) = follower.next(&gateway, gateway.settings.config).await else {
             continue;
         };
         for row in batch.rows {
@@ -144,7 +141,9 @@
             away_until = now + gateway.settings.relist;
         }
         apply(&gateway, &batch, whole, away_until);
-        gateway.listed.send_if_modified(|l| !std::mem::replace(l, true));
+        gateway
+            .listed
+            .send_if_modified(|l| !std::mem::replace(l, true));
         let drain = gateway.settings.drain;
         let pace = if *holding.borrow() {
             HOLDER_PACE
--- a/src/gateway/keeper.rs
+++ b/src/gateway/keeper.rs
@@ -62,7 +62,8 @@
             }
             self.publish();
             let holding = self.lock().fence(self.gateway.now()).is_some();
-            self.pause(&mut stopping, if holding { LOOK } else { READ_EVERY }).await;
+            self.pause(&mut stopping, if holding { LOOK } else { READ_EVERY })
+                .await;
         }
     }
 
@@ -90,7 +91,9 @@
         let version = rows.first().map_or(0, |r| r.revision);
         let row = rows.first().and_then(parse);
         let mut lease = self.lock();
-        let mine = row.as_ref().is_some_and(|r| r.holder == self.me.holder && !r.released);
+        let mine = row
+            .as_ref()
+            .is_some_and(|r| r.holder == self.me.holder && !r.released);
         if holding && mine {
             // A renewal whose answer was lost; it was asked for no later than the last look.
             lease.granted(version, asked.saturating_sub(CALL));
--- a/src/gateway/lease.rs
+++ b/src/gateway/lease.rs
@@ -134,7 +134,11 @@
         };
         if self.fence.is_some() {
             let due = now >= self.renewed + self.terms.term / RENEWALS;
-            return if due { Step::Write(self.version) } else { Step::Wait };
+            return if due {
+                Step::Write(self.version)
+            } else {
+                Step::Wait
+            };
         }
         let free_at = match &self.row {
             None => seen,
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -238,15 +238,19 @@
 #[must_use]
 pub fn demand(gateway: &Gateway) -> Demand {
     let now = gateway.now();
-    let asked = gateway.board.take().into_iter().map(|((service, target), asked)| {
-        let first = asked.waiting.values().min().copied().unwrap_or(now);
-        Count {
-            count: u32::try_from(asked.waiting.len()).unwrap_or(u32::MAX),
-            arrivals: asked.arrivals,
-            millis: millis(now.saturating_sub(first)),
-            ..Count::new(&service, &target)
-        }
-    });
+    let asked = gateway
+        .board
+        .take()
+        .into_iter()
+        .map(|((service, target), asked)| {
+            let first = asked.waiting.values().min().copied().unwrap_or(now);
+            Count {
+                count: u32::try_from(asked.waiting.len()).unwrap_or(u32::MAX),
+                arrivals: asked.arrivals,
+                millis: millis(now.saturating_sub(first)),
+                ..Count::new(&service, &target)
+            }
+        });
     let asked = asked.collect();
     let mut running = Vec::new();
     for server in gateway.catalog().iter().flat_map(|c| engines(gateway, c)) {
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -43,7 +43,7 @@
 /// Time after which the demand of a silent instance no longer counts.
 const PEER_SILENT: Duration = Duration::from_secs(2);
 /// Time between two full views to an instance.
-const VIEW_EVERY: Duration = Duration::from_millis(1000);
+const VIEW_EVERY: Duration = Duration::from_secs(1);
 /// Change of an engine's load from which it is told at once.
 const LOAD_STEP: u32 = 6;
 
@@ -220,7 +220,11 @@
 
 impl Orders {
     /// Starts the actor; it hears other instances through the channel.
-    pub fn start(gateway: Arc<Gateway>, lease: Arc<Mutex<Lease>>, mut heard: mpsc::Receiver<Heard>) {
+    pub fn start(
+        gateway: Arc<Gateway>,
+        lease: Arc<Mutex<Lease>>,
+        mut heard: mpsc::Receiver<Heard>,
+    ) {
         let window = gateway.settings.window;
         let address = xtra::spawn_tokio(
             Self {
@@ -349,7 +353,11 @@
                 }
                 let since = now.saturating_sub(Duration::from_millis(count.millis.into()));
                 let want = wants.entry(count.target()).or_default();
-                want.since = if want.waiting == 0 { since } else { want.since.min(since) };
+                want.since = if want.waiting == 0 {
+                    since
+                } else {
+                    want.since.min(since)
+                };
                 want.waiting += count.count;
             }
             for count in &demand.running {
@@ -362,7 +370,10 @@
                     model: model.to_owned(),
                     adapter: adapter.cloned(),
                 };
-                running.get(&(id.as_str(), target)).copied().unwrap_or_default()
+                running
+                    .get(&(id.as_str(), target))
+                    .copied()
+                    .unwrap_or_default()
             };
             let models = book.models.iter().map(|(model, adapters)| {
                 let adapters: BTreeMap<String, u32> = adapters
@@ -530,7 +541,8 @@
         self.gateway.budgets().resize(live);
         for estimate in &estimates {
             let key = (estimate.place.clone(), estimate.target());
-            self.gateway.estimate(key, Duration::from_millis(estimate.millis.into()));
+            self.gateway
+                .estimate(key, Duration::from_millis(estimate.millis.into()));
         }
         let encoded: Vec<EngineView> = views.iter().map(EngineView::of).collect();
         for peer in self.peers.values_mut() {
@@ -540,7 +552,11 @@
                 config: link::newer_config(&self.gateway, peer.demand.version),
                 engines: peer.changed(&encoded, now),
                 estimates: estimates.clone(),
-                refused: if refused.len() == peer.refused { Vec::new() } else { refused.clone() },
+                refused: if refused.len() == peer.refused {
+                    Vec::new()
+                } else {
+                    refused.clone()
+                },
                 ..Outlook::default()
             };
             let due = now >= peer.whole + VIEW_EVERY;
@@ -567,13 +583,16 @@
                 if want.waiting == 0 || target.adapter.is_some() {
                     continue;
                 }
-                let loading = self.books.values().filter_map(|b| b.swap.as_ref()).find(|j| {
-                    matches!(&j.change, Change::Swap { model, .. } if *model == target.model)
-                });
+                let loading = self.books.values().filter_map(|b| b.swap.as_ref()).find(
+                    |j| matches!(&j.change, Change::Swap { model, .. } if *model == target.model),
+                );
                 let copied = self.books.values().any(|b| {
                     b.disk.contains(&target.model) || b.models.contains_key(&target.model)
                 });
-                let cold = engine.models.get(&target.model).map_or(Duration::ZERO, |m| m.cold);
+                let cold = engine
+                    .models
+                    .get(&target.model)
+                    .map_or(Duration::ZERO, |m| m.cold);
                 let ready_in = match loading {
                     Some(job) => job.until.saturating_sub(now),
                     None if copied => continue,
@@ -595,12 +614,19 @@
 
     fn settle(&mut self, settled: Settled) {
         let now = self.gateway.now();
-        if let Change::Swap { source: Source::Store, model, .. } = &settled.change {
+        if let Change::Swap {
+            source: Source::Store,
+            model,
+            ..
+        } = &settled.change
+        {
             let catalog = self.gateway.catalog();
-            let cold = catalog.iter().flat_map(|c| engines(c)).find_map(|(_, e)| {
-                e.models.get(model).map(|m| m.cold)
-            });
-            self.store.end(settled.took, cold, settled.outcome == Outcome::Done);
+            let cold = catalog
+                .iter()
+                .flat_map(|c| engines(c))
+                .find_map(|(_, e)| e.models.get(model).map(|m| m.cold));
+            self.store
+                .end(settled.took, cold, settled.outcome == Outcome::Done);
         }
         let Some(book) = self.books.get_mut(&settled.engine) else {
             return;
@@ -654,7 +680,10 @@
             let same = self.told.get(&view.id).is_some_and(|told| {
                 let near = told.load.abs_diff(view.load) < LOAD_STEP;
                 let queue = told.queued.abs_diff(view.queued) < LOAD_STEP;
-                near && queue && told.leaving == view.leaving && told.models == view.models && told.accepted == view.accepted
+                near && queue
+                    && told.leaving == view.leaving
+                    && told.models == view.models
+                    && told.accepted == view.accepted
             });
             if whole || !same {
                 self.told.insert(view.id.clone(), view.clone());
@@ -701,22 +730,19 @@
                 self.heard(&demand);
                 let urgent = demand.asked.iter().any(|c| c.count > 0);
                 let heard = self.gateway.now();
-                match self.peers.get_mut(&number) {
-                    Some(peer) => {
-                        peer.heard = heard;
-                        peer.demand = demand;
-                    }
-                    None => {
-                        let peer = Peer {
-                            demand,
-                            heard,
-                            answers,
-                            told: BTreeMap::new(),
-                            whole: Duration::ZERO,
-                            refused: 0,
-                        };
-                        self.peers.insert(number, peer);
-                    }
+                if let Some(peer) = self.peers.get_mut(&number) {
+                    peer.heard = heard;
+                    peer.demand = demand;
+                } else {
+                    let peer = Peer {
+                        demand,
+                        heard,
+                        answers,
+                        told: BTreeMap::new(),
+                        whole: Duration::ZERO,
+                        refused: 0,
+                    };
+                    self.peers.insert(number, peer);
                 }
                 if urgent && heard >= self.ran + RUN_EVERY {
                     self.run();
--- a/src/gateway/orders/give.rs
+++ b/src/gateway/orders/give.rs
@@ -33,6 +33,8 @@
 const LAGGING: u32 = 8;
 /// Time between two looks at whether a load has ended.
 const LOOK: Duration = Duration::from_millis(40);
+/// Share of a load's expected time after which its end is looked for.
+const LOOK_FROM: f64 = 0.9;
 /// Looks between two reports that are asked for meanwhile.
 const LOOKS_A_REPORT: u32 = 3;
 /// Loads take longer while many run; after this many times the expected time one has failed.
@@ -186,7 +188,13 @@
     async fn send(&self, order: &Order) -> Answer {
         let request = self.gateway.edges.wire.order(order);
         let outbound = &self.gateway.outbound;
-        let called = outbound.call(self.address, request, Freshness::Proved, ANSWER, REPORT_BYTES);
+        let called = outbound.call(
+            self.address,
+            request,
+            Freshness::Proved,
+            ANSWER,
+            REPORT_BYTES,
+        );
         let (answer, status) = match called.await {
             Err(error) => {
                 log::warn!(engine = self.engine.as_str(), action:% = order.action,
@@ -220,7 +228,13 @@
         let mut request = Request::new(Full::new(Bytes::new()));
         *request.uri_mut() = self.gateway.edges.wire.ask_report();
         let outbound = &self.gateway.outbound;
-        let call = outbound.call(self.address, request, Freshness::Proved, ANSWER, REPORT_BYTES);
+        let call = outbound.call(
+            self.address,
+            request,
+            Freshness::Proved,
+            ANSWER,
+            REPORT_BYTES,
+        );
         let answer = match call.await {
             Ok(answer) if answer.head.status == StatusCode::OK => answer,
             Ok(answer) => {
@@ -267,12 +281,14 @@
     async fn await_load(&self, target: &Target, takes: Duration) -> Outcome {
         let accepted = *self.accepted.lock().await;
         let end = self.gateway.now() + (takes * OVERRUN).max(OVERRUN_LEAST);
-        sleep(takes.mul_f64(0.9)).await;
+        let row = self.gateway.servers.endpoint(&self.engine);
+        let beat = row.map_or(0, |e| e.beat);
+        sleep(takes.mul_f64(LOOK_FROM)).await;
         for look in 0.. {
             if self.gateway.now() >= end {
                 break;
             }
-            if self.listed(target) {
+            if self.listed(target, beat) {
                 return Outcome::Done;
             }
             let reports = takes.is_zero() || look % LOOKS_A_REPORT == 0;
@@ -287,10 +303,10 @@
         Outcome::Overrun
     }
 
-    /// Whether the server list says that the engine holds a model.
-    fn listed(&self, target: &Target) -> bool {
+    /// Whether a newer row of the server list says that the engine holds a model.
+    fn listed(&self, target: &Target, beat: u64) -> bool {
         let endpoint = self.gateway.servers.endpoint(&self.engine);
-        endpoint.is_some_and(|e| held(&e.models, target))
+        endpoint.is_some_and(|e| e.beat > beat && held(&e.models, target))
     }
 }
 
--- a/src/gateway/orders/store_room.rs
+++ b/src/gateway/orders/store_room.rs
@@ -38,7 +38,11 @@
 
     /// What may begin now.
     pub(super) fn room(&mut self, engine: &Engine, now: Duration) -> StoreRoom {
-        while self.begun.front().is_some_and(|at| now >= *at + self.window) {
+        while self
+            .begun
+            .front()
+            .is_some_and(|at| now >= *at + self.window)
+        {
             self.begun.pop_front();
         }
         #[expect(
--- a/src/gateway/planner.rs
+++ b/src/gateway/planner.rs
@@ -86,7 +86,9 @@
 }
 
 /// Where the weights of a load come from.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, strum::Display, strum::IntoStaticStr)]
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, strum::Display, strum::IntoStaticStr,
+)]
 #[strum(serialize_all = "kebab-case")]
 pub enum Source {
     /// The engine's main memory.
@@ -297,7 +299,11 @@
         let ways = (0..self.engines.len()).filter_map(|at| self.way(model, at));
         let way = ways
             .filter(|w| w.source != Source::Store || store)
-            .min_by(|a, b| (a.source, a.loss).partial_cmp(&(b.source, b.loss)).unwrap_or(std::cmp::Ordering::Equal))?;
+            .min_by(|a, b| {
+                (a.source, a.loss)
+                    .partial_cmp(&(b.source, b.loss))
+                    .unwrap_or(std::cmp::Ordering::Equal)
+            })?;
         if way.source == Source::Store {
             if urgent && self.copy_soon(model) {
                 return None;
@@ -325,7 +331,11 @@
     /// Whether an engine with a copy of its own will be free sooner than the weight store delivers.
     fn copy_soon(&self, model: &str) -> bool {
         let copied = |e: &EngineState| !e.leaving && source(e, model) != Source::Store;
-        let cold = self.spec.models.get(model).map_or(Duration::ZERO, |m| m.cold);
+        let cold = self
+            .spec
+            .models
+            .get(model)
+            .map_or(Duration::ZERO, |m| m.cold);
         let waited = self.now.saturating_sub(self.demand(model).since);
         waited < cold / 2 && self.engines.iter().any(copied)
     }
@@ -376,9 +386,11 @@
     fn loss(&self, engine: &EngineState, name: &str) -> f64 {
         #[expect(clippy::cast_precision_loss, reason = "a small count")]
         let replicas = self.replicas(name).max(1) as f64;
-        let again = self.spec.models.get(name).map_or(1.0, |m| {
-            load_time(m, source(engine, name)).as_secs_f64()
-        });
+        let again = self
+            .spec
+            .models
+            .get(name)
+            .map_or(1.0, |m| load_time(m, source(engine, name)).as_secs_f64());
         let rate = self.demand(name).rate;
         (rate + 1e-3) * again / (replicas * replicas)
     }
@@ -430,7 +442,9 @@
         let engine = &mut self.engines[at];
         for old in &out {
             if let Some(holding) = engine.models.get_mut(&old.model) {
-                holding.adapters.remove(old.adapter.as_deref().unwrap_or_default());
+                holding
+                    .adapters
+                    .remove(old.adapter.as_deref().unwrap_or_default());
             }
         }
         engine.coming.insert(target.clone());
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -29,7 +29,7 @@
 /// Time after which a caller may come back where this instance stops: another one takes it.
 const STOPPING_RETRY: Duration = Duration::from_millis(50);
 /// Time after which a caller may come back where no endpoint takes work: they restart in seconds.
-const NO_ENDPOINT_RETRY: Duration = Duration::from_millis(1000);
+const NO_ENDPOINT_RETRY: Duration = Duration::from_secs(1);
 /// Time after which a caller may come back where endpoints were full.
 const FULL_RETRY: Duration = Duration::from_millis(250);
 /// Least time before a caller gives up in which a request is still sent: connect and prefill.
@@ -329,7 +329,10 @@
                     "no endpoint holds the model; waiting");
             }
             let pause = give_up.saturating_sub(now).min(LOOK_AGAIN);
-            if tokio::time::timeout(pause, changes.changed()).await.is_ok_and(|c| c.is_err()) {
+            if tokio::time::timeout(pause, changes.changed())
+                .await
+                .is_ok_and(|c| c.is_err())
+            {
                 return Err(refusal(Cause::Stopping));
             }
         }
@@ -372,7 +375,10 @@
         tries.sends += 1;
         self.gateway.stats.sent(&self.service, tries.sends > 1);
         let request = self.request(picked, resume);
-        let sent = self.gateway.outbound.send(picked.address, request, Freshness::Proved, limit);
+        let sent = self
+            .gateway
+            .outbound
+            .send(picked.address, request, Freshness::Proved, limit);
         tries.sending = true;
         let result = sent.await;
         tries.sending = false;
@@ -393,7 +399,11 @@
         let dispatch = Dispatch {
             left: self.left(),
             endpoint: picked.id.clone(),
-            urgency: self.route.kind.streams().then(|| self.route.rank.min(8) + 1),
+            urgency: self
+                .route
+                .kind
+                .streams()
+                .then(|| self.route.rank.min(8) + 1),
             resume,
         };
         let headers = request.headers_mut();
@@ -401,12 +411,7 @@
         request
     }
 
-    fn judge(
-        &self,
-        picked: &Picked,
-        tries: &mut Tries,
-        result: Result<Reply, SendError>,
-    ) -> Sent {
+    fn judge(&self, picked: &Picked, tries: &mut Tries, result: Result<Reply, SendError>) -> Sent {
         let now = self.now();
         let servers = &self.gateway.servers;
         let reply = match result {
--- a/src/gateway/servers.rs
+++ b/src/gateway/servers.rs
@@ -165,7 +165,13 @@
         run_time.mul_f64(ahead / f64::from(running.max(1)))
     }
 
-    fn candidate(&self, index: usize, near: &str, shared: Option<&str>, now: Duration) -> Candidate {
+    fn candidate(
+        &self,
+        index: usize,
+        near: &str,
+        shared: Option<&str>,
+        now: Duration,
+    ) -> Candidate {
         let cached = shared.is_some_and(|part| self.seen.values().any(|s| s.contains(part)));
         Candidate {
             index,
@@ -335,8 +341,8 @@
                 let Some(server) = key.and_then(|k| state.arena.get_mut(k)) else {
                     continue;
                 };
-                let stale = view.accepted < server.accepted;
-                if view.born != server.endpoint.born || stale {
+                let older = view.accepted < server.accepted;
+                if view.born != server.endpoint.born || older {
                     continue;
                 }
                 server.viewed = Some(now);
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -44,6 +44,9 @@
     pub allowance: Allowance,
     /// Window of the ceiling on loads.
     pub window: Duration,
+    /// Time after which a new configuration has to be in force; also the longest wait of one call
+    /// for it, so that a silent connection to the store is noticed about then.
+    pub config: Duration,
     /// Time after which a draining endpoint has to be left alone.
     pub drain: Duration,
     /// Time after the store's return within which endpoints' entries are back.
@@ -69,6 +72,7 @@
             terms: Terms::default(),
             allowance: Allowance::default(),
             window: Duration::from_secs(5),
+            config: Duration::from_secs(2),
             drain: Duration::from_secs(2),
             relist: Duration::from_secs(2),
             echo: crate::http::REQUEST_ID.to_owned(),
@@ -138,7 +142,11 @@
         };
         let key = (service.to_owned(), target.clone());
         let mut asked = self.lock();
-        asked.entry(key.clone()).or_default().waiting.insert(number, now);
+        asked
+            .entry(key.clone())
+            .or_default()
+            .waiting
+            .insert(number, now);
         drop(asked);
         self.changed.notify_one();
         WaitGuard {
@@ -298,7 +306,9 @@
 
     /// Requests that crash endpoints.
     pub fn suspicion(&self) -> MutexGuard<'_, Suspicion> {
-        self.suspicion.lock().unwrap_or_else(PoisonError::into_inner)
+        self.suspicion
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Puts a configuration in force, unless a newer one is.
@@ -330,7 +340,10 @@
     /// Takes over an estimate of the time until a cold model can be served.
     pub fn estimate(&self, key: BoardKey, ready_in: Duration) {
         let now = self.now();
-        let mut estimates = self.estimates.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut estimates = self
+            .estimates
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
         estimates.retain(|_, (told, _)| now < *told + ESTIMATE_FRESH);
         estimates.insert(key, (now, ready_in));
     }
@@ -339,7 +352,10 @@
     #[must_use]
     pub fn estimated(&self, service: &str, target: &Target) -> Option<Duration> {
         let now = self.now();
-        let estimates = self.estimates.lock().unwrap_or_else(PoisonError::into_inner);
+        let estimates = self
+            .estimates
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
         let base = Target {
             model: target.model.clone(),
             adapter: None,
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -22,7 +22,7 @@
 /// Objectives after which a stream without a first event is asked for at another endpoint.
 const FIRST_PATIENCE: u32 = 2;
 /// Least such time: shorter ones would give up a batch that is only full.
-const FIRST_PATIENCE_LEAST: Duration = Duration::from_millis(1000);
+const FIRST_PATIENCE_LEAST: Duration = Duration::from_secs(1);
 /// Accepted pauses after which a stream is taken for broken, where it can go on elsewhere.
 const GAP_PATIENCE: u32 = 4;
 /// Time for a broken stream to go on; callers give up a stream after a pause of two seconds.
@@ -166,18 +166,14 @@
     reply: crate::outbound::Reply,
 ) -> Begun {
     let read = reply.read(&job.gateway.outbound, ANSWER_BYTES);
-    match tokio::time::timeout(job.left(), read).await {
-        Ok(Ok(answer)) => {
-            let mut head = answer.head;
-            strip(&mut head.headers);
-            head.headers.remove(CONTENT_LENGTH);
-            Begun::Plain(Response::from_parts(head, full(answer.body)), picked.id)
-        }
-        Ok(Err(_)) | Err(_) => {
-            failed(job, &picked, tries, End::Cut);
-            Begun::Nothing
-        }
-    }
+    let Ok(Ok(answer)) = tokio::time::timeout(job.left(), read).await else {
+        failed(job, &picked, tries, End::Cut);
+        return Begun::Nothing;
+    };
+    let mut head = answer.head;
+    strip(&mut head.headers);
+    head.headers.remove(CONTENT_LENGTH);
+    Begun::Plain(Response::from_parts(head, full(answer.body)), picked.id)
 }
 
 fn failed(job: &Job, picked: &Picked, tries: &mut Tries, end: End) {
@@ -212,10 +208,17 @@
         let end = drain(&job, &tries, &mut source, &mut outlet, &mut last).await;
         match end {
             End::Whole => {
-                let Source { picked, sender, running, .. } = source;
+                let Source {
+                    picked,
+                    sender,
+                    running,
+                    ..
+                } = source;
                 drop(running);
                 job.gateway.servers.ran(job.now().saturating_sub(started));
-                job.gateway.servers.learn(picked.key, Health::Good, job.now());
+                job.gateway
+                    .servers
+                    .learn(picked.key, Health::Good, job.now());
                 job.gateway.outbound.put(picked.address, sender);
                 job.ended("answered", &tries, status, &picked.id);
                 return;
@@ -228,14 +231,13 @@
                 failed(&job, &source.picked, &mut tries, end);
                 let endpoint = source.picked.id.clone();
                 drop(source);
-                match resume(&mut job, &mut tries, &mut outlet, &mut last).await {
-                    Some(next) => source = next,
-                    None => {
-                        job.ended("cut", &tries, status, &endpoint);
-                        outlet.cut().await;
-                        return;
-                    }
-                }
+                let next = resume(&mut job, &mut tries, &mut outlet, &mut last).await;
+                let Some(next) = next else {
+                    job.ended("cut", &tries, status, &endpoint);
+                    outlet.cut().await;
+                    return;
+                };
+                source = next;
             }
         }
     }
--- a/src/gateway/suspicion.rs
+++ b/src/gateway/suspicion.rs
@@ -9,7 +9,7 @@
 /// Breaks after which a request is refused: the bound that the platform sets for crashes.
 const BREAKS: u32 = 3;
 /// Time for which breaks are remembered; a caller that repeats such a request does so for minutes.
-const REMEMBERED: Duration = Duration::from_secs(300);
+const REMEMBERED: Duration = Duration::from_mins(5);
 /// Most fingerprints that are remembered.
 const REMEMBERED_MOST: usize = 4096;
 
--- a/src/outbound.rs
+++ b/src/outbound.rs
@@ -20,6 +20,9 @@
 
 use crate::verdict::Verdict;
 
+/// Shortest time between two keep-alive probes that the operating system takes.
+const PROBE_LEAST: Duration = Duration::from_secs(1);
+
 /// Bounds of outgoing connections.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct OutboundSettings {
@@ -267,7 +270,7 @@
         socket.set_tcp_user_timeout(Some(self.settings.unacked))?;
         let probes = TcpKeepalive::new()
             .with_time(self.settings.unacked)
-            .with_interval(self.settings.connect)
+            .with_interval(self.settings.connect.max(PROBE_LEAST))
             .with_retries(2);
         socket.set_tcp_keepalive(&probes)
     }
--- a/tests/endpoint_beliefs.rs
+++ b/tests/endpoint_beliefs.rs
@@ -1,7 +1,5 @@
 //! What an instance believes of endpoints and which one it picks.
 
-#![expect(clippy::unwrap_used, reason = "a failed step fails the test")]
-
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -194,5 +192,8 @@
         ..Need::default()
     };
     // As many wait as run: the wait is one run, two seconds before any was seen.
-    assert_eq!(servers.pick(&need, NOW).unwrap().wait, Duration::from_secs(2));
+    assert_eq!(
+        servers.pick(&need, NOW).unwrap().wait,
+        Duration::from_secs(2)
+    );
 }
--- a/tests/load_plans.rs
+++ b/tests/load_plans.rs
@@ -34,7 +34,10 @@
         loads: 4.0,
         disk: 1300.0,
         backups: false,
-        models: models.iter().map(|m| ((*m).to_owned(), model.clone())).collect(),
+        models: models
+            .iter()
+            .map(|m| ((*m).to_owned(), model.clone()))
+            .collect(),
     }
 }
 
@@ -42,7 +45,10 @@
     let names: BTreeSet<String> = models.iter().map(|m| (*m).to_owned()).collect();
     EngineState {
         id: id.into(),
-        models: names.iter().map(|m| (m.clone(), Holding::default())).collect(),
+        models: names
+            .iter()
+            .map(|m| (m.clone(), Holding::default()))
+            .collect(),
         disk: names,
         ..EngineState::default()
     }
@@ -183,11 +189,18 @@
     let mut full = engine("1", &["a"]);
     let holding = full.models.get_mut("a").unwrap();
     holding.adapters = BTreeMap::from([("a1".into(), 1), ("a2".into(), 0)]);
-    let steps = decide(&spec(&["a"]), vec![full], &[(on("a", Some("a3")), waiting(1))]);
+    let steps = decide(
+        &spec(&["a"]),
+        vec![full],
+        &[(on("a", Some("a3")), waiting(1))],
+    );
     let Change::Adapter { out, target } = &steps[0].change else {
         panic!("an adapter was expected");
     };
-    assert_eq!((out.as_slice(), target), (&[on("a", Some("a2"))][..], &on("a", Some("a3"))));
+    assert_eq!(
+        (out.as_slice(), target),
+        (&[on("a", Some("a2"))][..], &on("a", Some("a3")))
+    );
 }
 
 /// No plan ever takes more memory or places than an engine has, whatever it holds and runs.
--- a/tests/order_lease.rs
+++ b/tests/order_lease.rs
@@ -123,7 +123,10 @@
                 if let Some((before, until)) = last
                     && before != holder
                 {
-                    assert!(now >= until + TERMS.quiet, "{before} then {holder} at {now:?}");
+                    assert!(
+                        now >= until + TERMS.quiet,
+                        "{before} then {holder} at {now:?}"
+                    );
                 }
                 last = Some((holder, now));
             }
--- a/tests/order_settling.rs
+++ b/tests/order_settling.rs
@@ -45,7 +45,10 @@
 #[test]
 fn other_order_took_the_count() {
     let unload = order(Action::Unload, Some("a4"));
-    assert_eq!(settle(&unload, &report(6, &["a4", "a15"]), 0), Settled::Other);
+    assert_eq!(
+        settle(&unload, &report(6, &["a4", "a15"]), 0),
+        Settled::Other
+    );
 }
 
 #[test]
@@ -61,5 +64,8 @@
         busy: true,
         ..report(7, &[])
     };
-    assert_eq!(settle(&order(Action::Unload, None), &busy, 0), Settled::Again);
+    assert_eq!(
+        settle(&order(Action::Unload, None), &busy, 0),
+        Settled::Again
+    );
 }
--- a/tests/shared_budget.rs
+++ b/tests/shared_budget.rs
@@ -31,7 +31,10 @@
         for requests in [10, 100, 1000] {
             let all = f64::from(spent(instances, requests) * instances);
             let bound = f64::from(requests * instances) * ALLOWANCE.ratio + ALLOWANCE.slack;
-            assert!(all <= bound, "{instances} instances, {requests} requests: {all}");
+            assert!(
+                all <= bound,
+                "{instances} instances, {requests} requests: {all}"
+            );
         }
     }
 }
