--- a/tests/load_plans.rs
+++ b/tests/load_plans.rs
@@ -1,7 +1,5 @@
 //! Which engine loads what, by pattern of load.
 
-#![expect(clippy::unwrap_used, reason = "a failed step fails the test")]
-
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
