--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -13,6 +13,11 @@
 const WAIT_SHARE: f64 = 0.7;
 /// The same for the most urgent rank, which engines take before the others in their queue.
 const URGENT_SHARE: f64 = 1.4;
+/// Objectives for which a request waits for a model of which nobody knows when it is ready: a
+/// later answer is worth little, and the caller can still come back.
+const UNKNOWN_OBJECTIVES: u32 = 2;
+/// Least such time: a load from an engine's disk and the order for it.
+const UNKNOWN_LEAST: Duration = Duration::from_millis(1800);
 /// Least time to come back.
 const RETRY_LEAST: Duration = Duration::from_millis(300);
 /// Spread of the times to come back.
@@ -39,6 +44,22 @@
     route.objective.mul_f64(share)
 }
 
+/// Longest wait for a model of which nobody knows when it is ready.
+///
+/// # Examples
+///
+/// ```
+/// use brassrack::gateway::admission::longest_unknown;
+/// use brassrack::gateway::catalog::Route;
+///
+/// let route = Route::example();
+/// assert_eq!(longest_unknown(&route), route.objective * 2);
+/// ```
+#[must_use]
+pub fn longest_unknown(route: &Route) -> Duration {
+    (route.objective * UNKNOWN_OBJECTIVES).max(UNKNOWN_LEAST)
+}
+
 /// Time after which a request that would have to wait may come back, by a uniform draw from 0
 /// to 1.
 ///
--- a/src/gateway/lease.rs
+++ b/src/gateway/lease.rs
@@ -16,6 +16,8 @@
     pub term: Duration,
     /// Time without orders between two holders.
     pub quiet: Duration,
+    /// Time for which this instance leaves a free lease to stronger ones.
+    pub handicap: Duration,
 }
 
 impl Default for Terms {
@@ -23,6 +25,7 @@
         Self {
             term: Duration::from_secs(5),
             quiet: Duration::from_secs(3),
+            handicap: Duration::ZERO,
         }
     }
 }
@@ -140,11 +143,16 @@
                 Step::Wait
             };
         }
+        let Terms {
+            term,
+            quiet,
+            handicap,
+        } = self.terms;
         let free_at = match &self.row {
-            None => seen,
+            None => seen + handicap,
             Some(row) if row.holder == self.me.holder => seen,
-            Some(row) if row.released => seen + self.terms.quiet,
-            Some(_) => seen + self.terms.term + self.terms.quiet,
+            Some(row) if row.released => seen + quiet + handicap,
+            Some(_) => seen + term + quiet + handicap,
         };
         if now >= free_at {
             Step::Write(self.version)
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -26,6 +26,8 @@
 const MAILBOX: usize = 1024;
 /// Time between two plans where nothing changes.
 const TICK: Duration = Duration::from_millis(50);
+/// Least time between two tellings of what did not change by an order.
+const TELL_EVERY: Duration = Duration::from_millis(45);
 /// Least time between two plans that demand asks for; the time of one order's answer.
 const RUN_EVERY: Duration = Duration::from_millis(10);
 /// Time between two reports that are asked of an engine without a running order.
@@ -192,6 +194,8 @@
     peers: BTreeMap<u64, Peer>,
     own: Demand,
     ran: Duration,
+    told: Duration,
+    dirty: bool,
     rates: BTreeMap<BoardKey, Rate>,
     books: BTreeMap<String, Book>,
     store: StoreLoads,
@@ -234,6 +238,8 @@
                 peers: BTreeMap::new(),
                 own: Demand::default(),
                 ran: Duration::ZERO,
+                told: Duration::ZERO,
+                dirty: false,
                 rates: BTreeMap::new(),
                 books: BTreeMap::new(),
                 store: StoreLoads::new(window),
@@ -306,7 +312,11 @@
         }
         let slots = engines(&catalog).map(|(_, e)| e.slots).max().unwrap_or(1);
         self.ask_reports(slots, now);
-        self.tell(&catalog, now);
+        if now >= self.told + TELL_EVERY || self.dirty {
+            self.told = now;
+            self.dirty = false;
+            self.tell(&catalog, now);
+        }
     }
 
     /// Forgets what only a holder knows.
@@ -448,6 +458,7 @@
                     fence = fence; "adapter load decided");
             }
         }
+        self.dirty = true;
         let Some(me) = self.me.clone() else {
             return;
         };
@@ -768,6 +779,7 @@
 
     async fn handle(&mut self, message: Settled, _ctx: &mut Context<Self>) {
         self.settle(message);
+        self.dirty = true;
         self.run();
     }
 }
--- a/src/gateway/pick.rs
+++ b/src/gateway/pick.rs
@@ -15,6 +15,8 @@
     pub cached: bool,
     /// Share of its recent answers that failed, 0 to 1.
     pub failing: f64,
+    /// Time between its events against that of its fellows; 1 where it is as fast as they are.
+    pub slowness: f64,
     /// Whether it is out of use for a short time after failures in a row.
     pub ejected: bool,
 }
@@ -27,6 +29,10 @@
 const CACHED_SHARE: f64 = 0.08;
 /// Cost of an endpoint that fails all requests, as a share of its slots: more than a full one.
 const FAILING_SHARE: f64 = 2.0;
+/// Slowness from which an endpoint is avoided; models differ by less than this.
+const SLOW_FROM: f64 = 2.5;
+/// Cost of each further multiple, as a share of an endpoint's slots.
+const SLOW_SHARE: f64 = 0.5;
 /// Cost of an ejected endpoint: used only where no other is left.
 const EJECTED_SHARE: f64 = 100.0;
 /// Cost of each request beyond the slots, which waits for another to end.
@@ -45,6 +51,7 @@
             + flag(!self.near, NEAR_SHARE)
             + flag(!self.cached, CACHED_SHARE)
             + self.failing * FAILING_SHARE
+            + (self.slowness - SLOW_FROM).max(0.0) * SLOW_SHARE
             + flag(self.ejected, EJECTED_SHARE)
     }
 }
@@ -61,7 +68,8 @@
 /// use brassrack::gateway::pick::{Candidate, choose};
 ///
 /// let idle = Candidate {
-///     index: 0, load: 0, slots: 6, near: true, cached: false, failing: 0.0, ejected: false,
+///     index: 0, load: 0, slots: 6, near: true, cached: false, failing: 0.0,
+///     slowness: 1.0, ejected: false,
 /// };
 /// let busy = Candidate { index: 1, load: 6, ..idle };
 /// assert_eq!(choose(&[busy, idle], 0), Some(0));
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -314,10 +314,15 @@
             if servers.ready(&self.service) == 0 {
                 return Err(refusal(Cause::NoEndpoint).retry_after(NO_ENDPOINT_RETRY));
             }
-            if let Some(ready_in) = self.gateway.estimated(&self.service, target)
-                && now + ready_in > give_up
-            {
-                return Err(refusal(Cause::DeadlineTooShort).retry_after(ready_in));
+            let estimated = self.gateway.estimated(&self.service, target);
+            let unknown = admission::longest_unknown(&self.route);
+            let refuse = match estimated {
+                Some(ready_in) => now + ready_in > give_up,
+                None => now > self.arrived + unknown && tries.ran == 0,
+            };
+            if refuse {
+                let again = estimated.unwrap_or(NO_ENDPOINT_RETRY);
+                return Err(refusal(Cause::DeadlineTooShort).retry_after(again));
             }
             if waiting.is_none() {
                 let board = &self.gateway.board;
--- a/src/gateway/servers.rs
+++ b/src/gateway/servers.rs
@@ -24,6 +24,8 @@
 const NEWEST: f64 = 0.12;
 /// Time after which the lease holder's view of an endpoint no longer outranks the server list.
 const VIEW_FRESH: Duration = Duration::from_secs(1);
+/// Time after which an endpoint's pace no longer counts, so that a slow one is tried again.
+const PACE_FRESH: Duration = Duration::from_secs(4);
 /// Time that a stream is assumed to run before one was seen.
 const RUN_TIME: Duration = Duration::from_secs(2);
 /// Weight of the newest stream in the time that streams run; about twenty count.
@@ -83,6 +85,8 @@
     sent: u32,
     absent: BTreeMap<Target, Duration>,
     failing: f64,
+    /// Time between its events, and when that was seen.
+    gap: Option<(Duration, Duration)>,
     strikes: u32,
     ejected: Duration,
     viewed: Option<Duration>,
@@ -104,6 +108,7 @@
             sent: 0,
             absent: BTreeMap::new(),
             failing: 0.0,
+            gap: None,
             strikes: 0,
             ejected: Duration::ZERO,
             viewed: None,
@@ -165,13 +170,10 @@
         run_time.mul_f64(ahead / f64::from(running.max(1)))
     }
 
-    fn candidate(
-        &self,
-        index: usize,
-        near: &str,
-        shared: Option<&str>,
-        now: Duration,
-    ) -> Candidate {
+    fn candidate(&self, index: usize, need: &Need<'_>, gap: Duration, now: Duration) -> Candidate {
+        let (near, shared) = (need.domain, need.shared);
+        let seen = self.gap.filter(|(_, at)| now < *at + PACE_FRESH);
+        let own = seen.map_or(gap, |(own, _)| own).as_secs_f64();
         let cached = shared.is_some_and(|part| self.seen.values().any(|s| s.contains(part)));
         Candidate {
             index,
@@ -180,6 +182,11 @@
             near: self.endpoint.domain == near,
             cached,
             failing: self.failing,
+            slowness: if gap.is_zero() {
+                1.0
+            } else {
+                own / gap.as_secs_f64()
+            },
             ejected: self.ejected > now,
         }
     }
@@ -187,6 +194,8 @@
 
 #[derive(Debug, Default)]
 struct State {
+    /// Usual time between two events.
+    gap: Duration,
     run_time: Option<Duration>,
     arena: SlotMap<ServerKey, Server>,
     ids: BTreeMap<String, ServerKey>,
@@ -375,7 +384,7 @@
         let candidates: Vec<Candidate> = fitting
             .iter()
             .enumerate()
-            .map(|(at, (_, s))| s.candidate(at, need.domain, need.shared, now))
+            .map(|(at, (_, s))| s.candidate(at, need, state.gap, now))
             .collect();
         let (key, server) = fitting.get(choose(&candidates, rand::random::<u16>().into())?)?;
         Some(Picked {
@@ -386,6 +395,17 @@
         })
     }
 
+    /// Learns the time between two events of an endpoint, from some of them in a row.
+    pub fn paced(&self, key: ServerKey, gap: Duration, now: Duration) {
+        let mut state = self.state();
+        let usual = if state.gap.is_zero() { gap } else { state.gap };
+        state.gap = usual.mul_f64(1.0 - RUN_NEWEST) + gap.min(usual * 4).mul_f64(RUN_NEWEST);
+        if let Some(server) = state.arena.get_mut(key) {
+            let before = server.gap.map_or(gap, |(before, _)| before);
+            server.gap = Some(((before + gap) / 2, now));
+        }
+    }
+
     /// Learns how long a stream ran after its first event.
     pub fn ran(&self, time: Duration) {
         let mut state = self.state();
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -25,6 +25,8 @@
 const FIRST_PATIENCE_LEAST: Duration = Duration::from_secs(1);
 /// Accepted pauses after which a stream is taken for broken, where it can go on elsewhere.
 const GAP_PATIENCE: u32 = 4;
+/// Parts of a stream over which an endpoint's pace is measured.
+const PACE_PARTS: u32 = 6;
 /// Time for a broken stream to go on; callers give up a stream after a pause of two seconds.
 const RESUME_PATIENCE: Duration = Duration::from_millis(1800);
 /// Longest pause that is accepted where the route names none.
@@ -251,11 +253,19 @@
     outlet: &mut Outlet,
     last: &mut Option<u64>,
 ) -> End {
+    let (mut since, mut parts) = (job.now(), 0);
     loop {
         let left = job.left();
         if left.is_zero() {
             return End::Silent;
         }
+        if parts == PACE_PARTS {
+            let gap = job.now().saturating_sub(since) / PACE_PARTS;
+            let now = job.now();
+            job.gateway.servers.paced(source.picked.key, gap, now);
+            (since, parts) = (job.now(), 0);
+        }
+        parts += 1;
         let resumable = job.route.kind.repeats() && tries.ran + 1 < job.route.attempts;
         let limit = if resumable {
             left.min(job.route.gap.unwrap_or(GAP) * GAP_PATIENCE)
--- a/tests/endpoint_beliefs.rs
+++ b/tests/endpoint_beliefs.rs
@@ -197,3 +197,28 @@
         Duration::from_secs(2)
     );
 }
+
+/// Pattern: one of two engines has turned slow while it answers everything.
+#[test]
+fn slow_engine_is_avoided() {
+    let servers = Servers::default();
+    servers.adopt(endpoint("slow", &["m"]), NOW);
+    servers.adopt(endpoint("fast", &["m"]), NOW);
+    let only = |tried: &[String]| {
+        let need = Need {
+            service: "writers",
+            domain: "east",
+            tried,
+            ..Need::default()
+        };
+        servers.pick(&need, NOW).unwrap().key
+    };
+    let (slow, fast) = (only(&["fast".into()]), only(&["slow".into()]));
+    for _ in 0..20 {
+        servers.paced(fast, Duration::from_millis(30), NOW);
+    }
+    for _ in 0..5 {
+        servers.paced(slow, Duration::from_millis(240), NOW);
+    }
+    assert_eq!(pick(&servers, "m", &[]).as_deref(), Some("fast"));
+}
--- a/tests/order_lease.rs
+++ b/tests/order_lease.rs
@@ -7,6 +7,7 @@
 const TERMS: Terms = Terms {
     term: Duration::from_secs(5),
     quiet: Duration::from_secs(3),
+    handicap: Duration::ZERO,
 };
 
 fn at(seconds: u64) -> Duration {
@@ -32,6 +33,19 @@
     assert_eq!(lease.step(at(1)), Step::Write(0));
 }
 
+/// Pattern: instances of unequal strength start together; the holder plans for all of them.
+#[test]
+fn weak_instance_claims_later() {
+    let terms = Terms {
+        handicap: Duration::from_secs(1),
+        ..TERMS
+    };
+    let mut lease = Lease::new(row("me"), terms);
+    lease.observe(None, 0, at(1));
+    assert_eq!(lease.step(at(1)), Step::Wait);
+    assert_eq!(lease.step(at(2)), Step::Write(0));
+}
+
 #[test]
 fn fence_is_the_claim() {
     let mut lease = lease();
