Links carry the lease through outages of the store; a shorter term

Ruled out: load slots, busy engines. Change: a holder goes on while every instance that could succeed it echoed its clock within the term; a linked instance begins its wait for a takeover anew.

--- a/src/gateway/keeper.rs
+++ b/src/gateway/keeper.rs
@@ -40,12 +40,19 @@
     pub async fn run(self) {
         let mut stopping = self.gateway.stopping.subscribe();
         let mut doubt = false;
+        let mut was_linked = false;
         loop {
             if *stopping.borrow() {
                 return self.release().await;
             }
-            let holding = self.lock().fence(self.gateway.now()).is_some();
-            if !holding && *self.linked.borrow() {
+            let now = self.gateway.now();
+            let holding = self.lock().fence(now).is_some();
+            let linked = *self.linked.borrow();
+            if linked || was_linked {
+                self.lock().vouch(now);
+            }
+            was_linked = linked;
+            if !holding && linked {
                 self.publish();
                 self.pause(&mut stopping, LOOK).await;
                 continue;
--- a/src/gateway/lease.rs
+++ b/src/gateway/lease.rs
@@ -3,6 +3,10 @@
 //! The row's version at takeover is the fencing token. A holder stops by its own clock, which runs
 //! while the machine is suspended; a successor waits for the term and for the time that orders
 //! have to stay quiet between two holders.
+//!
+//! An instance with a link to the holder begins that wait only when the link is gone. So while the
+//! store is away a holder goes on for as long as every instance that could succeed it was heard
+//! within the term.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -23,7 +27,7 @@
 impl Default for Terms {
     fn default() -> Self {
         Self {
-            term: Duration::from_secs(5),
+            term: Duration::from_millis(2500),
             quiet: Duration::from_secs(3),
             handicap: Duration::ZERO,
         }
@@ -35,6 +39,13 @@
 /// Longest answer time of the store that a renewal allows for before the term's end.
 const MARGIN: Duration = Duration::from_millis(100);
 
+/// Time by which an instance may have vouched before it was heard: the keeper's interval, and as
+/// much again for a late timer.
+const VOUCH_LAG: Duration = Duration::from_millis(300);
+/// Longest time that a holder goes on without the store; outages last up to nine seconds. It bounds
+/// what an instance that started meanwhile and reaches only the store can do.
+const EXTENDED_MOST: Duration = Duration::from_secs(14);
+
 /// The row of the lease.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaseRow {
@@ -129,6 +140,28 @@
         (row.holder != self.me.holder && !row.released).then_some(row)
     }
 
+    /// Begins the wait for a takeover anew: there is a link to the holder.
+    pub const fn vouch(&mut self, now: Duration) {
+        if self.seen.is_some() {
+            self.seen = Some(now);
+        }
+    }
+
+    /// Goes on without the store, where every possible successor was heard after a time.
+    pub fn extend(&mut self, heard: Duration) {
+        let bound = (heard + self.terms.term).saturating_sub(VOUCH_LAG);
+        let most = self.renewed + EXTENDED_MOST;
+        if self.fence.is_some() {
+            self.until = self.until.max(bound.min(most));
+        }
+    }
+
+    /// When the row was written last by this instance.
+    #[must_use]
+    pub const fn renewed(&self) -> Duration {
+        self.renewed
+    }
+
     /// What to do with the row now.
     #[must_use]
     pub fn step(&self, now: Duration) -> Step {
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -94,6 +94,9 @@
     /// Fingerprints of requests at which endpoints broke off.
     #[prost(fixed64, repeated, tag = "5")]
     pub broke: Vec<u64>,
+    /// Milliseconds of the holder's clock in the newest outlook that was heard from it; 0 before.
+    #[prost(uint64, tag = "6")]
+    pub echo: u64,
 }
 
 /// A model of an engine, as the holder sees it.
@@ -214,6 +217,9 @@
     /// Fingerprints of refused requests.
     #[prost(fixed64, repeated, tag = "7")]
     pub refused: Vec<u64>,
+    /// Milliseconds of the sender's clock.
+    #[prost(uint64, tag = "8")]
+    pub clock: u64,
 }
 
 /// What the holder hears.
@@ -267,6 +273,7 @@
         asked,
         running,
         broke: gateway.suspicion().take_untold(),
+        echo: 0,
     }
 }
 
@@ -419,6 +426,7 @@
     let mut link = frames(stream);
     let mut told = Instant::now();
     let mut heard = Instant::now();
+    let mut echo = 0;
     send(&mut link, &demand(gateway)).await?;
     loop {
         let due = told + REPORT;
@@ -427,6 +435,7 @@
             frame = link.next() => {
                 let outlook = Outlook::decode(frame?.ok()?).ok()?;
                 heard = Instant::now();
+                echo = outlook.clock;
                 let holding = outlook.holding;
                 let named = outlook.holder.parse().ok();
                 adopt(gateway, outlook);
@@ -454,7 +463,11 @@
             return None;
         }
         if report {
-            send(&mut link, &demand(gateway)).await?;
+            let demand = Demand {
+                echo,
+                ..demand(gateway)
+            };
+            send(&mut link, &demand).await?;
             told = Instant::now();
         }
     }
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -46,6 +46,8 @@
 const PEER_SILENT: Duration = Duration::from_secs(2);
 /// Time between two full views to an instance.
 const VIEW_EVERY: Duration = Duration::from_secs(1);
+/// Longest time between two outlooks to an instance, which carry the clock.
+const BEAT_EVERY: Duration = Duration::from_millis(300);
 /// Change of an engine's load from which it is told at once.
 const LOAD_STEP: u32 = 6;
 
@@ -164,6 +166,7 @@
     answers: mpsc::Sender<Outlook>,
     told: BTreeMap<String, EngineView>,
     whole: Duration,
+    beat: Duration,
     refused: usize,
 }
 
@@ -192,6 +195,8 @@
     lease: Arc<Mutex<Lease>>,
     me: Option<Address<Self>>,
     peers: BTreeMap<u64, Peer>,
+    /// This instance's clock as each instance that ever had a link echoed it last.
+    echoes: BTreeMap<String, Duration>,
     own: Demand,
     ran: Duration,
     told: Duration,
@@ -236,6 +241,7 @@
                 lease,
                 me: None,
                 peers: BTreeMap::new(),
+                echoes: BTreeMap::new(),
                 own: Demand::default(),
                 ran: Duration::ZERO,
                 told: Duration::ZERO,
@@ -268,8 +274,16 @@
         });
     }
 
-    fn fence(&self) -> Option<u64> {
-        let lease = self.lease.lock().unwrap_or_else(PoisonError::into_inner);
+    /// The fencing token, while orders may be given.
+    fn fence(&mut self) -> Option<u64> {
+        let mut lease = self.lease.lock().unwrap_or_else(PoisonError::into_inner);
+        // A renewal makes every instance without a link begin its wait anew.
+        let renewed = lease.renewed();
+        let linked = |name: &String| self.peers.values().any(|p| p.demand.name == *name);
+        self.echoes.retain(|name, at| *at > renewed || linked(name));
+        if let Some(heard) = self.echoes.values().min() {
+            lease.extend(*heard);
+        }
         lease.fence(self.gateway.now())
     }
 
@@ -323,6 +337,7 @@
     fn idle(&mut self) {
         self.books.clear();
         self.peers.clear();
+        self.echoes.clear();
         self.store.clear();
     }
 
@@ -559,6 +574,7 @@
         for peer in self.peers.values_mut() {
             let outlook = Outlook {
                 holding: true,
+                clock: u64::try_from(now.as_millis()).unwrap_or(u64::MAX),
                 live,
                 config: link::newer_config(&self.gateway, peer.demand.version),
                 engines: peer.changed(&encoded, now),
@@ -571,7 +587,9 @@
                 ..Outlook::default()
             };
             let due = now >= peer.whole + VIEW_EVERY;
-            if due || outlook_matters(&outlook) {
+            let beat = now >= peer.beat + BEAT_EVERY;
+            if due || beat || outlook_matters(&outlook) {
+                peer.beat = now;
                 peer.refused = refused.len();
                 peer.demand.version = peer.demand.version.max(catalog.version);
                 if due {
@@ -739,6 +757,8 @@
             }
             Heard::Demand(number, demand, answers) => {
                 self.heard(&demand);
+                let echo = Duration::from_millis(demand.echo);
+                self.echoes.insert(demand.name.clone(), echo);
                 let urgent = demand.asked.iter().any(|c| c.count > 0);
                 let heard = self.gateway.now();
                 if let Some(peer) = self.peers.get_mut(&number) {
@@ -751,6 +771,7 @@
                         answers,
                         told: BTreeMap::new(),
                         whole: Duration::ZERO,
+                        beat: Duration::ZERO,
                         refused: 0,
                     };
                     self.peers.insert(number, peer);
--- a/tests/order_lease.rs
+++ b/tests/order_lease.rs
@@ -148,3 +148,32 @@
         Ok(())
     });
 }
+
+/// Pattern: the store is away for all; the holder goes on while every successor is heard.
+#[test]
+fn links_carry_the_lease() {
+    let mut lease = lease();
+    lease.granted(7, at(1));
+    lease.extend(at(8));
+    assert_eq!(lease.fence(at(12)), Some(7));
+    assert_eq!(lease.fence(at(13)), None);
+}
+
+#[test]
+fn extension_is_bounded() {
+    let mut lease = lease();
+    lease.granted(7, at(1));
+    lease.extend(at(60));
+    assert_eq!(lease.fence(at(16)), None);
+}
+
+/// A successor that had a link begins its wait only when the link is gone.
+#[test]
+fn linked_successor_waits_anew() {
+    let mut lease = lease();
+    lease.observe(Some(row("other")), 4, at(10));
+    lease.vouch(at(17));
+    lease.observe(Some(row("other")), 4, at(18));
+    assert_eq!(lease.step(at(24)), Step::Wait);
+    assert_eq!(lease.step(at(25)), Step::Write(4));
+}
