The wait for a takeover begins at the last word heard from the holder

Cause: a successor began its wait only when the link had been silent for 1.2 s. Change: the holder's outlook carries the row's version; the wait runs from when it was heard.

--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -10,7 +10,7 @@
 
 use super::keeper::LeaseKeeper;
 use super::lease::{Lease, LeaseRow};
-use super::link::{self, Whereabouts};
+use super::link::{self, Linked, Whereabouts};
 use super::orders::Orders;
 use super::shared::{Edges, Gateway, GatewaySettings};
 use super::{feed, listener};
@@ -81,7 +81,7 @@
     };
     let lease = Arc::new(Mutex::new(Lease::new(me.clone(), settings.terms)));
     let (whereabouts, known) = watch::channel(Whereabouts::default());
-    let (linked, is_linked) = watch::channel(false);
+    let (linked, is_linked) = watch::channel(Linked::default());
     let (heard, inbox) = mpsc::channel(HEARD);
     Orders::start(Arc::clone(gateway), Arc::clone(&lease), inbox);
     let keeper = LeaseKeeper {
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -8,6 +8,7 @@
 use tokio::time::sleep;
 
 use super::edge::{Batch, FeedError};
+use super::link::Linked;
 use super::shared::Gateway;
 
 /// Table of the configuration.
@@ -125,7 +126,7 @@
 pub async fn follow_servers(
     gateway: Arc<Gateway>,
     holding: watch::Receiver<bool>,
-    linked: watch::Receiver<bool>,
+    linked: watch::Receiver<Linked>,
 ) {
     let mut follower = Follower::new(SERVERS);
     let mut away_until = Duration::ZERO;
@@ -147,7 +148,7 @@
         let drain = gateway.settings.drain;
         let pace = if *holding.borrow() {
             HOLDER_PACE
-        } else if *linked.borrow() {
+        } else if linked.borrow().up {
             drain.mul_f64(LINKED_PACE)
         } else {
             drain.mul_f64(SERVERS_PACE)
--- a/src/gateway/keeper.rs
+++ b/src/gateway/keeper.rs
@@ -7,7 +7,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::lease::{Lease, LeaseRow, Step};
-use super::link::Whereabouts;
+use super::link::{Linked, Whereabouts};
 use super::shared::Gateway;
 use crate::table::{Check, Commit, Read, Row, TableError, Txn, Write};
 
@@ -30,7 +30,7 @@
     /// Where the holder is.
     pub whereabouts: watch::Sender<Whereabouts>,
     /// Whether there is a link to the holder.
-    pub linked: watch::Receiver<bool>,
+    pub linked: watch::Receiver<Linked>,
     /// This instance, as a holder.
     pub me: LeaseRow,
 }
@@ -40,19 +40,17 @@
     pub async fn run(self) {
         let mut stopping = self.gateway.stopping.subscribe();
         let mut doubt = false;
-        let mut was_linked = false;
         loop {
             if *stopping.borrow() {
                 return self.release().await;
             }
             let now = self.gateway.now();
             let holding = self.lock().fence(now).is_some();
-            let linked = *self.linked.borrow();
-            if linked || was_linked {
-                self.lock().vouch(now);
+            let linked = self.linked.borrow().clone();
+            if let Some(row) = linked.row() {
+                self.lock().vouch(row, linked.version, linked.heard);
             }
-            was_linked = linked;
-            if !holding && linked {
+            if !holding && linked.up {
                 self.publish();
                 self.pause(&mut stopping, LOOK).await;
                 continue;
--- a/src/gateway/lease.rs
+++ b/src/gateway/lease.rs
@@ -27,7 +27,7 @@
 impl Default for Terms {
     fn default() -> Self {
         Self {
-            term: Duration::from_millis(2500),
+            term: Duration::from_secs(2),
             quiet: Duration::from_secs(3),
             handicap: Duration::ZERO,
         }
@@ -39,9 +39,8 @@
 /// Longest answer time of the store that a renewal allows for before the term's end.
 const MARGIN: Duration = Duration::from_millis(100);
 
-/// Time by which an instance may have vouched before it was heard: the keeper's interval, and as
-/// much again for a late timer.
-const VOUCH_LAG: Duration = Duration::from_millis(300);
+/// Allowance for clocks that differ in speed over the term.
+const VOUCH_LAG: Duration = Duration::from_millis(50);
 /// Longest time that a holder goes on without the store; outages last up to nine seconds. It bounds
 /// what an instance that started meanwhile and reaches only the store can do.
 const EXTENDED_MOST: Duration = Duration::from_secs(14);
@@ -140,11 +139,16 @@
         (row.holder != self.me.holder && !row.released).then_some(row)
     }
 
-    /// Begins the wait for a takeover anew: there is a link to the holder.
-    pub const fn vouch(&mut self, now: Duration) {
-        if self.seen.is_some() {
-            self.seen = Some(now);
+    /// Takes over what the holder told over a link: the row's version, and when that was heard.
+    ///
+    /// The wait for a takeover begins anew then.
+    pub fn vouch(&mut self, row: LeaseRow, version: u64, heard: Duration) {
+        if version < self.version || self.fence.is_some() {
+            return;
         }
+        self.row = Some(row);
+        self.version = version;
+        self.seen = self.seen.max(Some(heard));
     }
 
     /// Goes on without the store, where every possible successor was heard after a time.
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -16,6 +16,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use super::edge::Target;
+use super::lease::LeaseRow;
 use super::servers::View;
 use super::shared::Gateway;
 use crate::peers::codec::{Frames, frames};
@@ -220,6 +221,9 @@
     /// Milliseconds of the sender's clock.
     #[prost(uint64, tag = "8")]
     pub clock: u64,
+    /// Version of the lease's row, where the sender holds it.
+    #[prost(uint64, tag = "9")]
+    pub version: u64,
 }
 
 /// What the holder hears.
@@ -231,6 +235,32 @@
     Gone(u64),
 }
 
+/// The link to the lease holder.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Linked {
+    /// Whether it is up.
+    pub up: bool,
+    /// Address of the holder that was heard last.
+    pub holder: Option<SocketAddr>,
+    /// Version of the lease's row in the newest outlook.
+    pub version: u64,
+    /// When that came.
+    pub heard: Duration,
+}
+
+impl Linked {
+    /// The holder's row, as far as a link tells it.
+    #[must_use]
+    pub fn row(&self) -> Option<LeaseRow> {
+        let address = self.holder?;
+        Some(LeaseRow {
+            holder: address.to_string(),
+            address,
+            released: false,
+        })
+    }
+}
+
 /// What is known of the lease holder.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Whereabouts {
@@ -385,14 +415,14 @@
 pub async fn follow(
     gateway: Arc<Gateway>,
     mut whereabouts: watch::Receiver<Whereabouts>,
-    linked: watch::Sender<bool>,
+    linked: watch::Sender<Linked>,
 ) {
     let mut seed = 0;
     let mut hint: Option<SocketAddr> = None;
     loop {
         let known = whereabouts.borrow_and_update().clone();
         if known.holding {
-            linked.send_replace(false);
+            linked.send_modify(|l| l.up = false);
             if whereabouts.changed().await.is_err() {
                 return;
             }
@@ -407,7 +437,7 @@
         if let Some(to) = next.filter(|to| *to != me) {
             hint = session(&gateway, to, &mut whereabouts, &linked).await;
         }
-        if linked.send_replace(false) {
+        if linked.send_if_modified(|l| std::mem::replace(&mut l.up, false)) {
             log::warn!(dependency = "lease holder"; "dependency lost");
         }
         sleep(AGAIN).await;
@@ -419,7 +449,7 @@
     gateway: &Arc<Gateway>,
     to: SocketAddr,
     whereabouts: &mut watch::Receiver<Whereabouts>,
-    linked: &watch::Sender<bool>,
+    linked: &watch::Sender<Linked>,
 ) -> Option<SocketAddr> {
     let stream = timeout(CONNECT, TcpStream::connect(to)).await.ok()?.ok()?;
     stream.set_nodelay(true).ok()?;
@@ -438,11 +468,18 @@
                 echo = outlook.clock;
                 let holding = outlook.holding;
                 let named = outlook.holder.parse().ok();
+                let version = outlook.version;
                 adopt(gateway, outlook);
                 if !holding {
                     return named.filter(|named| *named != to);
                 }
-                if !linked.send_replace(true) {
+                let next = Linked {
+                    up: true,
+                    holder: Some(to),
+                    version,
+                    heard: gateway.now(),
+                };
+                if !linked.send_replace(next).up {
                     log::info!(dependency = "lease holder", address:% = to; "dependency regained");
                 }
             }
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -560,6 +560,11 @@
                 leaving: book.leaving,
             })
             .collect();
+        let version = self
+            .lease
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .version();
         let estimates = self.estimates(catalog, now);
         let refused = self.gateway.suspicion().refused();
         let live = u32::try_from(self.peers.len() + 1).unwrap_or(u32::MAX);
@@ -574,6 +579,7 @@
         for peer in self.peers.values_mut() {
             let outlook = Outlook {
                 holding: true,
+                version,
                 clock: u64::try_from(now.as_millis()).unwrap_or(u64::MAX),
                 live,
                 config: link::newer_config(&self.gateway, peer.demand.version),
--- a/tests/order_lease.rs
+++ b/tests/order_lease.rs
@@ -172,7 +172,7 @@
 fn linked_successor_waits_anew() {
     let mut lease = lease();
     lease.observe(Some(row("other")), 4, at(10));
-    lease.vouch(at(17));
+    lease.vouch(row("other"), 4, at(17));
     lease.observe(Some(row("other")), 4, at(18));
     assert_eq!(lease.step(at(24)), Step::Wait);
     assert_eq!(lease.step(at(25)), Step::Write(4));
