A silent stream is given up only where it can go on elsewhere

Ruled out: the grace (4.6 s were left). Change: silence ends a stream, or a wait for a first event, only where another endpoint without a queue can take it. Test silent_stream_is_kept fails before (cut after 3 events).

--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -343,6 +343,22 @@
         }
     }
 
+    /// Whether another endpoint than one can take the request now.
+    #[must_use]
+    pub fn elsewhere(&self, tries: &Tries, than: &Picked) -> bool {
+        if *self.gateway.stopping.borrow() {
+            return false;
+        }
+        let mut others = tries.failed.clone();
+        others.push(than.id.clone());
+        let need = Need {
+            tried: &others,
+            ..self.need(tries)
+        };
+        let picked = self.gateway.servers.pick(&need, self.now());
+        picked.is_some_and(|p| p.wait.is_zero())
+    }
+
     /// Refuses a request that would wait too long in the queue of the best endpoint.
     fn admit(&self, picked: Picked, tries: &Tries) -> Result<Picked, Refusal> {
         if tries.ran > 0 || picked.wait <= admission::longest_wait(&self.route) {
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -110,7 +110,7 @@
     let target = job.call.target.as_ref();
     let running = job.gateway.servers.enter(picked.key, target, shared);
     let started = job.now();
-    let limit = first_limit(job, tries, picked.wait);
+    let limit = first_limit(job, tries, &picked);
     let checked = match job.send(&picked, tries, last, limit).await {
         Sent::Answered(checked) => checked,
         Sent::Unrun | Sent::Failed => return Begun::Nothing,
@@ -152,9 +152,10 @@
 /// Time for the first event, shorter where the request can be asked for elsewhere.
 ///
 /// A request that waits in a queue is not sent elsewhere: it would lose its place.
-fn first_limit(job: &Job, tries: &Tries, wait: Duration) -> Duration {
+fn first_limit(job: &Job, tries: &Tries, picked: &Picked) -> Duration {
     let left = job.left();
-    if wait.is_zero() && job.route.kind.repeats() && tries.ran + 1 < job.route.attempts {
+    let elsewhere = || picked.wait.is_zero() && job.elsewhere(tries, picked);
+    if job.route.kind.repeats() && tries.ran + 1 < job.route.attempts && elsewhere() {
         let patience = job.route.objective * FIRST_PATIENCE;
         return left.min(patience.max(FIRST_PATIENCE_LEAST));
     }
@@ -284,6 +285,8 @@
                 }
             }
             Err(End::Cut) if source.feed.finished() => return End::Whole,
+            // Silence alone is no reason to give a stream up where it cannot go on elsewhere.
+            Err(End::Silent) if !job.left().is_zero() && !job.elsewhere(tries, &source.picked) => {}
             Err(end) => return end,
         }
     }
