--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -39,7 +39,7 @@
 /// Time after an order's end within which reports may still be older than it.
 const REPORT_LAG: Duration = Duration::from_millis(400);
 /// Time over which the rate of requests for a model is averaged: a few swaps' time.
-const RATE_OVER: Duration = Duration::from_secs(5);
+const RATE_OVER: Duration = Duration::from_secs(8);
 /// Rate below which a model is forgotten.
 const RATE_LEAST: f64 = 1e-3;
 /// Time after which the demand of a silent instance no longer counts.
