--- a/src/gateway/pick.rs
+++ b/src/gateway/pick.rs
@@ -23,10 +23,11 @@
 
 /// Worth of staying in the failure domain, as a share of an endpoint's slots.
 ///
-/// A crossing costs about a millisecond, less than one more request in a batch does at this share.
-const NEAR_SHARE: f64 = 0.04;
-/// Worth of a kept prompt, as a share of an endpoint's slots: tens of milliseconds of prefill.
-const CACHED_SHARE: f64 = 0.08;
+/// A crossing costs about a millisecond, as much as one more request in a batch of 64.
+const NEAR_SHARE: f64 = 0.015;
+/// Worth of a kept shared start, as a share of an endpoint's slots: some milliseconds of prefill,
+/// as much as one more request.
+const CACHED_SHARE: f64 = 0.015;
 /// Cost of an endpoint that fails all requests, as a share of its slots: more than a full one.
 const FAILING_SHARE: f64 = 2.0;
 /// Slowness from which an endpoint is avoided; models differ by less than this.
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -96,6 +96,8 @@
     pub unrun: u32,
     /// Whether a send is under way.
     pub sending: bool,
+    /// Longest pause between two parts of a stream.
+    pub pause: Duration,
 }
 
 impl Tries {
@@ -513,6 +515,7 @@
             kind:% = self.route.kind, version = self.version, endpoint = endpoint,
             model = self.call.target.as_ref().map_or("", |t| t.model.as_str()),
             status = status, sends = tries.sends, ran = tries.ran, outcome = outcome,
+            pause_ms = super::link::millis(tries.pause),
             total_ms = super::link::millis(took); "request ended");
     }
 }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -208,7 +208,7 @@
         return;
     }
     loop {
-        let end = drain(&job, &tries, &mut source, &mut outlet, &mut last).await;
+        let end = drain(&job, &mut tries, &mut source, &mut outlet, &mut last).await;
         match end {
             End::Whole => {
                 let Source {
@@ -249,12 +249,13 @@
 /// Passes one endpoint's events on.
 async fn drain(
     job: &Job,
-    tries: &Tries,
+    tries: &mut Tries,
     source: &mut Source,
     outlet: &mut Outlet,
     last: &mut Option<u64>,
 ) -> End {
     let (mut since, mut parts) = (job.now(), 0);
+    let mut before = since;
     loop {
         let left = job.left();
         if left.is_zero() {
@@ -279,6 +280,9 @@
         };
         match next {
             Ok(events) => {
+                let now = job.now();
+                tries.pause = tries.pause.max(now.saturating_sub(before));
+                before = now;
                 *last = last_id(&events).or(*last);
                 if !outlet.pass(events).await {
                     return End::CallerGone;
