--- a/src/gateway/keeper.rs
+++ b/src/gateway/keeper.rs
@@ -17,9 +17,6 @@
 const LOOK: Duration = Duration::from_millis(100);
 /// Time between two reads of the row where the holder cannot be reached.
 const READ_EVERY: Duration = Duration::from_millis(400);
-/// Time for which an instance that was cut off leaves the lease to others: the quiet time between
-/// two holders, and some reads of the row.
-const ISOLATED_PAUSE: Duration = Duration::from_secs(5);
 /// Longest wait for the store; it answers in milliseconds.
 const CALL: Duration = Duration::from_millis(1500);
 
@@ -43,19 +40,12 @@
     pub async fn run(self) {
         let mut stopping = self.gateway.stopping.subscribe();
         let mut doubt = false;
-        let mut leaves_until = Duration::ZERO;
         loop {
             if *stopping.borrow() {
                 return self.release().await;
             }
             let now = self.gateway.now();
             let holding = self.lock().fence(now).is_some();
-            if self.gateway.isolated.send_replace(false) && holding {
-                log::warn!("no other instance can be heard; the lease on orders is given back");
-                self.release().await;
-                leaves_until = now + ISOLATED_PAUSE;
-                continue;
-            }
             let linked = self.linked.borrow().clone();
             if let Some(row) = linked.row() {
                 self.lock().vouch(row, linked.version, linked.heard);
@@ -72,9 +62,7 @@
             }
             doubt = false;
             let step = self.lock().step(self.gateway.now());
-            if let Step::Write(version) = step
-                && now >= leaves_until
-            {
+            if let Step::Write(version) = step {
                 doubt = !self.write(version, &self.me).await;
             }
             self.publish();
--- a/src/gateway/lease.rs
+++ b/src/gateway/lease.rs
@@ -65,44 +65,6 @@
     Write(u64),
 }
 
-/// Time without any link after which a holder that had some gives the lease back: links are tried
-/// again several times within it.
-const ISOLATED: Duration = Duration::from_millis(600);
-/// Links that a holder must have had for their loss to mean that it is cut off.
-const ISOLATED_FROM: usize = 2;
-
-/// Whether a holder is cut off from all other instances, whose demand it cannot hear.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Isolation {
-    most: usize,
-    alone: Option<Duration>,
-}
-
-impl Isolation {
-    /// Looks at the number of links now; true where the lease should be given back.
-    ///
-    /// # Examples
-    ///
-    /// ```
-    /// use std::time::Duration;
-    /// use brassrack::gateway::lease::Isolation;
-    ///
-    /// let mut isolation = Isolation::default();
-    /// assert!(!isolation.look(6, Duration::from_secs(1)));
-    /// assert!(!isolation.look(0, Duration::from_secs(2)));
-    /// assert!(isolation.look(0, Duration::from_secs(3)));
-    /// ```
-    pub fn look(&mut self, links: usize, now: Duration) -> bool {
-        self.most = self.most.max(links);
-        if links > 0 || self.most < ISOLATED_FROM {
-            self.alone = None;
-            return false;
-        }
-        let since = *self.alone.get_or_insert(now);
-        now >= since + ISOLATED
-    }
-}
-
 /// What an instance knows of the lease.
 #[derive(Debug, Clone)]
 pub struct Lease {
@@ -165,11 +127,9 @@
         self.version
     }
 
-    /// Stops giving orders; the row has to be read before it is claimed again.
+    /// Stops giving orders.
     pub const fn end(&mut self) {
         self.until = Duration::ZERO;
-        self.fence = None;
-        self.seen = None;
     }
 
     /// The holder as last seen, where it is another instance and has not given the lease back.
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -10,7 +10,7 @@
 
 use super::catalog::{Catalog, Engine};
 use super::edge::{Report, Target};
-use super::lease::{Isolation, Lease};
+use super::lease::Lease;
 use super::link::{self, Count, Demand, EngineView, Heard, Outlook};
 use super::planner::{self, Change, EngineState, Fleet, Holding, Source, Step, StoreRoom, Want};
 use super::servers::{Server, View};
@@ -197,7 +197,6 @@
     peers: BTreeMap<u64, Peer>,
     /// This instance's clock as each instance that ever had a link echoed it last.
     echoes: BTreeMap<String, Duration>,
-    isolation: Isolation,
     own: Demand,
     ran: Duration,
     told: Duration,
@@ -243,7 +242,6 @@
                 me: None,
                 peers: BTreeMap::new(),
                 echoes: BTreeMap::new(),
-                isolation: Isolation::default(),
                 own: Demand::default(),
                 ran: Duration::ZERO,
                 told: Duration::ZERO,
@@ -317,9 +315,6 @@
         let own = self.own.clone();
         self.heard(&own);
         self.peers.retain(|_, p| now < p.heard + PEER_SILENT);
-        if self.isolation.look(self.peers.len(), now) {
-            self.gateway.isolated.send_replace(true);
-        }
         self.rates.retain(|_, r| r.now(now) > RATE_LEAST);
         for (service, engine) in engines(&catalog) {
             self.keep_books(service, now);
@@ -343,7 +338,6 @@
         self.books.clear();
         self.peers.clear();
         self.echoes.clear();
-        self.isolation = Isolation::default();
         self.store.clear();
     }
 
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -214,8 +214,6 @@
     pub closing: watch::Sender<bool>,
     /// Whether this instance gives orders.
     pub holding: watch::Sender<bool>,
-    /// Whether this instance gives orders and hears no other one any more.
-    pub isolated: watch::Sender<bool>,
     /// Times until cold models can be served, as the lease holder told.
     pub estimates: Mutex<BTreeMap<BoardKey, (Duration, Duration)>>,
     budgets: Mutex<Budgets>,
@@ -252,7 +250,6 @@
             ending: watch::Sender::new(None),
             closing: watch::Sender::new(false),
             holding: watch::Sender::new(false),
-            isolated: watch::Sender::new(false),
             estimates: Mutex::default(),
             budgets: Mutex::new(Budgets::new(settings.allowance, ASSUMED_INSTANCES)),
             suspicion: Mutex::default(),
