--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -17,6 +17,7 @@
 pub mod orders;
 pub mod pick;
 pub mod planner;
+pub mod send;
 pub mod serve;
 pub mod servers;
 pub mod shared;
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -6,7 +6,8 @@
 use hyper::header::CONTENT_LENGTH;
 use tokio::time::timeout;
 
-use super::serve::{Checked, Job, Sent, Tries, replaceable, strip};
+use super::send::{Checked, Sent};
+use super::serve::{Job, Tries, replaceable, strip};
 use super::servers::{Health, Picked};
 use crate::http::{Body, full};
 use crate::outbound::Answer;
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -3,7 +3,6 @@
 //! Each instance tells the holder its demand; the holder answers with its view of the engines. Any
 //! instance answers a newcomer with the holder and the configuration that it knows.
 
-use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,11 +14,14 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep, timeout};
 
-use super::edge::Target;
 use super::lease::LeaseRow;
 use super::servers::View;
 use super::shared::Gateway;
+
+mod message;
+
 use crate::peers::codec::{Frames, frames};
+pub use message::{Count, Demand, EngineView, ModelView, Outlook};
 
 /// Longest time to open a link or to hear the other side.
 const CONNECT: Duration = Duration::from_millis(600);
@@ -34,198 +36,6 @@
 /// Frames that wait for a slow link.
 const QUEUED: usize = 64;
 
-/// A model or adapter and numbers about it.
-#[derive(Clone, PartialEq, Message)]
-pub struct Count {
-    /// Service, or id of an endpoint.
-    #[prost(string, tag = "1")]
-    pub place: String,
-    /// Base model.
-    #[prost(string, tag = "2")]
-    pub model: String,
-    /// Adapter; empty for the base model.
-    #[prost(string, tag = "3")]
-    pub adapter: String,
-    /// Requests that wait, or run.
-    #[prost(uint32, tag = "4")]
-    pub count: u32,
-    /// Requests that came since the last report.
-    #[prost(uint32, tag = "5")]
-    pub arrivals: u32,
-    /// Milliseconds that the first of them has waited, or until it can be served.
-    #[prost(uint32, tag = "6")]
-    pub millis: u32,
-}
-
-impl Count {
-    /// The model or adapter.
-    #[must_use]
-    pub fn target(&self) -> Target {
-        Target {
-            model: self.model.clone(),
-            adapter: (!self.adapter.is_empty()).then(|| self.adapter.clone()),
-        }
-    }
-
-    fn new(place: &str, target: &Target) -> Self {
-        Self {
-            place: place.to_owned(),
-            model: target.model.clone(),
-            adapter: target.adapter.clone().unwrap_or_default(),
-            ..Self::default()
-        }
-    }
-}
-
-/// What an instance tells the holder.
-#[derive(Clone, PartialEq, Message)]
-pub struct Demand {
-    /// Name of the instance.
-    #[prost(string, tag = "1")]
-    pub name: String,
-    /// Version of its configuration; 0 where it has none.
-    #[prost(uint64, tag = "2")]
-    pub version: u64,
-    /// Requests that wait or came, by service.
-    #[prost(message, repeated, tag = "3")]
-    pub asked: Vec<Count>,
-    /// Requests that run, by endpoint.
-    #[prost(message, repeated, tag = "4")]
-    pub running: Vec<Count>,
-    /// Fingerprints of requests at which endpoints broke off.
-    #[prost(fixed64, repeated, tag = "5")]
-    pub broke: Vec<u64>,
-    /// Milliseconds of the holder's clock in the newest outlook that was heard from it; 0 before.
-    #[prost(uint64, tag = "6")]
-    pub echo: u64,
-}
-
-/// A model of an engine, as the holder sees it.
-#[derive(Clone, PartialEq, Message)]
-pub struct ModelView {
-    /// Name.
-    #[prost(string, tag = "1")]
-    pub name: String,
-    /// Its adapters.
-    #[prost(string, repeated, tag = "2")]
-    pub adapters: Vec<String>,
-    /// Whether it is about to be unloaded.
-    #[prost(bool, tag = "3")]
-    pub closing: bool,
-}
-
-/// An engine, as the holder sees it.
-#[derive(Clone, PartialEq, Message)]
-pub struct EngineView {
-    /// Id of the incarnation.
-    #[prost(string, tag = "1")]
-    pub id: String,
-    /// Start of the incarnation, in Unix milliseconds.
-    #[prost(uint64, tag = "2")]
-    pub born: u64,
-    /// Orders that it accepted.
-    #[prost(uint64, tag = "3")]
-    pub accepted: u64,
-    /// Its models.
-    #[prost(message, repeated, tag = "4")]
-    pub models: Vec<ModelView>,
-    /// Requests that run there, from all instances.
-    #[prost(uint32, tag = "5")]
-    pub load: u32,
-    /// Requests that its engine ran when it reported last.
-    #[prost(uint32, tag = "6")]
-    pub running: u32,
-    /// Requests that waited in its engine then.
-    #[prost(uint32, tag = "7")]
-    pub queued: u32,
-    /// Whether it is leaving.
-    #[prost(bool, tag = "8")]
-    pub leaving: bool,
-}
-
-impl EngineView {
-    /// Encodes a view.
-    #[must_use]
-    pub fn of(view: &View) -> Self {
-        let mut models: Vec<ModelView> = view
-            .models
-            .iter()
-            .map(|(name, adapters)| ModelView {
-                name: name.clone(),
-                adapters: adapters.iter().cloned().collect(),
-                closing: false,
-            })
-            .collect();
-        models.extend(view.closing.iter().map(|name| ModelView {
-            name: name.clone(),
-            adapters: Vec::new(),
-            closing: true,
-        }));
-        Self {
-            id: view.id.clone(),
-            born: view.born,
-            accepted: view.accepted,
-            models,
-            load: view.load,
-            running: view.running,
-            queued: view.queued,
-            leaving: view.leaving,
-        }
-    }
-
-    /// Decodes it.
-    #[must_use]
-    pub fn view(&self) -> View {
-        let open = self.models.iter().filter(|m| !m.closing);
-        let closing = self.models.iter().filter(|m| m.closing);
-        View {
-            id: self.id.clone(),
-            born: self.born,
-            accepted: self.accepted,
-            models: open
-                .map(|m| (m.name.clone(), m.adapters.iter().cloned().collect()))
-                .collect::<BTreeMap<String, BTreeSet<String>>>(),
-            closing: closing.map(|m| m.name.clone()).collect(),
-            load: self.load,
-            running: self.running,
-            queued: self.queued,
-            leaving: self.leaving,
-        }
-    }
-}
-
-/// What an instance answers.
-#[derive(Clone, PartialEq, Message)]
-pub struct Outlook {
-    /// Address of the lease holder, as far as known; empty where unknown.
-    #[prost(string, tag = "1")]
-    pub holder: String,
-    /// Whether the sender holds the lease.
-    #[prost(bool, tag = "2")]
-    pub holding: bool,
-    /// Instances that live, where the sender holds the lease.
-    #[prost(uint32, tag = "3")]
-    pub live: u32,
-    /// Text of a newer configuration; empty where there is none.
-    #[prost(string, tag = "4")]
-    pub config: String,
-    /// Engines that changed.
-    #[prost(message, repeated, tag = "5")]
-    pub engines: Vec<EngineView>,
-    /// Time until cold models can be served, by service.
-    #[prost(message, repeated, tag = "6")]
-    pub estimates: Vec<Count>,
-    /// Fingerprints of refused requests.
-    #[prost(fixed64, repeated, tag = "7")]
-    pub refused: Vec<u64>,
-    /// Milliseconds of the sender's clock.
-    #[prost(uint64, tag = "8")]
-    pub clock: u64,
-    /// Version of the lease's row, where the sender holds it.
-    #[prost(uint64, tag = "9")]
-    pub version: u64,
-}
-
 /// What the holder hears.
 #[derive(Debug)]
 pub enum Heard {
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -1,7 +1,6 @@
 //! The holder of the lease: gathers demand, plans, and gives orders to engines.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -11,16 +10,19 @@
 use super::catalog::{Catalog, Engine};
 use super::edge::{Report, Target};
 use super::lease::Lease;
-use super::link::{self, Count, Demand, EngineView, Heard, Outlook};
+use super::link::{self, Demand, Heard};
 use super::planner::{self, Change, EngineState, Fleet, Holding, Source, Step, StoreRoom, Want};
-use super::servers::{Server, View};
 use super::shared::{BoardKey, Gateway};
 
+mod book;
 pub mod give;
 mod store_room;
+mod tell;
 
+use book::{Book, Job, RATE_OVER, Rate};
 use give::{Engineer, Outcome};
 use store_room::StoreLoads;
+use tell::Peer;
 
 /// Messages that wait for the actor at most.
 const MAILBOX: usize = 1024;
@@ -36,157 +38,10 @@
 const REPORT_LOADED: Duration = Duration::from_millis(250);
 /// Part of an engine's slots from which it counts as loaded: a third.
 const LOADED_SHARE: u32 = 3;
-/// Time after an order's end within which reports may still be older than it.
-const REPORT_LAG: Duration = Duration::from_millis(400);
-/// Time over which the rate of requests for a model is averaged: a few swaps' time.
-const RATE_OVER: Duration = Duration::from_secs(8);
 /// Rate below which a model is forgotten.
 const RATE_LEAST: f64 = 1e-3;
 /// Time after which the demand of a silent instance no longer counts.
 const PEER_SILENT: Duration = Duration::from_secs(2);
-/// Time between two full views to an instance.
-const VIEW_EVERY: Duration = Duration::from_secs(1);
-/// Longest time between two outlooks to an instance, which carry the clock.
-const BEAT_EVERY: Duration = Duration::from_millis(300);
-/// Change of an engine's load from which it is told at once.
-const LOAD_STEP: u32 = 6;
-
-/// A swap or an adapter's load that is under way.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(super) struct Job {
-    change: Change,
-    until: Duration,
-}
-
-/// What the holder knows of an engine.
-#[derive(Debug)]
-pub(super) struct Book {
-    address: SocketAddr,
-    domain: String,
-    born: u64,
-    /// Orders accepted; locked while one is under way.
-    accepted: Arc<tokio::sync::Mutex<u64>>,
-    /// The same, as last seen.
-    counted: u64,
-    models: BTreeMap<String, BTreeSet<String>>,
-    since: BTreeMap<String, Duration>,
-    coming: BTreeSet<Target>,
-    warm: BTreeSet<String>,
-    disk: BTreeSet<String>,
-    swap: Option<Job>,
-    adapters: u32,
-    running: u32,
-    queued: u32,
-    load: u32,
-    settled: Duration,
-    asked: Duration,
-    leaving: bool,
-    /// Whether what it holds is unknown until its next report.
-    unknown: bool,
-}
-
-impl Book {
-    fn new(server: &Server) -> Self {
-        let endpoint = &server.endpoint;
-        Self {
-            address: endpoint.address,
-            domain: endpoint.domain.clone(),
-            born: endpoint.born,
-            accepted: Arc::default(),
-            counted: 0,
-            models: endpoint.models.clone(),
-            since: BTreeMap::new(),
-            coming: BTreeSet::new(),
-            warm: endpoint.warm.clone(),
-            disk: endpoint.disk.clone(),
-            swap: None,
-            adapters: 0,
-            running: 0,
-            queued: 0,
-            load: 0,
-            settled: Duration::ZERO,
-            asked: Duration::ZERO,
-            leaving: false,
-            unknown: true,
-        }
-    }
-
-    /// Orders accepted, as far as known while one may be under way.
-    fn count(&mut self) -> u64 {
-        if let Ok(accepted) = self.accepted.try_lock() {
-            self.counted = *accepted;
-        }
-        self.counted
-    }
-
-    const fn idle(&self) -> bool {
-        self.swap.is_none() && self.adapters == 0
-    }
-
-    fn closing(&self) -> BTreeSet<String> {
-        match self.swap.as_ref().map(|j| &j.change) {
-            Some(Change::Swap { out, .. }) => out.iter().cloned().collect(),
-            _ => BTreeSet::new(),
-        }
-    }
-
-    fn report(&mut self, report: Report, now: Duration) {
-        if report.leaving {
-            self.leaving = true;
-        }
-        if report.born != 0 && self.born != 0 && report.born != self.born {
-            return;
-        }
-        self.running = report.running;
-        self.queued = report.queued;
-        if now < self.settled + REPORT_LAG || !self.idle() {
-            return;
-        }
-        let Ok(mut known) = self.accepted.try_lock() else {
-            return;
-        };
-        if report.accepted < *known && now < self.settled + REPORT_LAG * 4 {
-            return;
-        }
-        *known = report.accepted;
-        self.counted = report.accepted;
-        // Somebody else's order runs: nothing may be added to what is not yet known.
-        self.unknown = report.busy;
-        self.models = report.models;
-        self.coming = report.coming;
-        self.warm = report.warm;
-        self.disk = report.disk;
-    }
-}
-
-#[derive(Debug)]
-struct Peer {
-    demand: Demand,
-    heard: Duration,
-    answers: mpsc::Sender<Outlook>,
-    told: BTreeMap<String, EngineView>,
-    whole: Duration,
-    beat: Duration,
-    refused: usize,
-}
-
-#[derive(Debug, Clone, Copy, Default)]
-struct Rate {
-    value: f64,
-    at: Duration,
-}
-
-impl Rate {
-    fn now(self, now: Duration) -> f64 {
-        let age = now.saturating_sub(self.at).as_secs_f64();
-        self.value * (-age / RATE_OVER.as_secs_f64()).exp()
-    }
-
-    fn add(&mut self, count: u32, now: Duration) {
-        self.value = self.now(now) + f64::from(count) / RATE_OVER.as_secs_f64();
-        self.at = now;
-    }
-}
 
 /// Gives the orders while this instance holds the lease.
 #[derive(Debug, xtra::Actor)]
@@ -533,120 +388,6 @@
         }
     }
 
-    /// Tells all instances, this one included, what changed.
-    fn tell(&mut self, catalog: &Catalog, now: Duration) {
-        let mut loads: BTreeMap<String, u32> = BTreeMap::new();
-        for demand in self.demands() {
-            for count in &demand.running {
-                *loads.entry(count.place.clone()).or_default() += count.count;
-            }
-        }
-        for (id, book) in &mut self.books {
-            book.load = loads.get(id).copied().unwrap_or_default();
-        }
-        let views: Vec<View> = self
-            .books
-            .iter_mut()
-            .filter(|(_, book)| !book.unknown)
-            .map(|(id, book)| View {
-                id: id.clone(),
-                born: book.born,
-                accepted: book.count(),
-                models: book.models.clone(),
-                closing: book.closing(),
-                load: book.load,
-                running: book.running,
-                queued: book.queued,
-                leaving: book.leaving,
-            })
-            .collect();
-        let version = self
-            .lease
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .version();
-        let estimates = self.estimates(catalog, now);
-        let refused = self.gateway.suspicion().refused();
-        let live = u32::try_from(self.peers.len() + 1).unwrap_or(u32::MAX);
-        self.gateway.servers.view(&views, now);
-        self.gateway.budgets().resize(live);
-        for estimate in &estimates {
-            let key = (estimate.place.clone(), estimate.target());
-            self.gateway
-                .estimate(key, Duration::from_millis(estimate.millis.into()));
-        }
-        let encoded: Vec<EngineView> = views.iter().map(EngineView::of).collect();
-        for peer in self.peers.values_mut() {
-            let outlook = Outlook {
-                holding: true,
-                version,
-                clock: u64::try_from(now.as_millis()).unwrap_or(u64::MAX),
-                live,
-                config: link::newer_config(&self.gateway, peer.demand.version),
-                engines: peer.changed(&encoded, now),
-                estimates: estimates.clone(),
-                refused: if refused.len() == peer.refused {
-                    Vec::new()
-                } else {
-                    refused.clone()
-                },
-                ..Outlook::default()
-            };
-            let due = now >= peer.whole + VIEW_EVERY;
-            let beat = now >= peer.beat + BEAT_EVERY;
-            if due || beat || outlook_matters(&outlook) {
-                peer.beat = now;
-                peer.refused = refused.len();
-                peer.demand.version = peer.demand.version.max(catalog.version);
-                if due {
-                    peer.whole = now;
-                }
-                if peer.answers.try_send(outlook).is_err() {
-                    peer.told.clear();
-                }
-            }
-        }
-    }
-
-    /// Time until models that requests wait for can be served.
-    fn estimates(&self, catalog: &Catalog, now: Duration) -> Vec<Count> {
-        let mut estimates = Vec::new();
-        for (service, engine) in engines(catalog) {
-            let fleet = self.fleet(service, now);
-            let mut queued = 0;
-            for (target, want) in &fleet.wants {
-                if want.waiting == 0 || target.adapter.is_some() {
-                    continue;
-                }
-                let loading = self.books.values().filter_map(|b| b.swap.as_ref()).find(
-                    |j| matches!(&j.change, Change::Swap { model, .. } if *model == target.model),
-                );
-                let copied = self.books.values().any(|b| {
-                    b.disk.contains(&target.model) || b.models.contains_key(&target.model)
-                });
-                let cold = engine
-                    .models
-                    .get(&target.model)
-                    .map_or(Duration::ZERO, |m| m.cold);
-                let ready_in = match loading {
-                    Some(job) => job.until.saturating_sub(now),
-                    None if copied => continue,
-                    None => {
-                        queued += 1;
-                        self.store.wait(queued, cold)
-                    }
-                };
-                estimates.push(Count {
-                    place: service.to_owned(),
-                    model: target.model.clone(),
-                    millis: link::millis(ready_in),
-                    ..Count::default()
-                });
-            }
-        }
-        estimates
-    }
-
     fn settle(&mut self, settled: Settled) {
         let now = self.gateway.now();
         if let Change::Swap {
@@ -706,33 +447,6 @@
     }
 }
 
-impl Peer {
-    /// Engines whose view has changed since this instance was told.
-    fn changed(&mut self, views: &[EngineView], now: Duration) -> Vec<EngineView> {
-        let whole = now >= self.whole + VIEW_EVERY;
-        let mut changed = Vec::new();
-        for view in views {
-            let same = self.told.get(&view.id).is_some_and(|told| {
-                let near = told.load.abs_diff(view.load) < LOAD_STEP;
-                let queue = told.queued.abs_diff(view.queued) < LOAD_STEP;
-                near && queue
-                    && told.leaving == view.leaving
-                    && told.models == view.models
-                    && told.accepted == view.accepted
-            });
-            if whole || !same {
-                self.told.insert(view.id.clone(), view.clone());
-                changed.push(view.clone());
-            }
-        }
-        changed
-    }
-}
-
-fn outlook_matters(outlook: &Outlook) -> bool {
-    !outlook.engines.is_empty() || !outlook.config.is_empty() || !outlook.refused.is_empty()
-}
-
 fn ticks_held(gateway: &Gateway) -> bool {
     gateway.holding()
 }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -10,7 +10,8 @@
 use hyper::header::CONTENT_LENGTH;
 use hyper::http::response::Parts;
 
-use super::serve::{Checked, Job, Sent, Tries, replaceable, strip};
+use super::send::{Checked, Sent};
+use super::serve::{Job, Tries, replaceable, strip};
 use super::servers::{Health, Picked, Running};
 use crate::http::{Body, full};
 use crate::outbound::Sender;
