--- a/tests/endpoint_beliefs.rs
+++ b/tests/endpoint_beliefs.rs
@@ -42,6 +42,17 @@
     servers.pick(&need, NOW).map(|p| p.id)
 }
 
+/// A view of the first endpoint that holds a model.
+fn view_of(model: &str) -> View {
+    View {
+        id: "1".into(),
+        born: 1,
+        accepted: 1,
+        models: BTreeMap::from([(model.into(), BTreeSet::new())]),
+        ..View::default()
+    }
+}
+
 fn two() -> Servers {
     let servers = Servers::default();
     servers.adopt(endpoint("1", &["m"]), NOW);
@@ -104,12 +115,9 @@
 fn view_outranks_the_list() {
     let servers = two();
     let view = View {
-        id: "1".into(),
-        born: 1,
         accepted: 3,
-        models: BTreeMap::from([("z".into(), BTreeSet::new())]),
         closing: BTreeSet::new(),
-        ..View::default()
+        ..view_of("z")
     };
     servers.view(&[view], NOW);
     let row = Endpoint {
@@ -124,12 +132,8 @@
 fn closing_model_gets_nothing() {
     let servers = two();
     let view = View {
-        id: "1".into(),
-        born: 1,
-        accepted: 1,
-        models: BTreeMap::from([("m".into(), BTreeSet::new())]),
         closing: BTreeSet::from(["m".into()]),
-        ..View::default()
+        ..view_of("m")
     };
     servers.view(&[view], NOW);
     assert_eq!(pick(&servers, "m", &[]), None);
@@ -177,13 +181,9 @@
 fn queue_is_expected() {
     let servers = two();
     let view = View {
-        id: "1".into(),
-        born: 1,
-        accepted: 1,
-        models: BTreeMap::from([("m".into(), BTreeSet::new())]),
         running: 8,
         queued: 8,
-        ..View::default()
+        ..view_of("m")
     };
     servers.view(&[view], NOW);
     let need = Need {
