Orders: an unload's count taken by a late order, and old reports, no longer free a place

(a) An unload without an answer counted as carried out where the report had the next count and was busy; a late order from before a takeover takes the count and is busy as well, and the load that followed had no room. (b) A report was judged by when it was handled; one that was asked for before the last order's end and then lay unread for 400 ms counted as newer than that end.

Ruled out by reading: adapter orders of one plan (each unloads before it loads), late copies of orders (the expected count), a lease that is lost and regained (counts again).

Change: a busy engine is waited for after an unload; a report counts by when it was asked for. A needless line on copies in memory is gone. Test: order_settling, late_load_took_the_count_of_an_unload failed first.

--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -70,6 +70,8 @@
 struct Reported {
     engine: String,
     report: Report,
+    /// When it was asked for.
+    asked: Duration,
 }
 
 /// A swap or an adapter's load ended.
@@ -379,9 +381,16 @@
             };
             let (engine, me) = (id.clone(), me.clone());
             tokio::spawn(async move {
-                if let Some(report) = engineer.report().await
-                    && me.send(Reported { engine, report }).await.is_err()
-                {
+                let asked = engineer.gateway.now();
+                let Some(report) = engineer.report().await else {
+                    return;
+                };
+                let reported = Reported {
+                    engine,
+                    report,
+                    asked,
+                };
+                if me.send(reported).await.is_err() {
                     log::debug!("the instance is stopping");
                 }
             });
@@ -414,7 +423,7 @@
         book.asked = Duration::ZERO;
         let took = link::millis(settled.took);
         match settled.change {
-            Change::Swap { out, model, source } => {
+            Change::Swap { model, source, .. } => {
                 book.swap = None;
                 log::info!(engine = settled.engine.as_str(), model = model.as_str(),
                     outcome:% = settled.outcome, took_ms = took, source:% = source; "load ended");
@@ -426,7 +435,6 @@
                 } else {
                     // Unknown until the engine reports: count nothing as free, offer nothing.
                     book.unknown = true;
-                    book.warm.extend(out);
                 }
             }
             Change::Adapter { target, .. } => {
@@ -508,9 +516,8 @@
     type Return = ();
 
     async fn handle(&mut self, message: Reported, _ctx: &mut Context<Self>) {
-        let now = self.gateway.now();
         if let Some(book) = self.books.get_mut(&message.engine) {
-            book.report(message.report, now);
+            book.report(message.report, message.asked);
         }
     }
 }
--- a/src/gateway/orders/book.rs
+++ b/src/gateway/orders/book.rs
@@ -8,9 +8,8 @@
 use super::super::edge::{Report, Target};
 use super::super::planner::Change;
 use super::super::servers::Server;
+use super::give::shows_end;
 
-/// Time after an order's end within which reports may still be older than it.
-const REPORT_LAG: Duration = Duration::from_millis(400);
 /// Time over which the rate of requests for a model is averaged: a few swaps' time.
 pub(super) const RATE_OVER: Duration = Duration::from_secs(8);
 
@@ -93,7 +92,8 @@
         }
     }
 
-    pub(super) fn report(&mut self, report: Report, now: Duration) {
+    /// Takes over a report that was asked for at a time.
+    pub(super) fn report(&mut self, report: Report, asked: Duration) {
         if report.leaving {
             self.leaving = true;
         }
@@ -102,13 +102,13 @@
         }
         self.running = report.running;
         self.queued = report.queued;
-        if now < self.settled + REPORT_LAG || !self.idle() {
+        if !self.idle() {
             return;
         }
         let Ok(mut known) = self.accepted.try_lock() else {
             return;
         };
-        if report.accepted < *known && now < self.settled + REPORT_LAG * 4 {
+        if !shows_end(&report, *known, self.settled, asked) {
             return;
         }
         *known = report.accepted;
--- a/src/gateway/orders/give.rs
+++ b/src/gateway/orders/give.rs
@@ -41,8 +41,12 @@
 const OVERRUN: u32 = 6;
 /// Least time after which a load has failed.
 const OVERRUN_LEAST: Duration = Duration::from_secs(4);
-/// Age of what engines report.
+/// Age of what engines report; the pages speak of some hundred milliseconds.
 const REPORT_LAG: Duration = Duration::from_millis(150);
+/// Time after an order's end from which a report that is asked for shows it.
+const SHOWN_AFTER: Duration = Duration::from_millis(400);
+/// Multiple of that time after which a smaller count of orders is believed: the engine lost some.
+const LOST_COUNT: u32 = 4;
 
 /// How a change ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
@@ -343,11 +347,22 @@
     match (order.action, order.target.adapter.is_some()) {
         (Action::Load, true) => holds || report.coming.contains(&order.target),
         (Action::Load, false) => holds || report.busy,
-        (Action::Unload, true) => !holds,
-        (Action::Unload, false) => !holds || report.busy,
+        // A busy engine may carry out somebody else's order with this count.
+        (Action::Unload, _) => !holds,
     }
 }
 
+/// Whether a report shows what an engine holds after the last order to it has ended.
+///
+/// What counts is when it was asked for: an answer may lie unread at a busy instance for long.
+#[must_use]
+pub fn shows_end(report: &Report, known: u64, settled: Duration, asked: Duration) -> bool {
+    if asked < settled + SHOWN_AFTER {
+        return false;
+    }
+    report.accepted >= known || asked >= settled + SHOWN_AFTER * LOST_COUNT
+}
+
 fn held(
     models: &std::collections::BTreeMap<String, std::collections::BTreeSet<String>>,
     target: &Target,
--- a/tests/order_settling.rs
+++ b/tests/order_settling.rs
@@ -1,9 +1,10 @@
 //! What became of an order without a clear answer, read from the engine's report.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use brassrack::gateway::edge::{Action, Order, Report, Target};
-use brassrack::gateway::orders::give::{Settled, settle};
+use brassrack::gateway::orders::give::{Settled, settle, shows_end};
 
 fn order(action: Action, adapter: Option<&str>) -> Order {
     Order {
@@ -69,3 +70,40 @@
         Settled::Again
     );
 }
+
+/// Pattern: an order from before a takeover arrives late, takes the count of an unload, and its
+/// load runs. The model to be unloaded still fills its place; a load in its stead has no room.
+#[test]
+fn late_load_took_the_count_of_an_unload() {
+    let busy = Report {
+        busy: true,
+        ..report(6, &[])
+    };
+    let unload = order(Action::Unload, None);
+    assert_eq!(settle(&unload, &busy, 0), Settled::Again);
+    assert_eq!(settle(&unload, &report(6, &[]), 1), Settled::Other);
+}
+
+const fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// Pattern: the holder is short of processor time, and an answer lies unread for half a second. It
+/// shows the engine before the last order, whenever it is read.
+#[test]
+fn report_asked_before_the_end_is_old() {
+    assert!(!shows_end(&report(5, &[]), 5, ms(1000), ms(900)));
+    assert!(!shows_end(&report(5, &[]), 5, ms(1000), ms(1399)));
+}
+
+#[test]
+fn report_asked_after_the_end_counts() {
+    assert!(shows_end(&report(5, &[]), 5, ms(1000), ms(1400)));
+}
+
+/// An engine that restarted within its entry's time counts from the beginning.
+#[test]
+fn smaller_count_is_believed_in_the_end() {
+    assert!(!shows_end(&report(0, &[]), 5, ms(1000), ms(2000)));
+    assert!(shows_end(&report(0, &[]), 5, ms(1000), ms(2600)));
+}
