Orders: the holder pauses between plans and tells only what changed

Cause: each message of an instance with waiting requests asked for a plan. With 66 instances of several messages a second and plans that took longer than the pause between two messages, they piled up: instances heard nothing for seconds, gave up their links (103 times in 50 s) and did not learn of models that had been loaded for them. Besides, each of 66 instances had each of 140 views compared up to 22 times a second and got all estimates, asked for or not; every demand copied all endpoints.

Ruled out: the links' rate (10 Mbit/s), views that instances refuse.

Change: after a plan comes a pause of three times its time; views carry the version at which they changed, so that an instance gets what is newer than what it was told; estimates go to those who asked; the list and the running requests are read without copying endpoints.

--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -99,11 +99,13 @@
         });
     let asked = asked.collect();
     let mut running = Vec::new();
-    for server in gateway.catalog().iter().flat_map(|c| engines(gateway, c)) {
-        for (target, count) in &server.running {
+    let catalog = gateway.catalog();
+    let services = catalog.iter().flat_map(|c| c.services.iter());
+    for (service, _) in services.filter(|(_, s)| s.engine.is_some()) {
+        for (id, target, count) in gateway.servers.running(service) {
             running.push(Count {
-                count: *count,
-                ..Count::new(&server.endpoint.id, target)
+                count,
+                ..Count::new(&id, &target)
             });
         }
     }
@@ -117,13 +119,6 @@
     }
 }
 
-fn engines(gateway: &Gateway, catalog: &super::catalog::Catalog) -> Vec<super::servers::Server> {
-    let services = catalog.services.iter().filter(|(_, s)| s.engine.is_some());
-    services
-        .flat_map(|(name, _)| gateway.servers.of_service(name))
-        .collect()
-}
-
 fn version(gateway: &Gateway) -> u64 {
     let in_force = gateway.in_force.borrow();
     in_force.as_ref().map_or(0, |f| f.catalog.version)
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -16,13 +16,15 @@
 
 mod book;
 pub mod give;
+pub mod pace;
 mod store_room;
 mod tell;
 
 use book::{Book, Job, RATE_OVER, Rate};
 use give::{Engineer, Outcome};
+use pace::Pace;
 use store_room::StoreLoads;
-use tell::Peer;
+use tell::{Peer, Views};
 
 /// Messages that wait for the actor at most.
 const MAILBOX: usize = 1024;
@@ -30,8 +32,6 @@
 const TICK: Duration = Duration::from_millis(50);
 /// Least time between two tellings of what did not change by an order.
 const TELL_EVERY: Duration = Duration::from_millis(45);
-/// Least time between two plans that demand asks for; the time of one order's answer.
-const RUN_EVERY: Duration = Duration::from_millis(10);
 /// Time between two reports that are asked of an engine without a running order.
 const REPORT_EVERY: Duration = Duration::from_millis(900);
 /// The same for an engine that is loaded, whose queue decides who is refused.
@@ -53,9 +53,10 @@
     /// This instance's clock as each instance that ever had a link echoed it last.
     echoes: BTreeMap<String, Duration>,
     own: Demand,
-    ran: Duration,
+    pace: Pace,
     told: Duration,
     dirty: bool,
+    views: Views,
     rates: BTreeMap<BoardKey, Rate>,
     books: BTreeMap<String, Book>,
     store: StoreLoads,
@@ -100,9 +101,10 @@
                 peers: BTreeMap::new(),
                 echoes: BTreeMap::new(),
                 own: Demand::default(),
-                ran: Duration::ZERO,
+                pace: Pace::default(),
                 told: Duration::ZERO,
                 dirty: false,
+                views: Views::default(),
                 rates: BTreeMap::new(),
                 books: BTreeMap::new(),
                 store: StoreLoads::new(window),
@@ -156,9 +158,17 @@
         }
     }
 
+    /// Plans and tells, unless the last time was just now.
     fn run(&mut self) {
         let now = self.gateway.now();
-        self.ran = now;
+        if !self.pace.due(now) {
+            return;
+        }
+        self.plan(now);
+        self.pace.ran(now, self.gateway.now());
+    }
+
+    fn plan(&mut self, now: Duration) {
         let Some(fence) = self.fence() else {
             self.idle();
             return;
@@ -173,6 +183,7 @@
         self.heard(&own);
         self.peers.retain(|_, p| now < p.heard + PEER_SILENT);
         self.rates.retain(|_, r| r.now(now) > RATE_LEAST);
+        let mut wants = BTreeMap::new();
         for (service, engine) in engines(&catalog) {
             self.keep_books(service, now);
             let fleet = self.fleet(service, now);
@@ -180,13 +191,15 @@
             for step in planner::plan(engine, &fleet, room, now) {
                 self.begin(engine, step, &fleet, fence, now);
             }
+            wants.insert(service, fleet.wants);
         }
         let slots = engines(&catalog).map(|(_, e)| e.slots).max().unwrap_or(1);
         self.ask_reports(slots, now);
         if now >= self.told + TELL_EVERY || self.dirty {
             self.told = now;
             self.dirty = false;
-            self.tell(&catalog, now);
+            let estimates = self.estimates(&catalog, &wants, now);
+            self.tell(&catalog, &estimates, now);
         }
     }
 
@@ -196,20 +209,23 @@
         self.peers.clear();
         self.echoes.clear();
         self.store.clear();
+        self.views = Views::default();
     }
 
     fn keep_books(&mut self, service: &str, now: Duration) {
-        let servers = self.gateway.servers.of_service(service);
-        let listed: BTreeSet<&str> = servers.iter().map(|s| s.endpoint.id.as_str()).collect();
-        self.books.retain(|id, _| listed.contains(id.as_str()));
-        for server in &servers {
-            let id = &server.endpoint.id;
-            let restarted = |b: &Book| b.born != server.endpoint.born;
-            if self.books.get(id).is_none_or(restarted) {
-                self.books.insert(id.clone(), Book::new(server));
+        let servers = &self.gateway.servers;
+        let listed = servers.listed(service);
+        let ids: BTreeSet<&str> = listed.iter().map(|e| e.id.as_str()).collect();
+        self.books.retain(|id, _| ids.contains(id.as_str()));
+        for entry in &listed {
+            let restarted = |b: &Book| b.born != entry.born;
+            if self.books.get(&entry.id).is_none_or(restarted)
+                && let Some(endpoint) = servers.endpoint(&entry.id)
+            {
+                self.books.insert(entry.id.clone(), Book::new(&endpoint));
             }
-            if let Some(book) = self.books.get_mut(id) {
-                book.leaving |= !server.takes_work();
+            if let Some(book) = self.books.get_mut(&entry.id) {
+                book.leaving |= !entry.ready;
                 book.since.retain(|_, at| now < *at + RATE_OVER);
             }
         }
@@ -497,14 +513,14 @@
                         demand,
                         heard,
                         answers,
-                        told: BTreeMap::new(),
+                        known: 0,
                         whole: Duration::ZERO,
                         beat: Duration::ZERO,
                         refused: 0,
                     };
                     self.peers.insert(number, peer);
                 }
-                if urgent && heard >= self.ran + RUN_EVERY {
+                if urgent {
                     self.run();
                 }
             }
--- a/src/gateway/orders/book.rs
+++ b/src/gateway/orders/book.rs
@@ -5,9 +5,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::super::edge::{Report, Target};
+use super::super::edge::{Endpoint, Report, Target};
 use super::super::planner::Change;
-use super::super::servers::Server;
 use super::give::shows_end;
 
 /// Time over which the rate of requests for a model is averaged: a few swaps' time.
@@ -48,8 +47,7 @@
 }
 
 impl Book {
-    pub(super) fn new(server: &Server) -> Self {
-        let endpoint = &server.endpoint;
+    pub(super) fn new(endpoint: &Endpoint) -> Self {
         Self {
             address: endpoint.address,
             domain: endpoint.domain.clone(),
--- a/src/gateway/orders/tell.rs
+++ b/src/gateway/orders/tell.rs
@@ -7,8 +7,9 @@
 use tokio::sync::mpsc;
 
 use super::super::catalog::Catalog;
+use super::super::edge::Target;
 use super::super::link::{self, Count, Demand, EngineView, Outlook};
-use super::super::planner::Change;
+use super::super::planner::{Change, Want};
 use super::super::servers::View;
 use super::{Orders, engines};
 
@@ -24,15 +25,68 @@
     pub(super) demand: Demand,
     pub(super) heard: Duration,
     pub(super) answers: mpsc::Sender<Outlook>,
-    pub(super) told: BTreeMap<String, EngineView>,
+    /// Version of the views that it was told last.
+    pub(super) known: u64,
     pub(super) whole: Duration,
     pub(super) beat: Duration,
     pub(super) refused: usize,
 }
 
+/// The views of all engines, each with the version at which it last changed by much.
+#[derive(Debug, Default)]
+pub(super) struct Views {
+    version: u64,
+    engines: BTreeMap<String, Told>,
+}
+
+#[derive(Debug)]
+struct Told {
+    version: u64,
+    /// Load and queue at that version.
+    load: u32,
+    queued: u32,
+    view: EngineView,
+}
+
+impl Views {
+    fn update(&mut self, views: Vec<EngineView>) {
+        let before = std::mem::take(&mut self.engines);
+        for view in views {
+            let told = before.get(&view.id).filter(|t| t.near(&view));
+            if told.is_none() {
+                self.version += 1;
+            }
+            let entry = Told {
+                version: told.map_or(self.version, |t| t.version),
+                load: told.map_or(view.load, |t| t.load),
+                queued: told.map_or(view.queued, |t| t.queued),
+                view,
+            };
+            self.engines.insert(entry.view.id.clone(), entry);
+        }
+    }
+
+    /// The views that changed after a version.
+    fn since(&self, version: u64) -> Vec<EngineView> {
+        let newer = self.engines.values().filter(|t| t.version > version);
+        newer.map(|t| t.view.clone()).collect()
+    }
+}
+
+impl Told {
+    /// Whether a view differs by less than what is told at once.
+    fn near(&self, view: &EngineView) -> bool {
+        self.load.abs_diff(view.load) < LOAD_STEP
+            && self.queued.abs_diff(view.queued) < LOAD_STEP
+            && self.view.leaving == view.leaving
+            && self.view.accepted == view.accepted
+            && self.view.models == view.models
+    }
+}
+
 impl Orders {
     /// Tells all instances, this one included, what changed.
-    pub(super) fn tell(&mut self, catalog: &Catalog, now: Duration) {
+    pub(super) fn tell(&mut self, catalog: &Catalog, estimates: &[Count], now: Duration) {
         let mut loads: BTreeMap<String, u32> = BTreeMap::new();
         for demand in self.demands() {
             for count in &demand.running {
@@ -63,26 +117,27 @@
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
             .version();
-        let estimates = self.estimates(catalog, now);
         let refused = self.gateway.suspicion().refused();
         let live = u32::try_from(self.peers.len() + 1).unwrap_or(u32::MAX);
         self.gateway.servers.view(&views, now);
         self.gateway.budgets().resize(live);
-        for estimate in &estimates {
+        for estimate in estimates {
             let key = (estimate.place.clone(), estimate.target());
             self.gateway
                 .estimate(key, Duration::from_millis(estimate.millis.into()));
         }
-        let encoded: Vec<EngineView> = views.iter().map(EngineView::of).collect();
+        self.views
+            .update(views.iter().map(EngineView::of).collect());
         for peer in self.peers.values_mut() {
+            let due = now >= peer.whole + VIEW_EVERY;
             let outlook = Outlook {
                 holding: true,
                 version,
                 clock: u64::try_from(now.as_millis()).unwrap_or(u64::MAX),
                 live,
                 config: link::newer_config(&self.gateway, peer.demand.version),
-                engines: peer.changed(&encoded, now),
-                estimates: estimates.clone(),
+                engines: self.views.since(if due { 0 } else { peer.known }),
+                estimates: peer.asked_for(estimates),
                 refused: if refused.len() == peer.refused {
                     Vec::new()
                 } else {
@@ -90,7 +145,6 @@
                 },
                 ..Outlook::default()
             };
-            let due = now >= peer.whole + VIEW_EVERY;
             let beat = now >= peer.beat + BEAT_EVERY;
             if due || beat || outlook_matters(&outlook) {
                 peer.beat = now;
@@ -99,20 +153,23 @@
                 if due {
                     peer.whole = now;
                 }
-                if peer.answers.try_send(outlook).is_err() {
-                    peer.told.clear();
-                }
+                let sent = peer.answers.try_send(outlook).is_ok();
+                peer.known = if sent { self.views.version } else { 0 };
             }
         }
     }
 
     /// Time until models that requests wait for can be served.
-    pub(super) fn estimates(&self, catalog: &Catalog, now: Duration) -> Vec<Count> {
+    pub(super) fn estimates(
+        &self,
+        catalog: &Catalog,
+        wants: &BTreeMap<&str, BTreeMap<Target, Want>>,
+        now: Duration,
+    ) -> Vec<Count> {
         let mut estimates = Vec::new();
         for (service, engine) in engines(catalog) {
-            let fleet = self.fleet(service, now);
             let mut queued = 0;
-            for (target, want) in &fleet.wants {
+            for (target, want) in wants.get(service).into_iter().flatten() {
                 if want.waiting == 0 || target.adapter.is_some() {
                     continue;
                 }
@@ -147,25 +204,14 @@
 }
 
 impl Peer {
-    /// Engines whose view has changed since this instance was told.
-    fn changed(&mut self, views: &[EngineView], now: Duration) -> Vec<EngineView> {
-        let whole = now >= self.whole + VIEW_EVERY;
-        let mut changed = Vec::new();
-        for view in views {
-            let same = self.told.get(&view.id).is_some_and(|told| {
-                let near = told.load.abs_diff(view.load) < LOAD_STEP;
-                let queue = told.queued.abs_diff(view.queued) < LOAD_STEP;
-                near && queue
-                    && told.leaving == view.leaving
-                    && told.models == view.models
-                    && told.accepted == view.accepted
-            });
-            if whole || !same {
-                self.told.insert(view.id.clone(), view.clone());
-                changed.push(view.clone());
-            }
-        }
-        changed
+    /// The estimates of what requests at this instance wait for.
+    fn asked_for(&self, estimates: &[Count]) -> Vec<Count> {
+        let asked = |e: &&Count| {
+            let waiting = self.demand.asked.iter().filter(|c| c.count > 0);
+            let mut same = waiting.filter(|c| c.place == e.place && c.model == e.model);
+            same.next().is_some()
+        };
+        estimates.iter().filter(asked).cloned().collect()
     }
 }
 
--- a/src/gateway/servers.rs
+++ b/src/gateway/servers.rs
@@ -214,6 +214,17 @@
     pub wait: Duration,
 }
 
+/// An endpoint's entry in the server list.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Listed {
+    /// Id of the incarnation.
+    pub id: String,
+    /// Start of the incarnation, in Unix milliseconds.
+    pub born: u64,
+    /// Whether it takes new work.
+    pub ready: bool,
+}
+
 /// What a request needs of an endpoint.
 #[derive(Debug, Clone, Default)]
 pub struct Need<'a> {
@@ -333,12 +344,33 @@
         state.arena.get(*key).map(|s| s.endpoint.clone())
     }
 
-    /// Copies of the endpoints of a service.
+    /// The endpoints of a service.
     #[must_use]
-    pub fn of_service(&self, service: &str) -> Vec<Server> {
+    pub fn listed(&self, service: &str) -> Vec<Listed> {
         let state = self.state();
         let fits = |s: &&Server| s.endpoint.service == service;
-        state.arena.values().filter(fits).cloned().collect()
+        let listed = |s: &Server| Listed {
+            id: s.endpoint.id.clone(),
+            born: s.endpoint.born,
+            ready: s.takes_work(),
+        };
+        state.arena.values().filter(fits).map(listed).collect()
+    }
+
+    /// Requests of this instance that run at the endpoints of a service, by endpoint and model.
+    #[must_use]
+    pub fn running(&self, service: &str) -> Vec<(String, Target, u32)> {
+        let state = self.state();
+        let mut running = Vec::new();
+        for server in state.arena.values() {
+            if server.endpoint.service != service {
+                continue;
+            }
+            for (target, count) in &server.running {
+                running.push((server.endpoint.id.clone(), target.clone(), *count));
+            }
+        }
+        running
     }
 
     /// Takes over the lease holder's view.
--- /dev/null
+++ b/tests/plan_pace.rs
@@ -0,0 +1,28 @@
+//! How often the lease holder plans.
+
+use std::time::Duration;
+
+use brassrack::gateway::orders::pace::Pace;
+
+/// Pattern: 66 instances tell their demand ten times a second each, all of it asks for a plan, and
+/// a plan takes as long as several of these messages are apart. Most of the time is left for
+/// reading them; otherwise they pile up, and the holder answers what was asked seconds ago.
+#[test]
+fn plans_leave_time_to_read() {
+    let mut pace = Pace::default();
+    let (plan, read) = (Duration::from_millis(30), Duration::from_micros(200));
+    let mut now = Duration::from_secs(1);
+    let mut planned = Duration::ZERO;
+    let mut messages = 0;
+    while now < Duration::from_secs(11) {
+        now += read;
+        messages += 1;
+        if pace.due(now) {
+            pace.ran(now, now + plan);
+            now += plan;
+            planned += plan;
+        }
+    }
+    assert!(messages > 6_600, "{messages} messages read in ten seconds");
+    assert!(planned > Duration::from_secs(1), "planned for {planned:?}");
+}
