--- a/src/assembly.rs
+++ b/src/assembly.rs
@@ -40,7 +40,7 @@
 use crate::settings::Settings;
 use crate::suspects::{SuspectSettings, Suspects};
 use crate::table::Table;
-use crate::turnstile::Turnstile;
+use crate::dispatch_queue::DispatchQueue;
 
 /// Records of recent requests that are kept.
 const RECORDS: usize = 10_000;
@@ -156,7 +156,7 @@
         every: settings.timing.list,
     };
     let chooser = Chooser::new(clock, settings.domain.clone());
-    let turnstile = turnstile(settings, &view, &chooser);
+    let dispatch_queue = dispatch_queue(settings, &view, &chooser);
     let gate = Gate {
         name: settings.name.clone(),
         domain: settings.domain.clone(),
@@ -170,7 +170,7 @@
         suspects: Arc::new(suspects),
         loads,
         interest,
-        turnstile,
+        dispatch_queue,
         lined: Inflight::default(),
         outbound,
         ledger: Arc::new(ledger),
@@ -236,18 +236,18 @@
     tokio::spawn(desk.keeper.clone().run(settings.timing.report));
 }
 
-fn turnstile(
+fn dispatch_queue(
     settings: &Settings,
     view: &watch::Receiver<Arc<View>>,
     chooser: &Chooser,
-) -> Address<Turnstile> {
+) -> Address<DispatchQueue> {
     let (view, chooser) = (view.clone(), chooser.clone());
     let room = Arc::new(move |model: &str| gate::has_room(&view, &chooser, model));
     let queue = QueueSettings {
         capacity: settings.limits.waiting,
         ..QueueSettings::default()
     };
-    Turnstile::start(queue, Clock::Boot, room)
+    DispatchQueue::start(queue, Clock::Boot, room)
 }
 
 fn ledger(table: &Arc<dyn Table>, objects: Arc<dyn Objects>, start: &Start) -> Ledger {
--- a/src/completions/source.rs
+++ b/src/completions/source.rs
@@ -18,7 +18,7 @@
 use crate::outbound::{Freshness, Reply, SendError, SendFault};
 use crate::relay::RESUME;
 use crate::trials::Leave;
-use crate::turnstile::Enter;
+use crate::dispatch_queue::Enqueue;
 use crate::verdict::{Cause, Refusal, Verdict};
 
 /// Pause after an attempt that surely did not run; the deadline bounds those.
@@ -169,7 +169,7 @@
         }
         let _lined = self.gate.lined.start(model);
         self.record.step("waiting", "for its turn");
-        let enter = Enter {
+        let enqueue = Enqueue {
             model: model.clone(),
             waiting: Waiting {
                 id: 0,
@@ -183,8 +183,8 @@
         let waited = Instant::now();
         let turn = self
             .gate
-            .turnstile
-            .send(enter)
+            .dispatch_queue
+            .send(enqueue)
             .await
             .map_err(|_stopped| stopping())?;
         let turn = turn.await.map_err(|_closed| stopping())?;
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -26,7 +26,7 @@
 use crate::records::{Record, Records};
 use crate::rules::InForce;
 use crate::suspects::Suspects;
-use crate::turnstile::Turnstile;
+use crate::dispatch_queue::DispatchQueue;
 use crate::verdict::{Cause, Refusal};
 
 /// Label for tenants that no rule names, so that labels stay few.
@@ -101,7 +101,7 @@
     /// Models that this instance has traffic for.
     pub interest: Interest,
     /// Requests that wait their turn.
-    pub turnstile: Address<Turnstile>,
+    pub dispatch_queue: Address<DispatchQueue>,
     /// Counts of the requests that wait their turn, by model.
     pub lined: Inflight,
     /// Connections to endpoints.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -55,7 +55,7 @@
 pub mod table;
 pub mod tool;
 pub mod trials;
-pub mod turnstile;
+pub mod dispatch_queue;
 pub mod verdict;
 
 /// A boxed future, as returned by the traits at the edges of the process.
