Names: reconciler and owner of a key

Names only, no decision changed. keeper, Tending and tend are the reconciler, its states and reconcile; the home of a key is its owner.

--- a/src/assembly.rs
+++ b/src/assembly.rs
@@ -13,6 +13,7 @@
 use crate::clock::Clock;
 use crate::console::Desk;
 use crate::daemon::StartError;
+use crate::dispatch_queue::DispatchQueue;
 use crate::engine::Engine;
 use crate::fleet::{Fleet, Heard, View};
 use crate::follow::{Follow, Keep, RulesWatch};
@@ -21,7 +22,6 @@
 use crate::inflight::Inflight;
 use crate::instances::Directory;
 use crate::interest::Interest;
-use crate::keeper::{Keeper, Tending};
 use crate::ledger::{self, Ledger, LedgerSettings};
 use crate::limits::QueueSettings;
 use crate::loads::{Answering, LoadContext, LoadSettings, Loads as ColdStarts};
@@ -34,13 +34,13 @@
 use crate::placement::{Placement, PlacementSettings, ReconcileSettings};
 use crate::platform::{Remote, RemoteEngines};
 use crate::poll::{Poll, last_list};
+use crate::reconciler::{Reconciler, ServerStates};
 use crate::records::Records;
 use crate::residency::Residencies;
 use crate::rules::{RulesStore, StoreSettings};
 use crate::settings::Settings;
 use crate::suspects::{SuspectSettings, Suspects};
 use crate::table::Table;
-use crate::dispatch_queue::DispatchQueue;
 
 /// Records of recent requests that are kept.
 const RECORDS: usize = 10_000;
@@ -128,7 +128,7 @@
             ..PlacementSettings::default()
         },
     )?);
-    let keeper = Keeper {
+    let reconciler = Reconciler {
         placement: Arc::clone(&placement),
         engines: Arc::clone(&engines),
         fleet: fleet.clone(),
@@ -137,14 +137,14 @@
         mesh: mesh.clone(),
         clock,
         bounds: ReconcileSettings::default(),
-        tending: Tending::default(),
+        states: ServerStates::default(),
     };
     let residencies = Arc::new(Mutex::new(Residencies::new(FIRST_SPEED)));
     let loads = ColdStarts::start(LoadContext {
         residencies: Arc::clone(&residencies),
         settings: LoadSettings::default(),
         placement,
-        keeper: keeper.clone(),
+        reconciler: reconciler.clone(),
         interest: interest.clone(),
         metrics: metrics.clone(),
     });
@@ -183,7 +183,7 @@
     };
     let desk = Desk {
         gate,
-        keeper,
+        reconciler,
         mesh,
         store,
         keep,
@@ -226,14 +226,14 @@
 fn watch_servers(desk: &Desk, settings: &Settings, residencies: SharedResidencies) {
     let watch = IdleWatch {
         residencies,
-        keeper: desk.keeper.clone(),
+        reconciler: desk.reconciler.clone(),
         loads: desk.gate.loads.clone(),
         metrics: desk.gate.metrics.clone(),
     };
     tokio::spawn(watch.run());
     tokio::spawn(forget(desk.gate.view.clone(), desk.gate.chooser.clone()));
-    tokio::spawn(desk.keeper.clone().run_sweep());
-    tokio::spawn(desk.keeper.clone().run(settings.timing.report));
+    tokio::spawn(desk.reconciler.clone().run_sweep());
+    tokio::spawn(desk.reconciler.clone().run(settings.timing.report));
 }
 
 fn dispatch_queue(
@@ -360,7 +360,7 @@
     }
 }
 
-/// Forgets calls after their retention where this instance is the home of that, until the
+/// Forgets calls after their retention where this instance is the owner of that, until the
 /// process ends.
 async fn expire(table: Arc<dyn Table>, rules: RulesWatch, mesh: MeshHandle) {
     loop {
@@ -368,7 +368,7 @@
         let rules = rules.borrow().clone();
         let tenants = rules.iter().flat_map(|r| r.rules.tenants.keys());
         for tenant in tenants {
-            if mesh.home(&format!("request/{tenant}")).is_some() {
+            if mesh.owner(&format!("request/{tenant}")).is_some() {
                 continue;
             }
             match ledger::expire(table.as_ref(), tenant, RETENTION).await {
--- a/src/completions/source.rs
+++ b/src/completions/source.rs
@@ -11,6 +11,7 @@
 
 use super::Completion;
 use crate::chooser::{Candidate, Flight};
+use crate::dispatch_queue::Enqueue;
 use crate::fleet::{Endpoint, NotHeld};
 use crate::http;
 use crate::limits::Waiting;
@@ -18,7 +19,6 @@
 use crate::outbound::{Freshness, Reply, SendError, SendFault};
 use crate::relay::RESUME;
 use crate::trials::Leave;
-use crate::dispatch_queue::Enqueue;
 use crate::verdict::{Cause, Refusal, Verdict};
 
 /// Pause after an attempt that surely did not run; the deadline bounds those.
@@ -234,7 +234,7 @@
         let mut phase = self
             .gate
             .loads
-            .wake(&self.prompt.model, Decider::Home)
+            .wake(&self.prompt.model, Decider::Owner)
             .await?;
         loop {
             let now = phase.borrow_and_update().clone();
--- a/src/console.rs
+++ b/src/console.rs
@@ -14,10 +14,10 @@
 use crate::fleet::Endpoint;
 use crate::follow::{Keep, Offered, in_force};
 use crate::gate::Gate;
-use crate::keeper::Keeper;
 use crate::members::{Member, MemberState};
 use crate::peers::MeshHandle;
 use crate::placement::ServerRow;
+use crate::reconciler::Reconciler;
 use crate::rules::{InForce, RulesStore, VersionText};
 
 /// What the administration API shows and does.
@@ -26,7 +26,7 @@
     /// What requests are served with.
     pub gate: Gate,
     /// The servers as decided.
-    pub keeper: Keeper,
+    pub reconciler: Reconciler,
     /// The other instances.
     pub mesh: MeshHandle,
     /// The accepted configurations.
@@ -115,7 +115,7 @@
         for placed in view
             .endpoints
             .keys()
-            .filter_map(|name| self.keeper.row(name))
+            .filter_map(|name| self.reconciler.row(name))
         {
             for replica in placed.row.replicas {
                 *decided.entry(replica.model).or_default() += 1;
@@ -155,12 +155,17 @@
         Box::pin(async move {
             let view = Arc::clone(&self.gate.view.borrow());
             // While the table service is down, what this instance read last has to do.
-            let placed = self.keeper.placement.snapshot().await.unwrap_or_default();
+            let placed = self
+                .reconciler
+                .placement
+                .snapshot()
+                .await
+                .unwrap_or_default();
             let mut rows: BTreeMap<String, ServerRow> =
                 placed.into_iter().map(|p| (p.server, p.row)).collect();
             let row = |name: &String| {
                 rows.remove(name)
-                    .or_else(|| self.keeper.row(name).map(|p| p.row))
+                    .or_else(|| self.reconciler.row(name).map(|p| p.row))
             };
             let rows: Vec<_> = view.endpoints.keys().map(row).collect();
             let listed = view.endpoints.values().zip(rows);
--- a/src/dispatch_queue.rs
+++ b/src/dispatch_queue.rs
@@ -68,7 +68,11 @@
 impl DispatchQueue {
     /// Starts the actor.
     #[must_use]
-    pub fn start(settings: QueueSettings, clock: Clock, has_capacity: HasCapacity) -> Address<Self> {
+    pub fn start(
+        settings: QueueSettings,
+        clock: Clock,
+        has_capacity: HasCapacity,
+    ) -> Address<Self> {
         let queue_actor = Self {
             queues: BTreeMap::new(),
             settings,
@@ -104,10 +108,13 @@
         self.next += 1;
         let id = self.next;
         let settings = self.settings;
-        let entry = self.queues.entry(message.model).or_insert_with(|| ModelQueue {
-            queue: WaitQueue::new(settings),
-            waiters: BTreeMap::new(),
-        });
+        let entry = self
+            .queues
+            .entry(message.model)
+            .or_insert_with(|| ModelQueue {
+                queue: WaitQueue::new(settings),
+                waiters: BTreeMap::new(),
+            });
         match entry.queue.push(
             Waiting {
                 id,
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -85,7 +85,7 @@
     pub hints: BTreeMap<String, Hint>,
 }
 
-/// Servers that a model's home named.
+/// Servers that a model's owner named.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Hint {
     /// Server names.
@@ -218,7 +218,7 @@
 #[derive(Debug)]
 pub struct Heard(pub Arc<Loads>);
 
-/// A model's home named servers at `now` on which it is ready.
+/// A model's owner named servers at `now` on which it is ready.
 #[derive(Debug)]
 pub struct Hinted {
     /// Model or adapter.
--- a/src/follow.rs
+++ b/src/follow.rs
@@ -12,7 +12,7 @@
 
 /// Messages that wait for the actor at most.
 const MAILBOX: usize = 1024;
-/// Intervals between two reads of an instance that is not home of the configuration.
+/// Intervals between two reads of an instance that is not owner of the configuration.
 const SELDOM: u32 = 10;
 /// Longest time for a peer to send the text.
 const PEER_ANSWER: Duration = Duration::from_secs(1);
@@ -80,7 +80,7 @@
 impl Follow {
     /// Reads the accepted version from the platform until the process ends.
     ///
-    /// The home of the configuration reads often; it and the instance that accepts a change tell
+    /// The owner of the configuration reads often; it and the instance that accepts a change tell
     /// the others, which read seldom.
     pub async fn run(self) {
         let mut ticks = interval(self.every);
@@ -88,8 +88,8 @@
         let mut round = 0_u32;
         loop {
             ticks.tick().await;
-            let home = self.mesh.home(CURRENT_KEY).is_none();
-            if home || round.is_multiple_of(SELDOM) || in_force(&self.seen) == 0 {
+            let owner = self.mesh.owner(CURRENT_KEY).is_none();
+            if owner || round.is_multiple_of(SELDOM) || in_force(&self.seen) == 0 {
                 self.look().await;
             }
             round = round.wrapping_add(1);
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -11,6 +11,7 @@
 use crate::ask::Ask;
 use crate::chooser::Chooser;
 use crate::clock::Clock;
+use crate::dispatch_queue::DispatchQueue;
 use crate::engine::Engine;
 use crate::fleet::{Fleet, Lost, View};
 use crate::follow::RulesWatch;
@@ -26,7 +27,6 @@
 use crate::records::{Record, Records};
 use crate::rules::InForce;
 use crate::suspects::Suspects;
-use crate::dispatch_queue::DispatchQueue;
 use crate::verdict::{Cause, Refusal};
 
 /// Label for tenants that no rule names, so that labels stay few.
--- a/src/idle.rs
+++ b/src/idle.rs
@@ -7,10 +7,10 @@
 use tokio::time::{MissedTickBehavior, interval};
 
 use crate::fleet::Endpoint;
-use crate::keeper::{Keeper, TendError};
 use crate::loads::{Decider, Loads};
 use crate::metrics::Metrics;
 use crate::placement::PlaceError;
+use crate::reconciler::{ReconcileError, Reconciler};
 use crate::residency::Residencies;
 use crate::rules::{InForce, Rules};
 
@@ -37,13 +37,13 @@
         .unwrap_or_default()
 }
 
-/// Watches the replicas on the servers whose home this instance is.
+/// Watches the replicas on the servers whose owner this instance is.
 #[derive(Debug, Clone)]
 pub struct IdleWatch {
     /// What is learnt.
     pub residencies: SharedResidencies,
     /// The servers.
-    pub keeper: Keeper,
+    pub reconciler: Reconciler,
     /// Cold starts, for loads ahead of need.
     pub loads: Loads,
     /// Metrics.
@@ -58,7 +58,7 @@
         let mut round = 0_u32;
         loop {
             ticks.tick().await;
-            let rules = self.keeper.rules.borrow().clone();
+            let rules = self.reconciler.rules.borrow().clone();
             let Some(rules) = rules else {
                 continue;
             };
@@ -73,19 +73,24 @@
     async fn look(&self, rules: &InForce) {
         lock(&self.residencies).configure(&rules.rules);
         let now = epoch();
-        for endpoint in self.keeper.servers() {
+        for endpoint in self.reconciler.servers() {
             let name = &endpoint.listed.name;
             let Some(report) = endpoint.report.as_ref() else {
                 continue;
             };
-            if self.keeper.mesh.home(&format!("server/{name}")).is_some() {
+            if self
+                .reconciler
+                .mesh
+                .owner(&format!("server/{name}"))
+                .is_some()
+            {
                 continue;
             }
             let idle = lock(&self.residencies).observe(name, report, &rules.rules, now);
             self.count(&endpoint, &rules.rules, idle);
             let due = lock(&self.residencies).due(name, now);
             for model in due {
-                self.let_go(&endpoint, &model).await;
+                self.release_model(&endpoint, &model).await;
             }
         }
     }
@@ -104,20 +109,20 @@
         }
     }
 
-    async fn let_go(&self, endpoint: &Endpoint, model: &str) {
-        match self.keeper.let_go(endpoint, model).await {
+    async fn release_model(&self, endpoint: &Endpoint, model: &str) {
+        match self.reconciler.release_model(endpoint, model).await {
             Ok(()) => {
                 log::info!(endpoint = endpoint.listed.name, model = model; "idle replica let go");
             }
             // The base of a resident adapter stays until the adapter is gone.
-            Err(TendError::Place(PlaceError::InUse | PlaceError::Gone)) => {}
+            Err(ReconcileError::Place(PlaceError::InUse | PlaceError::Gone)) => {}
             Err(error) => log::warn!(model = model, error:% = error; "cannot let a replica go"),
         }
     }
 
     async fn predict(&self, rules: &InForce) {
         let absent: BTreeMap<String, u64> = {
-            let view = self.keeper.view.borrow();
+            let view = self.reconciler.view.borrow();
             let models = rules.rules.models.iter();
             let absent = models.filter(|(name, _)| view.holders(name).next().is_none());
             absent
--- a/src/loads.rs
+++ b/src/loads.rs
@@ -1,4 +1,4 @@
-//! Cold starts: one at a time for each model, decided at the model's home.
+//! Cold starts: one at a time for each model, decided at the model's owner.
 
 mod ask;
 mod job;
@@ -37,9 +37,9 @@
 /// Who decides a cold start.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Decider {
-    /// The home of the model, or this instance where the home does not answer.
-    Home,
-    /// This instance, whoever is home.
+    /// The owner of the model, or this instance where the owner does not answer.
+    Owner,
+    /// This instance, whoever is owner.
     Here,
     /// This instance, ahead of need: nothing is evicted for it.
     Ahead,
--- a/src/loads/ask.rs
+++ b/src/loads/ask.rs
@@ -1,4 +1,4 @@
-//! Asks the home of a model for a replica, and answers peers that ask.
+//! Asks the owner of a model for a replica, and answers peers that ask.
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -20,11 +20,11 @@
 const NEWS_PAUSE: Duration = Duration::from_millis(50);
 /// Time to come back where none was found.
 const COME_BACK: Duration = Duration::from_secs(1);
-/// Longest time that a model's home may take to answer.
-const HOME_ANSWER: Duration = Duration::from_mins(1);
+/// Longest time that a model's owner may take to answer.
+const OWNER_ANSWER: Duration = Duration::from_mins(1);
 
 impl LoadContext {
-    /// Gets a replica, decided by the model's home or by this instance.
+    /// Gets a replica, decided by the model's owner or by this instance.
     pub(super) async fn run(
         &self,
         wake: &Wake,
@@ -32,29 +32,29 @@
         tell: &watch::Sender<Phase>,
     ) -> Result<(), Refusal> {
         self.interest
-            .note(&wake.model, self.keeper.clock.now())
+            .note(&wake.model, self.reconciler.clock.now())
             .await;
-        let home = match wake.decider {
-            Decider::Home => self.keeper.mesh.home(&format!("model/{}", wake.model)),
+        let owner = match wake.decider {
+            Decider::Owner => self.reconciler.mesh.owner(&format!("model/{}", wake.model)),
             Decider::Here | Decider::Ahead => None,
         };
-        let Some(home) = home else {
+        let Some(owner) = owner else {
             return self.load(wake, loads, tell).await;
         };
-        match self.ask(&home, &wake.model).await {
+        match self.ask(&owner, &wake.model).await {
             Some(answer) => answer,
             None => self.load(wake, loads, tell).await,
         }
     }
 
-    /// Asks the home; none where it does not answer, so that this instance may decide itself.
-    async fn ask(&self, home: &str, model: &str) -> Option<Result<(), Refusal>> {
+    /// Asks the owner; none where it does not answer, so that this instance may decide itself.
+    async fn ask(&self, owner: &str, model: &str) -> Option<Result<(), Refusal>> {
         let wake = WakeMessage {
             id: crate::ask::new_id(),
             model: model.to_owned(),
-            deadline: HOME_ANSWER.as_millis().try_into().unwrap_or(u64::MAX),
+            deadline: OWNER_ANSWER.as_millis().try_into().unwrap_or(u64::MAX),
         };
-        match self.keeper.mesh.ask(home, wake, HOME_ANSWER).await {
+        match self.reconciler.mesh.ask(owner, wake, OWNER_ANSWER).await {
             Ok(reply) if reply.servers.is_empty() => Some(Err(refusal(&reply))),
             Ok(reply) => {
                 let servers = reply.servers.into_iter().collect();
@@ -62,20 +62,20 @@
                 Some(Ok(()))
             }
             Err(error) => {
-                log::info!(home = home, model = model, error:% = error; "home does not answer");
+                log::info!(owner = owner, model = model, error:% = error; "owner does not answer");
                 None
             }
         }
     }
 
     async fn hint(&self, model: &str, servers: BTreeSet<String>) {
-        let now = self.keeper.clock.now();
+        let now = self.reconciler.clock.now();
         let hinted = Hinted {
             model: model.to_owned(),
             servers,
             now,
         };
-        if self.keeper.fleet.send(hinted).await.is_err() {
+        if self.reconciler.fleet.send(hinted).await.is_err() {
             log::debug!("the fleet has stopped");
         }
     }
@@ -83,7 +83,7 @@
 
 fn refusal(reply: &WakeReply) -> Refusal {
     let cause = reply.cause.parse().unwrap_or(Cause::NoCapacity);
-    let refusal = Refusal::not_run(cause).detail("the model's home refused");
+    let refusal = Refusal::not_run(cause).detail("the model's owner refused");
     if reply.retry == 0 {
         return refusal;
     }
--- a/src/loads/job.rs
+++ b/src/loads/job.rs
@@ -11,9 +11,9 @@
 use crate::fleet::Endpoint;
 use crate::idle::{SharedResidencies, epoch, lock};
 use crate::interest::Interest;
-use crate::keeper::Keeper;
 use crate::metrics::Metrics;
 use crate::placement::{Ask, PlaceError, Placement, Reserved};
+use crate::reconciler::Reconciler;
 use crate::rules::{Class, Model, Rules};
 use crate::verdict::{Cause, Refusal};
 
@@ -54,8 +54,8 @@
     pub settings: LoadSettings,
     /// Decisions.
     pub placement: Arc<Placement>,
-    /// Tends the servers.
-    pub keeper: Keeper,
+    /// Reconciles the servers.
+    pub reconciler: Reconciler,
     /// What is learnt of demand and loads.
     pub residencies: SharedResidencies,
     /// Models that this instance has traffic for.
@@ -68,7 +68,7 @@
     /// Time that a cold start of a model probably takes.
     #[must_use]
     pub fn estimate(&self, model: &str) -> Duration {
-        let rules = self.keeper.rules.borrow();
+        let rules = self.reconciler.rules.borrow();
         let rule = rules.as_ref().and_then(|r| r.rules.models.get(model));
         rule.map_or(Duration::ZERO, |r| lock(&self.residencies).reload(r.size))
             .min(self.settings.longest)
@@ -88,14 +88,14 @@
         let started = Instant::now();
         let model = wake.model.as_str();
         let rules =
-            self.keeper.rules.borrow().clone().ok_or_else(|| {
+            self.reconciler.rules.borrow().clone().ok_or_else(|| {
                 Refusal::not_run(Cause::NotReady).retry_after(Duration::from_secs(1))
             })?;
         let rule = rules.rules.models.get(model).ok_or_else(|| {
             Refusal::not_run(Cause::Unknown).detail(format!("no rule names model '{model}'"))
         })?;
         if let Some(base) = &rule.base {
-            Box::pin(loads.ready(base, Decider::Home)).await?;
+            Box::pin(loads.ready(base, Decider::Owner)).await?;
         }
         let (endpoint, reserved) = self.place(wake, rule, &rules.rules).await?;
         let decided = Instant::now();
@@ -196,7 +196,7 @@
         loop {
             match self.placement.reserve(ask).await {
                 Ok(reserved) => {
-                    self.keeper.forget_row(&reserved.server);
+                    self.reconciler.forget_row(&reserved.server);
                     if let Some(endpoint) = self.locate(&reserved) {
                         return Ok((endpoint, reserved));
                     }
@@ -213,10 +213,10 @@
 
     /// Evicts idle replicas; true once the memory is free.
     async fn evict(&self, endpoint: &Endpoint, need: u64) -> bool {
-        let Ok(report) = self.keeper.tend(endpoint).await else {
+        let Ok(report) = self.reconciler.reconcile(endpoint).await else {
             return false;
         };
-        let Some(placed) = self.keeper.row(&endpoint.listed.name) else {
+        let Some(placed) = self.reconciler.row(&endpoint.listed.name) else {
             return false;
         };
         let free = placed.row.capacity.saturating_sub(placed.row.taken());
@@ -227,7 +227,7 @@
             return false;
         };
         for model in &chosen {
-            if let Err(error) = self.keeper.let_go(endpoint, model).await {
+            if let Err(error) = self.reconciler.release_model(endpoint, model).await {
                 log::info!(endpoint = name, model = model, error:% = error; "cannot evict");
                 return false;
             }
@@ -240,10 +240,10 @@
     async fn freed(&self, endpoint: &Endpoint, models: &[String]) -> bool {
         let started = Instant::now();
         while started.elapsed() < self.settings.eviction {
-            let tended = self.keeper.tend(endpoint).await.is_ok();
-            let row = self.keeper.row(&endpoint.listed.name);
+            let reconciled = self.reconciler.reconcile(endpoint).await.is_ok();
+            let row = self.reconciler.row(&endpoint.listed.name);
             let gone = row.is_some_and(|p| models.iter().all(|m| p.row.replica(m).is_none()));
-            if tended && gone {
+            if reconciled && gone {
                 return true;
             }
             sleep(self.settings.pause).await;
@@ -253,7 +253,7 @@
 
     /// The endpoint of a decided replica, where it takes work.
     fn locate(&self, reserved: &Reserved) -> Option<Endpoint> {
-        let view = self.keeper.view.borrow();
+        let view = self.reconciler.view.borrow();
         view.endpoints
             .get(&reserved.server)
             .filter(|e| e.takes_work())
@@ -276,7 +276,7 @@
         while started.elapsed() < self.settings.longest {
             let left = estimate.saturating_sub(started.elapsed());
             tell.send_replace(Phase::Loading { left });
-            match self.keeper.tend(endpoint).await {
+            match self.reconciler.reconcile(endpoint).await {
                 Ok(report) if report.failed.contains(&reserved.op) => {
                     return Err(Refusal::not_run(Cause::NoCapacity)
                         .detail("the engine could not load the model")
@@ -285,7 +285,14 @@
                 Ok(_) => {}
                 Err(error) => log::info!(model = model, error:% = error; "load is not confirmed"),
             }
-            if self.keeper.view.borrow().holders(model).next().is_some() {
+            if self
+                .reconciler
+                .view
+                .borrow()
+                .holders(model)
+                .next()
+                .is_some()
+            {
                 return Ok(());
             }
             sleep(pause).await;
--- a/src/loads/places.rs
+++ b/src/loads/places.rs
@@ -41,7 +41,7 @@
         if found.len() < 2 {
             return Ok(found);
         }
-        let rows = self.keeper.placement.snapshot().await?;
+        let rows = self.reconciler.placement.snapshot().await?;
         let rows: BTreeMap<String, ServerRow> = rows
             .into_iter()
             .map(|placed| (placed.server, placed.row))
@@ -74,7 +74,7 @@
 
     /// Endpoints that may take the model, in name order.
     pub(super) fn candidates(&self, rule: &Model) -> Vec<Endpoint> {
-        let view = Arc::clone(&self.keeper.view.borrow());
+        let view = Arc::clone(&self.reconciler.view.borrow());
         match &rule.base {
             Some(base) => view.holders(base).cloned().collect(),
             None => view.members(&rule.engines).cloned().collect(),
@@ -82,13 +82,13 @@
     }
 
     async fn fresh_report(&self, endpoint: &Endpoint) -> Option<Report> {
-        let report = self.keeper.engines.report(endpoint.listed.address);
+        let report = self.reconciler.engines.report(endpoint.listed.address);
         timeout(REPORT_TIME, report).await.ok()?.ok()
     }
 
     /// Failure domains that hold replicas of the model.
     fn domains(&self, model: &str) -> Vec<DomainKey> {
-        let view = self.keeper.view.borrow();
+        let view = self.reconciler.view.borrow();
         view.holders(model)
             .map(|e| domain(&e.listed.domain))
             .collect()
@@ -109,7 +109,7 @@
             .filter(|r| r.running + r.queued == 0);
         let cached = report.cached.iter().any(|c| c == model);
         let reload = lock(&self.residencies).reload(rule.size);
-        let rules = self.keeper.rules.borrow();
+        let rules = self.reconciler.rules.borrow();
         let size = |name: &String| {
             let rule = rules.as_ref().and_then(|r| r.rules.models.get(name));
             rule.map_or(0, |r| r.size)
--- a/src/home.rs
+++ b/src/ownership.rs
@@ -1,14 +1,14 @@
-//! Choice of the home instance of a key by rendezvous hashing.
+//! Choice of the owning instance of a key by rendezvous hashing.
 //!
-//! The home of a server, a model or an idempotency key saves work: concurrent demands meet at one
+//! The owner of a server, a model or an idempotency key saves work: concurrent demands meet at one
 //! instance. Views of the live instances differ for a while after each change, so two instances
-//! may both take themselves for the home. Safety rests on the table service's transactions alone.
+//! may both take themselves for the owner. Safety rests on the table service's transactions alone.
 
 use std::collections::BTreeSet;
 
-/// The home instance of a key among the live instances.
+/// The owning instance of a key among the live instances.
 ///
-/// A change of the live set moves only the keys whose home left or whose home is the new
+/// A change of the live set moves only the keys whose owner left or whose owner is the new
 /// instance.
 ///
 /// # Examples
@@ -17,31 +17,31 @@
 /// use std::collections::BTreeSet;
 ///
 /// let live = BTreeSet::from(["entry-1".to_string(), "entry-2".to_string()]);
-/// assert!(brassrack::home::home("model/drafts", &live).is_some());
-/// assert!(brassrack::home::home("model/drafts", &BTreeSet::new()).is_none());
+/// assert!(brassrack::ownership::owner("model/drafts", &live).is_some());
+/// assert!(brassrack::ownership::owner("model/drafts", &BTreeSet::new()).is_none());
 /// ```
 #[must_use]
-pub fn home<'a>(key: &str, live: &'a BTreeSet<String>) -> Option<&'a String> {
+pub fn owner<'a>(key: &str, live: &'a BTreeSet<String>) -> Option<&'a String> {
     let key = key_hash(key);
     live.iter()
         .max_by_key(|name| (mix(key ^ name_hash(name)), *name))
 }
 
-/// Live instances, prepared for many choices; they are the same as those of [`home`].
+/// Live instances, prepared for many choices; they are the same as those of [`owner`].
 ///
 /// # Examples
 ///
 /// ```
 /// use std::collections::BTreeSet;
-/// use brassrack::home::{Homes, home};
+/// use brassrack::ownership::{Owners, owner};
 ///
 /// let live = BTreeSet::from(["entry-1".to_string(), "entry-2".to_string()]);
-/// assert_eq!(Homes::new(&live).home("model/drafts"), home("model/drafts", &live));
+/// assert_eq!(Owners::new(&live).owner("model/drafts"), owner("model/drafts", &live));
 /// ```
 #[derive(Debug, Clone, Default)]
-pub struct Homes(Vec<(u64, String)>);
+pub struct Owners(Vec<(u64, String)>);
 
-impl Homes {
+impl Owners {
     /// Prepares choices among the live instances.
     #[must_use]
     pub fn new(live: &BTreeSet<String>) -> Self {
@@ -49,9 +49,9 @@
         Self(names.collect())
     }
 
-    /// The home instance of a key.
+    /// The owning instance of a key.
     #[must_use]
-    pub fn home(&self, key: &str) -> Option<&String> {
+    pub fn owner(&self, key: &str) -> Option<&String> {
         let key = key_hash(key);
         let best = self
             .0
--- a/src/peers/fleet.rs
+++ b/src/peers/fleet.rs
@@ -1,4 +1,4 @@
-//! Loads of endpoints: published by the instance that polls a server, collected at the home
+//! Loads of endpoints: published by the instance that polls a server, collected at the owner
 //! instance of each model, and passed on to the instances that have traffic for the model.
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -6,7 +6,7 @@
 
 use super::message::{FleetUpdate, LoadUpdate};
 use crate::engine::Residency;
-use crate::home::home;
+use crate::ownership::owner;
 
 /// Age after which a load that was not refreshed is dropped.
 const LOAD_AGE: Duration = Duration::from_secs(15);
@@ -113,11 +113,11 @@
         changed
     }
 
-    /// Interests to send, by the home instance of the models.
+    /// Interests to send, by the owning instance of the models.
     pub(super) fn interests(&self, live: &BTreeSet<String>) -> BTreeMap<String, FleetUpdate> {
         let mut by_home: BTreeMap<String, FleetUpdate> = BTreeMap::new();
         for model in &self.interest {
-            let Some(peer) = home(&model_key(model), live).filter(|peer| **peer != self.me) else {
+            let Some(peer) = owner(&model_key(model), live).filter(|peer| **peer != self.me) else {
                 continue;
             };
             let update = by_home.entry(peer.clone()).or_default();
@@ -275,7 +275,7 @@
             self.published.insert(place, (update.clone(), now));
         }
         self.take(&update, now);
-        if let Some(peer) = home(&model_key(&update.model), live) {
+        if let Some(peer) = owner(&model_key(&update.model), live) {
             self.queue(peer.clone(), update);
         }
     }
--- a/src/peers/handle.rs
+++ b/src/peers/handle.rs
@@ -12,8 +12,8 @@
 use super::mesh::Mesh;
 use super::message::{Body, RulesFetch, RulesText, RulesVersion, Wake, WakeReply};
 use super::traffic::{Traffic, TrafficCount};
-use crate::home::Homes;
 use crate::members::Member;
+use crate::ownership::Owners;
 
 /// Peers that are asked for the rules at most.
 const FETCH_PEERS: usize = 4;
@@ -87,7 +87,7 @@
     pub(super) me: String,
     pub(super) mesh: Address<Mesh>,
     pub(super) members: watch::Receiver<BTreeMap<String, Member>>,
-    pub(super) homes: watch::Receiver<Arc<Homes>>,
+    pub(super) owners: watch::Receiver<Arc<Owners>>,
     pub(super) rules: watch::Receiver<RulesVersion>,
     pub(super) fleet: watch::Receiver<Arc<Fleet>>,
     pub(super) traffic: Traffic,
@@ -100,11 +100,11 @@
         self.members.clone()
     }
 
-    /// The peer that is home of a key; none where this instance is, or knows no other.
+    /// The peer that is owner of a key; none where this instance is, or knows no other.
     #[must_use]
-    pub fn home(&self, key: &str) -> Option<String> {
-        let homes = self.homes.borrow();
-        homes.home(key).filter(|name| **name != self.me).cloned()
+    pub fn owner(&self, key: &str) -> Option<String> {
+        let owners = self.owners.borrow();
+        owners.owner(key).filter(|name| **name != self.me).cloned()
     }
 
     /// Newest version of the rules that any instance is known to have; it never goes down.
--- a/src/peers/mesh.rs
+++ b/src/peers/mesh.rs
@@ -19,9 +19,9 @@
 use super::traffic::Traffic;
 use super::upkeep::{poll_list, tick};
 use crate::clock::Clock;
-use crate::home::Homes;
 use crate::instances::Directory;
 use crate::members::{Member, Neighbours, Roster, RosterSettings, neighbours};
+use crate::ownership::Owners;
 
 /// Messages that wait for the actor at most.
 const MAILBOX: usize = 1024;
@@ -124,7 +124,7 @@
     pub(super) answering: Arc<()>,
     pub(super) inbound: mpsc::Sender<Inbound>,
     pub(super) members: watch::Sender<BTreeMap<String, Member>>,
-    pub(super) homes: watch::Sender<Arc<Homes>>,
+    pub(super) owners: watch::Sender<Arc<Owners>>,
     pub(super) rules: watch::Sender<RulesVersion>,
     pub(super) views: watch::Sender<Arc<Fleet>>,
     _tasks: [AbortOnDropHandle<()>; 3],
@@ -140,7 +140,7 @@
         let (address, mailbox) = Mailbox::bounded(MAILBOX);
         let (inbound, requests) = mpsc::channel(INBOUND);
         let (members, members_view) = watch::channel(BTreeMap::new());
-        let (homes, homes_view) = watch::channel(Arc::new(Homes::default()));
+        let (owners, owners_view) = watch::channel(Arc::new(Owners::default()));
         let (rules, rules_view) = watch::channel(RulesVersion::default());
         let (views, fleet_view) = watch::channel(Arc::new(Fleet::default()));
         let traffic = Traffic::default();
@@ -176,7 +176,7 @@
             answering: Arc::new(()),
             inbound,
             members,
-            homes,
+            owners,
             rules,
             views,
             _tasks: tasks.map(AbortOnDropHandle::new),
@@ -186,7 +186,7 @@
             me: mesh.roster.me().name.clone(),
             mesh: xtra::spawn_tokio(mesh, (address, mailbox)),
             members: members_view,
-            homes: homes_view,
+            owners: owners_view,
             rules: rules_view,
             fleet: fleet_view,
             traffic,
@@ -226,7 +226,7 @@
         if names != self.live {
             let me = self.roster.me().name.clone();
             self.ring = neighbours(&me, &names, self.settings.near);
-            self.homes.send_replace(Arc::new(Homes::new(&names)));
+            self.owners.send_replace(Arc::new(Owners::new(&names)));
             self.live = names;
             self.interest_due = Duration::ZERO;
         }
--- a/src/peers/message.rs
+++ b/src/peers/message.rs
@@ -126,7 +126,7 @@
     pub digest: String,
 }
 
-/// Demand for a model, for its home instance.
+/// Demand for a model, for its owning instance.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct Wake {
     /// Id of the demand; a repeat carries the same one.
--- a/src/keeper.rs
+++ b/src/reconciler.rs
@@ -1,7 +1,7 @@
 //! Brings the engines and the decided replicas together.
 //!
-//! Any instance may tend any server: each step is either a transaction or an order that follows
-//! from one. The home of a server does it regularly; a cold start does it while it waits.
+//! Any instance may reconcile any server: each step is either a transaction or an order that follows
+//! from one. The owner of a server does it regularly; a cold start does it while it waits.
 
 mod sweep;
 
@@ -30,9 +30,9 @@
 /// Time before the same order is sent again.
 const RESEND: Duration = Duration::from_millis(500);
 
-/// Why a server could not be tended.
+/// Why a server could not be reconciled.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
-pub enum TendError {
+pub enum ReconcileError {
     /// The engine gave no report.
     #[error(transparent)]
     Engine(#[from] EngineError),
@@ -45,7 +45,7 @@
 }
 
 #[derive(Debug, Clone, Default)]
-struct Tended {
+struct Progress {
     watch: Watch,
     row: Option<Placed>,
     read: Duration,
@@ -54,11 +54,11 @@
 
 /// What was last done for each server; clones share it.
 #[derive(Debug, Clone, Default)]
-pub struct Tending(Arc<Mutex<BTreeMap<String, Tended>>>);
+pub struct ServerStates(Arc<Mutex<BTreeMap<String, Progress>>>);
 
-/// Tends servers.
+/// Reconciles servers with their rows.
 #[derive(Debug, Clone)]
-pub struct Keeper {
+pub struct Reconciler {
     /// Decisions.
     pub placement: Arc<Placement>,
     /// The engines.
@@ -76,33 +76,33 @@
     /// Bounds of the comparison.
     pub bounds: ReconcileSettings,
     /// What was last done for each server.
-    pub tending: Tending,
+    pub states: ServerStates,
 }
 
-impl Keeper {
+impl Reconciler {
     /// Fetches a server's report, then takes the steps that its row asks for.
     ///
     /// Returns the report.
     ///
     /// # Errors
     ///
-    /// [`TendError`] where the engine or the table service does not answer.
-    pub async fn tend(&self, endpoint: &Endpoint) -> Result<Report, TendError> {
+    /// [`ReconcileError`] where the engine or the table service does not answer.
+    pub async fn reconcile(&self, endpoint: &Endpoint) -> Result<Report, ReconcileError> {
         let name = &endpoint.listed.name;
         let report = self.report(endpoint).await?;
         let fencing = self
             .fencing(&endpoint.listed.service)
-            .ok_or(TendError::NoRule)?;
+            .ok_or(ReconcileError::NoRule)?;
         let now = self.clock.now();
         if self.settled(name, &report, now) {
             return Ok(report);
         }
         let placed = self.placement.server(name).await?;
         let meeting = |placed: &Placed| {
-            let mut tended = self.lock();
-            let tended = tended.entry(name.clone()).or_default();
-            tended.read = now;
-            tended.row = Some(placed.clone());
+            let mut progress = self.lock();
+            let progress = progress.entry(name.clone()).or_default();
+            progress.read = now;
+            progress.row = Some(placed.clone());
             let (row, fence) = (&placed.row, placed.fence);
             let met = Meeting {
                 row,
@@ -111,7 +111,7 @@
                 fencing,
                 now,
             };
-            tended.watch.reconcile(met, self.bounds)
+            progress.watch.reconcile(met, self.bounds)
         };
         for step in meeting(&placed) {
             self.take(endpoint, step, now).await?;
@@ -131,18 +131,20 @@
             log::info!(endpoint = endpoint.listed.name, op = order.op; "order is too old to be sent");
             return Ok(());
         }
-        if let Some(tended) = self.lock().get_mut(&endpoint.listed.name) {
-            tended.sent.retain(|_, at| now.saturating_sub(*at) < RESEND);
-            if tended.sent.contains_key(&order.op) {
+        if let Some(progress) = self.lock().get_mut(&endpoint.listed.name) {
+            progress
+                .sent
+                .retain(|_, at| now.saturating_sub(*at) < RESEND);
+            if progress.sent.contains_key(&order.op) {
                 return Ok(());
             }
-            tended.sent.insert(order.op.clone(), now);
+            progress.sent.insert(order.op.clone(), now);
         }
         log::info!(endpoint = endpoint.listed.name, model = order.model, op = order.op; "order {}", order.action);
         self.engines.order(endpoint.listed.address, order).await
     }
 
-    /// Tends the servers whose home this instance is, at intervals, until the process ends.
+    /// Reconciles the servers whose owner this instance is, at intervals, until the process ends.
     pub async fn run(self, every: Duration) {
         let mut ticks = interval(every);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -150,19 +152,19 @@
             ticks.tick().await;
             let mut round = tokio::task::JoinSet::new();
             for endpoint in self.servers() {
-                let home = self.mesh.home(&format!("server/{}", endpoint.listed.name));
-                if home.is_some() {
+                let owner = self.mesh.owner(&format!("server/{}", endpoint.listed.name));
+                if owner.is_some() {
                     continue;
                 }
-                let keeper = self.clone();
-                round.spawn(async move { keeper.tend_home(&endpoint).await });
+                let reconciler = self.clone();
+                round.spawn(async move { reconciler.reconcile_owned(&endpoint).await });
             }
             round.join_all().await;
         }
     }
 
-    async fn tend_home(&self, endpoint: &Endpoint) {
-        match self.tend(endpoint).await {
+    async fn reconcile_owned(&self, endpoint: &Endpoint) {
+        match self.reconcile(endpoint).await {
             Ok(report) => {
                 self.mesh
                     .publish(delta(&endpoint.listed.name, &report))
@@ -178,11 +180,15 @@
     ///
     /// # Errors
     ///
-    /// [`TendError`] where the decision was not taken or the engine does not answer.
-    pub async fn let_go(&self, endpoint: &Endpoint, model: &str) -> Result<(), TendError> {
+    /// [`ReconcileError`] where the decision was not taken or the engine does not answer.
+    pub async fn release_model(
+        &self,
+        endpoint: &Endpoint,
+        model: &str,
+    ) -> Result<(), ReconcileError> {
         self.placement.retire(&endpoint.listed.name, model).await?;
         self.forget_row(&endpoint.listed.name);
-        self.tend(endpoint).await?;
+        self.reconcile(endpoint).await?;
         Ok(())
     }
 
@@ -194,8 +200,8 @@
 
     /// Reads the server's row again the next time, because a decision has changed it.
     pub fn forget_row(&self, server: &str) {
-        if let Some(tended) = self.lock().get_mut(server) {
-            tended.row = None;
+        if let Some(progress) = self.lock().get_mut(server) {
+            progress.row = None;
         }
     }
 
@@ -242,19 +248,24 @@
 
     /// Whether a row read a short time ago shows no difference to the report.
     fn settled(&self, name: &str, report: &Report, now: Duration) -> bool {
-        let tended = self.lock();
-        let Some(tended) = tended.get(name) else {
+        let progress = self.lock();
+        let Some(progress) = progress.get(name) else {
             return false;
         };
-        let Some(placed) = &tended.row else {
+        let Some(placed) = &progress.row else {
             return false;
         };
-        let fresh = now.saturating_sub(tended.read) < ROW_AGE;
+        let fresh = now.saturating_sub(progress.read) < ROW_AGE;
         let settled = placed.row.settling.is_none();
         fresh && settled && placed.row.boot == report.boot && agrees(placed, report)
     }
 
-    async fn take(&self, endpoint: &Endpoint, step: Step, read: Duration) -> Result<(), TendError> {
+    async fn take(
+        &self,
+        endpoint: &Endpoint,
+        step: Step,
+        read: Duration,
+    ) -> Result<(), ReconcileError> {
         let server = endpoint.listed.name.as_str();
         self.forget_row(server);
         match step {
@@ -275,11 +286,8 @@
         Ok(())
     }
 
-    fn lock(&self) -> MutexGuard<'_, BTreeMap<String, Tended>> {
-        self.tending
-            .0
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<String, Progress>> {
+        self.states.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
--- a/src/keeper/sweep.rs
+++ b/src/reconciler/sweep.rs
@@ -5,20 +5,20 @@
 
 use tokio::time::{MissedTickBehavior, interval};
 
-use super::{Keeper, TendError};
+use super::{ReconcileError, Reconciler};
 use crate::placement::{Meeting, Placed, Step, Vacancy};
 use crate::rules::Fencing;
 
 /// Time between two sweeps.
 const SWEEP: Duration = Duration::from_secs(5);
 
-impl Keeper {
+impl Reconciler {
     /// Takes the steps that end what was decided for servers which are not listed any more.
     ///
     /// # Errors
     ///
-    /// [`TendError`] where the table service does not answer.
-    pub async fn sweep(&self) -> Result<(), TendError> {
+    /// [`ReconcileError`] where the table service does not answer.
+    pub async fn sweep(&self) -> Result<(), ReconcileError> {
         let view = Arc::clone(&self.view.borrow());
         if view.listed.is_none() {
             return Ok(());
@@ -32,12 +32,12 @@
         Ok(())
     }
 
-    async fn end(&self, placed: &Placed) -> Result<(), TendError> {
+    async fn end(&self, placed: &Placed) -> Result<(), ReconcileError> {
         let server = placed.server.as_str();
         self.placement.vacate(server, &Vacancy::Gone).await?;
         let steps = {
-            let mut tended = self.lock();
-            let tended = tended.entry(server.to_owned()).or_default();
+            let mut progress = self.lock();
+            let progress = progress.entry(server.to_owned()).or_default();
             let (row, fence, now) = (&placed.row, placed.fence, self.clock.now());
             let fencing = Fencing::Ignored;
             let met = Meeting {
@@ -47,7 +47,7 @@
                 fencing,
                 now,
             };
-            tended.watch.reconcile(met, self.bounds)
+            progress.watch.reconcile(met, self.bounds)
         };
         for step in steps {
             if let Step::Release { model, op } = step {
@@ -57,13 +57,13 @@
         Ok(())
     }
 
-    /// Sweeps at intervals where this instance is the home of that, until the process ends.
+    /// Sweeps at intervals where this instance is the owner of that, until the process ends.
     pub async fn run_sweep(self) {
         let mut ticks = interval(SWEEP);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             ticks.tick().await;
-            if self.mesh.home("sweep").is_some() {
+            if self.mesh.owner("sweep").is_some() {
                 continue;
             }
             if let Err(error) = self.sweep().await {
--- a/standins/src/slopes/mesh.rs
+++ b/standins/src/slopes/mesh.rs
@@ -15,7 +15,7 @@
 
 use crate::meshes::{MemoryList, mesh_config, until};
 
-/// Servers that an instance is home of.
+/// Servers that an instance is owner of.
 const SERVERS: usize = 2;
 
 /// Replicas on a server.
--- a/standins/src/slopes/parts.rs
+++ b/standins/src/slopes/parts.rs
@@ -4,11 +4,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use brassrack::home::{Homes, home};
 use brassrack::ledger::{Answer, Call, Claim, Ledger, LedgerSettings, fingerprint};
 use brassrack::limits::{QueueSettings, TenantLimits, WaitQueue, Waiting};
 use brassrack::members::{Member, MemberState, Roster, RosterSettings};
 use brassrack::metrics::Metrics;
+use brassrack::ownership::{Owners, owner};
 use brassrack::placement::{Ask, Placement, PlacementSettings};
 use brassrack::rules::{Class, Repeat, Rules, Tenant};
 use bytes::Bytes;
@@ -100,16 +100,21 @@
 
 fn pure(size: u32) -> Vec<PartCost> {
     let live: BTreeSet<String> = names(size).into_iter().collect();
-    let homes = timed(|round| {
-        std::hint::black_box(home(&format!("model/m{round}"), &live));
+    let owners = timed(|round| {
+        std::hint::black_box(owner(&format!("model/m{round}"), &live));
     });
-    let prepared = Homes::new(&live);
+    let prepared = Owners::new(&live);
     let chosen = timed(|round| {
-        std::hint::black_box(prepared.home(&format!("model/m{round}")));
+        std::hint::black_box(prepared.owner(&format!("model/m{round}")));
     });
     vec![
-        cost("home", "choice of a home, us", INSTANCES, homes),
-        cost("home", "choice of a home, prepared, us", INSTANCES, chosen),
+        cost("owner", "choice of a owner, us", INSTANCES, owners),
+        cost(
+            "owner",
+            "choice of a owner, prepared, us",
+            INSTANCES,
+            chosen,
+        ),
         cost(
             "peers",
             "tick and digest of the roster, us",
@@ -257,18 +262,18 @@
         .sum();
     Ok(vec![
         cost(
-            "home of a model",
+            "owner of a model",
             "transactions of the loads",
             LOADS,
             number(usage.commits),
         ),
         cost(
-            "home of a model",
+            "owner of a model",
             "reads of the loads",
             LOADS,
             number(usage.reads),
         ),
-        cost("home of a server", "rows, bytes", REPLICAS, length(bytes)),
+        cost("owner of a server", "rows, bytes", REPLICAS, length(bytes)),
     ])
 }
 
--- a/tests/fault_matrix.rs
+++ b/tests/fault_matrix.rs
@@ -254,7 +254,7 @@
     let mut rounds = 0;
     while rounds < 100 || !inducing.is_finished() {
         rounds += 1;
-        b.tend(0).await;
+        b.reconcile(0).await;
         let _next_round = b.placement.retire("s0", "m").await;
         sleep(ms(300)).await;
     }
--- a/tests/home_choice.rs
+++ b/tests/ownership.rs
@@ -1,48 +1,48 @@
-//! Choice of home instances.
+//! Choice of owner instances.
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use brassrack::home::{Homes, home};
+use brassrack::ownership::{Owners, owner};
 
 fn live(count: usize) -> BTreeSet<String> {
     (0..count).map(|i| format!("entry-{i}")).collect()
 }
 
-fn homes(live: &BTreeSet<String>) -> BTreeMap<String, String> {
+fn owners(live: &BTreeSet<String>) -> BTreeMap<String, String> {
     (0..3895)
         .map(|i| format!("model/m{i}"))
-        .filter_map(|key| Some((key.clone(), home(&key, live)?.clone())))
+        .filter_map(|key| Some((key.clone(), owner(&key, live)?.clone())))
         .collect()
 }
 
 #[test]
 fn nobody_is_home_of_an_empty_rack() {
-    assert_eq!(home("model/m", &live(0)), None);
+    assert_eq!(owner("model/m", &live(0)), None);
 }
 
 #[test]
 fn departure_moves_only_the_keys_of_the_departed() {
     let mut set = live(8);
-    let before = homes(&set);
+    let before = owners(&set);
     set.remove("entry-3");
-    let after = homes(&set);
-    let moved = before.iter().filter(|(key, home)| after[*key] != **home);
-    assert!(moved.into_iter().all(|(_, home)| home == "entry-3"));
+    let after = owners(&set);
+    let moved = before.iter().filter(|(key, owner)| after[*key] != **owner);
+    assert!(moved.into_iter().all(|(_, owner)| owner == "entry-3"));
 }
 
 #[test]
 fn arrival_takes_keys_only_to_the_newcomer() {
-    let before = homes(&live(7));
-    let after = homes(&live(8));
-    let moved = after.iter().filter(|(key, home)| before[*key] != **home);
-    assert!(moved.into_iter().all(|(_, home)| home == "entry-7"));
+    let before = owners(&live(7));
+    let after = owners(&live(8));
+    let moved = after.iter().filter(|(key, owner)| before[*key] != **owner);
+    assert!(moved.into_iter().all(|(_, owner)| owner == "entry-7"));
 }
 
 #[test]
 fn keys_are_spread_evenly() {
     let mut counts: BTreeMap<String, u32> = BTreeMap::new();
-    for home in homes(&live(8)).into_values() {
-        *counts.entry(home).or_default() += 1;
+    for owner in owners(&live(8)).into_values() {
+        *counts.entry(owner).or_default() += 1;
     }
     let mean = 3895 / 8;
     let even = counts
@@ -61,7 +61,7 @@
 fn keeps_the_home(u: &mut arbtest::arbitrary::Unstructured<'_>) -> arbtest::arbitrary::Result<()> {
     let key: String = u.arbitrary()?;
     let set: BTreeSet<String> = u.arbitrary()?;
-    let Some(first) = home(&key, &set) else {
+    let Some(first) = owner(&key, &set) else {
         return Ok(());
     };
     let part: BTreeSet<String> = set
@@ -69,17 +69,17 @@
         .filter(|name| *name == first || name.len() % 2 == 0)
         .cloned()
         .collect();
-    assert_eq!(home(&key, &part), Some(first));
+    assert_eq!(owner(&key, &part), Some(first));
     Ok(())
 }
 
 #[test]
 fn prepared_choice_is_the_same() {
     let set = live(32);
-    let prepared = Homes::new(&set);
-    let all = homes(&set);
+    let prepared = Owners::new(&set);
+    let all = owners(&set);
     assert!(
         all.iter()
-            .all(|(key, home)| prepared.home(key) == Some(home))
+            .all(|(key, owner)| prepared.owner(key) == Some(owner))
     );
 }
--- a/tests/peer_contract.rs
+++ b/tests/peer_contract.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use brassrack::engine::Residency;
-use brassrack::home::home;
+use brassrack::ownership::owner;
 use brassrack::peers::message::{
     Body, Frame, Hello, MemberUpdate, PROTOCOL, RulesText, Wake, WakeReply,
 };
@@ -260,8 +260,8 @@
     let list = MemoryList::default();
     let nodes = rack(8, &list).await;
     let names: BTreeSet<String> = nodes.iter().map(|n| n.name.clone()).collect();
-    let home = home("model/drafts", &names).unwrap();
-    let others: Vec<&Node> = nodes.iter().filter(|n| n.name != *home).collect();
+    let owner = owner("model/drafts", &names).unwrap();
+    let others: Vec<&Node> = nodes.iter().filter(|n| n.name != *owner).collect();
     let models = BTreeSet::from(["drafts".to_string()]);
     others[1].handle.set_interest(models).await;
     for load in [3, 5] {
--- a/tests/placement_races.rs
+++ b/tests/placement_races.rs
@@ -186,7 +186,7 @@
     let _refused = match u.int_in_range(0..=15)? {
         0..=3 => instance.load(model, server).await.map(|_| ()),
         4..=8 => {
-            instance.tend(server).await;
+            instance.reconcile(server).await;
             Ok(())
         }
         9 => instance.placement.retire(&name, model).await,
--- a/tests/rack/life.rs
+++ b/tests/rack/life.rs
@@ -37,7 +37,7 @@
             if reserved.is_ok_and(|r| r.state == ReplicaState::Ready) {
                 return true;
             }
-            self.tend(server).await;
+            self.reconcile(server).await;
             sleep(ROUND).await;
         }
         false
--- a/tests/rack/mod.rs
+++ b/tests/rack/mod.rs
@@ -192,7 +192,7 @@
     }
 
     /// Looks at a server once and takes the steps that follow; errors are left to the next look.
-    pub(crate) async fn tend(&mut self, server: u16) {
+    pub(crate) async fn reconcile(&mut self, server: u16) {
         let report = timeout(CALL, self.engines.report(address(server))).await;
         let Ok(Ok(report)) = report else {
             return;
@@ -240,7 +240,7 @@
         let name = server_name(server);
         for _ in 0..ROUNDS {
             let _next_round = self.placement.retire(&name, model).await;
-            self.tend(server).await;
+            self.reconcile(server).await;
             let placed = self.placement.server(&name).await;
             if placed.is_ok_and(|p| p.row.replica(model).is_none()) {
                 return true;
--- a/tests/store_outage.rs
+++ b/tests/store_outage.rs
@@ -69,7 +69,7 @@
     let mut a = rack.instance("a");
     assert!(a.placement.become_activator("a", "").await.unwrap());
     for server in 0..SERVERS {
-        a.tend(server).await;
+        a.reconcile(server).await;
     }
     let mut known = Vec::new();
     for server in 0..grants {
@@ -105,7 +105,7 @@
     a.script.table.switch.set(Fault::None);
     for _ in 0..10 {
         for server in 0..SERVERS {
-            a.tend(server).await;
+            a.reconcile(server).await;
         }
         sleep(Duration::from_secs(1)).await;
     }
@@ -162,7 +162,7 @@
         let loaded = activate(&a, 0, "m", &held).await;
         assert_eq!(loaded, fencing == Fencing::Ignored, "{fencing}");
         for _ in 0..60 {
-            b.tend(0).await;
+            b.reconcile(0).await;
             sleep(Duration::from_millis(300)).await;
         }
         turning.abort();
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -15,7 +15,7 @@
 use futures_util::future::join_all;
 
 const MODELS: [&str; 3] = ["counter-draft", "menu-cards", "fix-help"];
-/// Several, so that some have another home than their base.
+/// Several, so that some have another owner than their base.
 const ADAPTERS: [&str; 4] = [
     "counter-gilded",
     "counter-satin",
