--- a/src/assembly.rs
+++ b/src/assembly.rs
@@ -9,9 +9,10 @@
 use xtra::Address;
 
 use crate::admission::Admission;
+use crate::at_most_once::StartId;
 use crate::chooser::Chooser;
 use crate::clock::Clock;
-use crate::console::Desk;
+use crate::console::AdminService;
 use crate::daemon::StartError;
 use crate::dispatch_queue::DispatchQueue;
 use crate::engine::Engine;
@@ -21,14 +22,12 @@
 use crate::idle::{IdleWatch, SharedResidencies};
 use crate::inflight::Inflight;
 use crate::instances::Directory;
-use crate::interest::Interest;
 use crate::ledger::{self, Ledger, LedgerSettings};
 use crate::limits::QueueSettings;
 use crate::loads::{Answering, LoadContext, LoadSettings, Loads as ColdStarts};
 use crate::members::{Member, MemberState};
 use crate::metrics::Metrics;
 use crate::objects::Objects;
-use crate::once::Start;
 use crate::outbound::{Outbound, OutboundSettings};
 use crate::peers::{Fleet as Loads, Inbound, Mesh, MeshConfig, MeshHandle, MeshSettings};
 use crate::placement::{Placement, PlacementSettings, ReconcileSettings};
@@ -39,6 +38,7 @@
 use crate::residency::Residencies;
 use crate::rules::{RulesStore, StoreSettings};
 use crate::settings::Settings;
+use crate::subscriptions::Subscriptions;
 use crate::suspects::{SuspectSettings, Suspects};
 use crate::table::Table;
 
@@ -92,7 +92,7 @@
     settings: &Settings,
     peers: TcpListener,
     stop: watch::Sender<bool>,
-) -> Result<Desk, StartError> {
+) -> Result<AdminService, StartError> {
     let clock = Clock::Boot;
     let metrics = Metrics::new()?;
     let Platform {
@@ -108,7 +108,7 @@
     let (latest, list) = last_list();
     let (mesh, requests) =
         Mesh::start(mesh_config(settings, &start, &peers, Arc::new(list)), peers);
-    let interest = Interest::new(mesh.clone());
+    let subscriptions = Subscriptions::new(mesh.clone());
     let store = RulesStore::new(
         Arc::clone(&table),
         Arc::clone(&objects),
@@ -145,7 +145,7 @@
         settings: LoadSettings::default(),
         placement,
         reconciler: reconciler.clone(),
-        interest: interest.clone(),
+        subscriptions: subscriptions.clone(),
         metrics: metrics.clone(),
     });
     let poll = Poll {
@@ -169,7 +169,7 @@
         admission: Admission::new(clock),
         suspects: Arc::new(suspects),
         loads,
-        interest,
+        subscriptions,
         dispatch_queue,
         lined: Inflight::default(),
         outbound,
@@ -181,7 +181,7 @@
         metrics,
         stopping: stop.subscribe(),
     };
-    let desk = Desk {
+    let admin_service = AdminService {
         gate,
         reconciler,
         mesh,
@@ -189,18 +189,23 @@
         keep,
         stop,
     };
-    background(&desk, settings, poll, requests);
-    watch_servers(&desk, settings, residencies);
-    Ok(desk)
+    background(&admin_service, settings, poll, requests);
+    watch_servers(&admin_service, settings, residencies);
+    Ok(admin_service)
 }
 
 /// Starts the tasks that run beside the listeners.
-fn background(desk: &Desk, settings: &Settings, poll: Poll, requests: mpsc::Receiver<Inbound>) {
-    let gate = &desk.gate;
+fn background(
+    admin_service: &AdminService,
+    settings: &Settings,
+    poll: Poll,
+    requests: mpsc::Receiver<Inbound>,
+) {
+    let gate = &admin_service.gate;
     let follow = Follow {
-        store: desk.store.clone(),
-        keep: desk.keep.clone(),
-        mesh: desk.mesh.clone(),
+        store: admin_service.store.clone(),
+        keep: admin_service.keep.clone(),
+        mesh: admin_service.mesh.clone(),
         seen: gate.rules.clone(),
         every: settings.timing.rules,
     };
@@ -214,26 +219,40 @@
     tokio::spawn(follow.clone().announce());
     tokio::spawn(follow.listen());
     tokio::spawn(answering.run(requests));
-    tokio::spawn(hear(desk.mesh.fleet(), gate.fleet.clone()));
-    tokio::spawn(gate.interest.clone().run(gate.clock));
+    tokio::spawn(hear(admin_service.mesh.fleet(), gate.fleet.clone()));
+    tokio::spawn(gate.subscriptions.clone().run(gate.clock));
     let admission = gate.admission.clone();
-    tokio::spawn(admission.follow(gate.name.clone(), gate.rules.clone(), desk.mesh.clone()));
-    tokio::spawn(refresh(Arc::clone(&gate.suspects), desk.mesh.clone()));
-    tokio::spawn(tidy(Arc::clone(&gate.ledger), desk.mesh.clone()));
+    tokio::spawn(admission.follow(
+        gate.name.clone(),
+        gate.rules.clone(),
+        admin_service.mesh.clone(),
+    ));
+    tokio::spawn(refresh(
+        Arc::clone(&gate.suspects),
+        admin_service.mesh.clone(),
+    ));
+    tokio::spawn(tidy(Arc::clone(&gate.ledger), admin_service.mesh.clone()));
 }
 
 /// Starts the tasks that tend the servers and watch their replicas.
-fn watch_servers(desk: &Desk, settings: &Settings, residencies: SharedResidencies) {
+fn watch_servers(
+    admin_service: &AdminService,
+    settings: &Settings,
+    residencies: SharedResidencies,
+) {
     let watch = IdleWatch {
         residencies,
-        reconciler: desk.reconciler.clone(),
-        loads: desk.gate.loads.clone(),
-        metrics: desk.gate.metrics.clone(),
+        reconciler: admin_service.reconciler.clone(),
+        loads: admin_service.gate.loads.clone(),
+        metrics: admin_service.gate.metrics.clone(),
     };
     tokio::spawn(watch.run());
-    tokio::spawn(forget(desk.gate.view.clone(), desk.gate.chooser.clone()));
-    tokio::spawn(desk.reconciler.clone().run_sweep());
-    tokio::spawn(desk.reconciler.clone().run(settings.timing.report));
+    tokio::spawn(forget(
+        admin_service.gate.view.clone(),
+        admin_service.gate.chooser.clone(),
+    ));
+    tokio::spawn(admin_service.reconciler.clone().run_sweep());
+    tokio::spawn(admin_service.reconciler.clone().run(settings.timing.report));
 }
 
 fn dispatch_queue(
@@ -250,7 +269,7 @@
     DispatchQueue::start(queue, Clock::Boot, room)
 }
 
-fn ledger(table: &Arc<dyn Table>, objects: Arc<dyn Objects>, start: &Start) -> Ledger {
+fn ledger(table: &Arc<dyn Table>, objects: Arc<dyn Objects>, start: &StartId) -> Ledger {
     let settings = LedgerSettings {
         instance: start.to_string(),
         ..LedgerSettings::default()
@@ -258,7 +277,7 @@
     Ledger::new(Arc::clone(table), objects, settings)
 }
 
-fn suspects(table: &Arc<dyn Table>, start: &Start) -> Suspects {
+fn suspects(table: &Arc<dyn Table>, start: &StartId) -> Suspects {
     let settings = SuspectSettings {
         prefix: format!("{start}-s"),
         ..SuspectSettings::default()
@@ -276,11 +295,11 @@
     }
 }
 
-fn this_start(settings: &Settings) -> Start {
+fn this_start(settings: &Settings) -> StartId {
     let now = SystemTime::now()
         .duration_since(UNIX_EPOCH)
         .unwrap_or_default();
-    Start {
+    StartId {
         name: settings.name.clone(),
         at: now.as_millis().try_into().unwrap_or_default(),
     }
@@ -288,7 +307,7 @@
 
 fn mesh_config(
     settings: &Settings,
-    start: &Start,
+    start: &StartId,
     listener: &TcpListener,
     directory: Arc<dyn Directory>,
 ) -> MeshConfig {
--- a/src/once.rs
+++ b/src/at_most_once.rs
@@ -25,7 +25,7 @@
 /// Longest pause before a claim of another instance is looked at again.
 const LONGEST_LOOK: Duration = Duration::from_millis(500);
 /// Time after which a caller should ask for an unfinished call again.
-const COME_BACK: Duration = Duration::from_secs(1);
+const RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Milliseconds after its start in which an instance may not know all others.
 const ACQUAINTANCE_MS: u64 = 10_000;
 /// Objections to suspicions that one process start may make, which raise its incarnation.
@@ -98,7 +98,7 @@
         if claimant == self.gate.start.to_string() {
             return false;
         }
-        let Ok(start) = claimant.parse::<Start>() else {
+        let Ok(start) = claimant.parse::<StartId>() else {
             return true;
         };
         // An instance that has just started does not know all others yet.
@@ -187,21 +187,21 @@
 
 /// One start of an instance, by its name and the milliseconds since the Unix epoch.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Start {
+pub struct StartId {
     /// Name of the instance.
     pub name: String,
     /// Time of the start, which is its first incarnation.
     pub at: u64,
 }
 
-impl Start {
+impl StartId {
     /// Whether a member with the same name is a later start.
     const fn ended(&self, member: &Member) -> bool {
         member.incarnation > self.at + OBJECTIONS
     }
 }
 
-impl std::fmt::Display for Start {
+impl std::fmt::Display for StartId {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         write!(f, "{}@{}", self.name, self.at)
     }
@@ -210,14 +210,14 @@
 /// A text that names no start of an instance.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 #[error("expected NAME@MILLISECONDS")]
-pub struct StartError;
+pub struct StartIdError;
 
-impl std::str::FromStr for Start {
-    type Err = StartError;
+impl std::str::FromStr for StartId {
+    type Err = StartIdError;
 
-    fn from_str(text: &str) -> Result<Self, StartError> {
-        let (name, at) = text.rsplit_once('@').ok_or(StartError)?;
-        let at = at.parse().map_err(|_invalid| StartError)?;
+    fn from_str(text: &str) -> Result<Self, StartIdError> {
+        let (name, at) = text.rsplit_once('@').ok_or(StartIdError)?;
+        let at = at.parse().map_err(|_invalid| StartIdError)?;
         Ok(Self {
             name: name.to_owned(),
             at,
@@ -241,7 +241,7 @@
 fn in_progress(detail: &str) -> Refusal {
     Refusal::new(Verdict::MayHaveRun, Cause::InProgress)
         .detail(detail)
-        .retry_after(COME_BACK)
+        .retry_after(RETRY_AFTER)
 }
 
 fn outcome_unknown(verdict: Verdict) -> Refusal {
@@ -253,7 +253,7 @@
     match verdict {
         Verdict::NotRun => Refusal::not_run(Cause::EndpointFailed)
             .detail("no endpoint took the call")
-            .retry_after(COME_BACK),
+            .retry_after(RETRY_AFTER),
         Verdict::MayHaveRun | Verdict::Ran => outcome_unknown(verdict),
     }
 }
--- a/src/calls.rs
+++ b/src/calls.rs
@@ -12,13 +12,13 @@
 use tokio::time::Instant;
 
 use crate::admission::Pass;
-use crate::ask::{self, Ask};
 use crate::chooser::{Candidate, Flight};
 use crate::fleet::Endpoint;
 use crate::gate::Gate;
 use crate::http::{self, Body};
 use crate::outbound::{Answer, Freshness, Link, SendError, SendFault};
 use crate::records::Record;
+use crate::request::{self, CallerRequest};
 use crate::rules::{Call, Class, Repeat, Rules};
 use crate::verdict::{Cause, Refusal, Verdict};
 
@@ -32,7 +32,7 @@
 #[derive(Debug, Clone)]
 pub struct ServiceCall {
     pub(crate) gate: Gate,
-    pub(crate) ask: Ask,
+    pub(crate) ask: CallerRequest,
     pub(crate) service: String,
     pub(crate) rule: Call,
     pub(crate) uri: Uri,
@@ -47,14 +47,14 @@
 /// Answers a call to a plain service.
 pub async fn answer(gate: &Gate, request: Request<Incoming>) -> Response<Body> {
     let (head, body) = request.into_parts();
-    let ask = match Ask::read(&head.headers, &gate.bounds) {
+    let ask = match CallerRequest::read(&head.headers, &gate.bounds) {
         Ok(ask) => ask,
-        Err(refusal) => return http::refuse(&refusal, &ask::new_id()),
+        Err(refusal) => return http::refuse(&refusal, &request::new_id()),
     };
     let (asked, target) = (ask.clone(), head.uri.path().to_owned());
     let call = match ServiceCall::read(gate, ask, head, body).await {
         Ok(call) => call,
-        Err(refusal) => return gate.turn_away(&asked, &target, &refusal),
+        Err(refusal) => return gate.refuse(&asked, &target, &refusal),
     };
     match call.rule.repeat {
         Repeat::Safe => call.serve_safe().await,
@@ -65,7 +65,7 @@
 impl ServiceCall {
     async fn read(
         gate: &Gate,
-        ask: Ask,
+        ask: CallerRequest,
         head: hyper::http::request::Parts,
         body: Incoming,
     ) -> Result<Self, Refusal> {
@@ -78,13 +78,13 @@
             .map_or(Class::Batch, |t| t.class);
         let (service, rest) = split_path(&head.uri)?;
         let rule = find_call(&rules.rules, &service, &head.method, rest.path())?;
-        let ask = Ask {
+        let ask = CallerRequest {
             due: ask.due.min(Instant::now() + rule.timeout),
             ..ask
         };
         let target = format!("{service} {} {}", rule.method, rule.path);
         let record = Record::new(&gate.name, &ask, Some(class), target);
-        let body = ask::read_body(body, &gate.bounds).await?;
+        let body = request::read_body(body, &gate.bounds).await?;
         Ok(Self {
             gate: gate.clone(),
             ask,
@@ -255,7 +255,7 @@
             }
         };
         let record = self.record.clone().close(status, refusal.as_ref());
-        self.gate.records.push(record);
+        self.gate.records.add(record);
         response
     }
 }
--- a/src/completions.rs
+++ b/src/completions.rs
@@ -15,21 +15,21 @@
 use source::Source;
 
 use crate::admission::Pass;
-use crate::ask::{Ask, Prompt};
 use crate::chooser;
 use crate::gate::Gate;
 use crate::http::{self, Body};
 use crate::pick::Prefix;
 use crate::records::Record;
+use crate::request::{CallerRequest, Prompt};
 use crate::rules::Class;
-use crate::trials::Suspicion;
+use crate::suspect_request::Suspicion;
 use crate::verdict::{Cause, Refusal, Verdict};
 
 /// One completion on its way.
 #[derive(Debug)]
 pub struct Completion {
     gate: Gate,
-    ask: Ask,
+    ask: CallerRequest,
     prompt: Prompt,
     class: Class,
     body: Bytes,
@@ -50,7 +50,7 @@
     /// [`Cause::Unknown`] where no rule names the model.
     pub fn new(
         gate: &Gate,
-        ask: Ask,
+        ask: CallerRequest,
         prompt: Prompt,
         body: Bytes,
         pass: Pass,
@@ -93,7 +93,7 @@
         match outcome {
             Ok(answer) => answer,
             Err(refusal) => {
-                let refusal = self.weigh(refusal);
+                let refusal = self.with_verdict(refusal);
                 let answer = http::refuse(&refusal, &self.ask.id);
                 self.close(StatusCode::OK, Some(&refusal));
                 answer
@@ -127,7 +127,7 @@
     }
 
     /// Gives a refusal the worst verdict of all attempts.
-    fn weigh(&self, refusal: Refusal) -> Refusal {
+    fn with_verdict(&self, refusal: Refusal) -> Refusal {
         refusal.at_least(self.worst)
     }
 
@@ -143,7 +143,7 @@
             None => self.gate.metrics.answered(&self.ask.tenant),
         }
         let record = self.record.clone().close(status.as_u16(), refusal);
-        self.gate.records.push(record);
+        self.gate.records.add(record);
     }
 }
 
--- a/src/completions/source.rs
+++ b/src/completions/source.rs
@@ -18,7 +18,7 @@
 use crate::loads::{Decider, Phase};
 use crate::outbound::{Freshness, Reply, SendError, SendFault};
 use crate::relay::RESUME;
-use crate::trials::Leave;
+use crate::suspect_request::SendMode;
 use crate::verdict::{Cause, Refusal, Verdict};
 
 /// Pause after an attempt that surely did not run; the deadline bounds those.
@@ -132,15 +132,15 @@
             if self.ask.left().is_zero() {
                 return Err(super::late());
             }
-            let leave = self.suspicion.leave()?;
-            if leave == Leave::Free && self.held() {
+            let mode = self.suspicion.send_mode()?;
+            if mode == SendMode::Normal && self.held() {
                 self.turn().await?;
             }
-            if let Some(endpoint) = self.pick(&leave) {
+            if let Some(endpoint) = self.pick(&mode) {
                 self.gate
-                    .interest
+                    .subscriptions
                     .touch(&self.prompt.model, self.gate.clock.now());
-                if leave == Leave::Free
+                if mode == SendMode::Normal
                     || self.suspicion.begin(&endpoint, &self.prompt.model).await?
                 {
                     return Ok(endpoint);
@@ -152,7 +152,7 @@
                 self.wake().await?;
                 self.tried.clear();
             }
-            if leave == Leave::Trial || self.pick(&leave).is_none() {
+            if mode == SendMode::Isolated || self.pick(&mode).is_none() {
                 sleep(LOOK_PAUSE).await;
             }
             let wait = waited.elapsed();
@@ -195,9 +195,9 @@
         turn
     }
 
-    fn pick(&self, leave: &Leave) -> Option<Endpoint> {
+    fn pick(&self, mode: &SendMode) -> Option<Endpoint> {
         let model = self.prompt.model.as_str();
-        if *leave == Leave::Trial {
+        if *mode == SendMode::Isolated {
             return self.suspicion.host(model);
         }
         let view = Arc::clone(&self.gate.view.borrow());
--- a/src/completions/stream.rs
+++ b/src/completions/stream.rs
@@ -105,7 +105,7 @@
                 Err(refusal) => break Some(refusal),
             };
         };
-        let refusal = refusal.map(|r| self.weigh(r));
+        let refusal = refusal.map(|r| self.with_verdict(r));
         if let Some(refusal) = &refusal {
             let error = http::error_json(refusal, &self.ask.id);
             outlet
--- a/src/console.rs
+++ b/src/console.rs
@@ -22,7 +22,7 @@
 
 /// What the administration API shows and does.
 #[derive(Debug, Clone)]
-pub struct Desk {
+pub struct AdminService {
     /// What requests are served with.
     pub gate: Gate,
     /// The servers as decided.
@@ -37,7 +37,7 @@
     pub stop: watch::Sender<bool>,
 }
 
-impl Desk {
+impl AdminService {
     fn member(&self, member: &Member) -> InstanceStatus {
         let own = member.name == self.gate.name;
         let running = if own {
@@ -139,7 +139,7 @@
     }
 }
 
-impl Console for Desk {
+impl Console for AdminService {
     fn status(&self) -> BoxFuture<'_, Result<Status, ConsoleError>> {
         Box::pin(async move {
             let members = self.mesh.members().borrow().clone();
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -78,8 +78,8 @@
     stop: watch::Sender<bool>,
 ) -> Result<bool, StartError> {
     let mut stopping = stop.subscribe();
-    let desk = assembly::assemble(&settings, listeners.peers, stop)?;
-    let console = Arc::new(desk.clone());
+    let admin_service = assembly::assemble(&settings, listeners.peers, stop)?;
+    let console = Arc::new(admin_service.clone());
     let admin = admin::serve(listeners.admin, settings.admin.token.clone(), console);
     let admin = tokio::spawn(admin);
     let admittance = Admittance {
@@ -87,13 +87,13 @@
         head: settings.limits.head,
         arrival: settings.limits.header_time,
     };
-    let gate = desk.gate.clone();
+    let gate = admin_service.gate.clone();
     let (close, closing) = watch::channel(false);
     let serving = tokio::spawn(intake::run(listeners.callers, gate, admittance, closing));
     if stopping.wait_for(|s| *s).await.is_err() {
         log::debug!("nobody can stop this instance any more");
     }
-    desk.mesh.leave().await;
+    admin_service.mesh.leave().await;
     log::info!("stopping: not ready any more; new requests are taken for the notice time");
     tokio::time::sleep(settings.limits.notice_time).await;
     close.send_replace(true);
--- a/src/dispatch_queue.rs
+++ b/src/dispatch_queue.rs
@@ -115,7 +115,7 @@
                 queue: WaitQueue::new(settings),
                 waiters: BTreeMap::new(),
             });
-        match entry.queue.push(
+        match entry.queue.enqueue(
             Waiting {
                 id,
                 ..message.waiting
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -8,7 +8,7 @@
 use xtra::Address;
 
 use crate::admission::Admission;
-use crate::ask::Ask;
+use crate::at_most_once::StartId;
 use crate::chooser::Chooser;
 use crate::clock::Clock;
 use crate::dispatch_queue::DispatchQueue;
@@ -17,15 +17,15 @@
 use crate::follow::RulesWatch;
 use crate::http::{self, Body};
 use crate::inflight::Inflight;
-use crate::interest::Interest;
 use crate::ledger::Ledger;
 use crate::loads::Loads;
 use crate::metrics::Metrics;
-use crate::once::Start;
 use crate::outbound::Outbound;
 use crate::peers::MeshHandle;
 use crate::records::{Record, Records};
+use crate::request::CallerRequest;
 use crate::rules::InForce;
+use crate::subscriptions::Subscriptions;
 use crate::suspects::Suspects;
 use crate::verdict::{Cause, Refusal};
 
@@ -99,7 +99,7 @@
     /// Cold starts.
     pub loads: Loads,
     /// Models that this instance has traffic for.
-    pub interest: Interest,
+    pub subscriptions: Subscriptions,
     /// Requests that wait their turn.
     pub dispatch_queue: Address<DispatchQueue>,
     /// Counts of the requests that wait their turn, by model.
@@ -111,7 +111,7 @@
     /// The other instances.
     pub mesh: MeshHandle,
     /// This start of the instance.
-    pub start: Start,
+    pub start: StartId,
     /// Chooses endpoints.
     pub chooser: Chooser,
     /// Recent requests.
@@ -168,7 +168,7 @@
 
     /// Answers a request that goes no further than its admission, and keeps its record.
     #[must_use]
-    pub fn turn_away(&self, ask: &Ask, target: &str, refusal: &Refusal) -> Response<Body> {
+    pub fn refuse(&self, ask: &CallerRequest, target: &str, refusal: &Refusal) -> Response<Body> {
         let known = |r: &Arc<InForce>| r.rules.tenants.contains_key(&ask.tenant);
         let tenant = if self.rules.borrow().as_ref().is_some_and(known) {
             ask.tenant.as_str()
@@ -177,7 +177,7 @@
         };
         self.metrics.refused(tenant, refusal);
         let record = Record::new(&self.name, ask, None, target.to_owned());
-        self.records.push(record.close(0, Some(refusal)));
+        self.records.add(record.close(0, Some(refusal)));
         http::refuse(refusal, &ask.id)
     }
 
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -17,9 +17,9 @@
 use super::shared::Gateway;
 use super::suspicion::{Fingerprint, fingerprint};
 use super::{admission, forward, stream};
-use crate::ask;
 use crate::gate::Bounds;
 use crate::http::Body;
+use crate::request;
 use crate::verdict::{Cause, Refusal, Verdict};
 
 /// Time after which a caller that was refused for want of a configuration may come back.
@@ -140,7 +140,7 @@
         arrival: route.timeout,
         ..Bounds::default()
     };
-    let body = match ask::read_body(body, &bounds).await {
+    let body = match request::read_body(body, &bounds).await {
         Ok(body) => body,
         Err(refusal) => return refuse(&gateway, &refusal, &id, &route.name, arrived),
     };
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -13,10 +13,10 @@
 use tokio::sync::{Semaphore, watch};
 use tokio_util::task::TaskTracker;
 
-use crate::ask::{self, Ask, Prompt};
 use crate::completions::Completion;
 use crate::gate::Gate;
 use crate::http::{self, Body};
+use crate::request::{self, CallerRequest, Prompt};
 use crate::verdict::{Cause, Refusal};
 
 /// Connections beyond the bound that are told so before they are closed.
@@ -164,7 +164,7 @@
 }
 
 fn refuse(refusal: &Refusal) -> Response<Body> {
-    http::refuse(refusal, &ask::new_id())
+    http::refuse(refusal, &request::new_id())
 }
 
 fn readiness(gate: &Gate) -> Response<Body> {
@@ -221,21 +221,21 @@
 
 async fn completion(gate: &Gate, request: Request<Incoming>) -> Response<Body> {
     let (head, body) = request.into_parts();
-    let ask = match Ask::read(&head.headers, &gate.bounds) {
+    let ask = match CallerRequest::read(&head.headers, &gate.bounds) {
         Ok(ask) => ask,
         Err(refusal) => return refuse(&refusal),
     };
     let asked = ask.clone();
     match admit(gate, ask, body).await {
         Ok(completion) => completion.serve().await,
-        Err(refusal) => gate.turn_away(&asked, "completion", &refusal),
+        Err(refusal) => gate.refuse(&asked, "completion", &refusal),
     }
 }
 
-async fn admit(gate: &Gate, ask: Ask, body: Incoming) -> Result<Completion, Refusal> {
+async fn admit(gate: &Gate, ask: CallerRequest, body: Incoming) -> Result<Completion, Refusal> {
     gate.in_force()?;
     let pass = gate.admission.admit(&ask.tenant)?;
-    let body = ask::read_body(body, &gate.bounds).await?;
+    let body = request::read_body(body, &gate.bounds).await?;
     let prompt = Prompt::parse(&body)?;
     Completion::new(gate, ask, prompt, body, pass)
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,8 +6,8 @@
 
 pub mod admin;
 pub mod admission;
-pub mod ask;
 mod assembly;
+pub mod at_most_once;
 pub mod calls;
 pub mod chart;
 pub mod chooser;
@@ -29,7 +29,6 @@
 pub mod inflight;
 pub mod instances;
 pub mod intake;
-pub mod interest;
 pub mod ledger;
 pub mod limits;
 pub mod loads;
@@ -37,7 +36,6 @@
 pub mod members;
 pub mod metrics;
 pub mod objects;
-pub mod once;
 pub mod outbound;
 pub mod ownership;
 pub mod peers;
@@ -49,13 +47,15 @@
 pub mod reconciler;
 pub mod records;
 pub mod relay;
+pub mod request;
 pub mod residency;
 pub mod rules;
 pub mod settings;
+pub mod subscriptions;
+pub mod suspect_request;
 pub mod suspects;
 pub mod table;
 pub mod tool;
-pub mod trials;
 pub mod verdict;
 
 /// A boxed future, as returned by the traits at the edges of the process.
--- a/src/limits/queue.rs
+++ b/src/limits/queue.rs
@@ -96,7 +96,7 @@
 ///     needs: Duration::from_millis(500),
 ///     cost: 1,
 /// };
-/// assert_eq!(queue.push(request.clone(), Duration::ZERO), Ok(None));
+/// assert_eq!(queue.enqueue(request.clone(), Duration::ZERO), Ok(None));
 /// assert_eq!(queue.turn(Duration::from_secs(1)).next, Some(request));
 /// ```
 #[derive(Debug, Clone)]
@@ -153,7 +153,7 @@
     /// # Errors
     ///
     /// A refusal as not run: the queue is full, or the expected wait passes the deadline.
-    pub fn push(
+    pub fn enqueue(
         &mut self,
         mut request: Waiting,
         now: Duration,
--- a/src/loads/ask.rs
+++ b/src/loads/ask.rs
@@ -19,7 +19,7 @@
 const NEWS_LOOKS: u32 = 40;
 const NEWS_PAUSE: Duration = Duration::from_millis(50);
 /// Time to come back where none was found.
-const COME_BACK: Duration = Duration::from_secs(1);
+const RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Longest time that a model's owner may take to answer.
 const OWNER_ANSWER: Duration = Duration::from_mins(1);
 
@@ -31,7 +31,7 @@
         loads: &Loads,
         tell: &watch::Sender<Phase>,
     ) -> Result<(), Refusal> {
-        self.interest
+        self.subscriptions
             .note(&wake.model, self.reconciler.clock.now())
             .await;
         let owner = match wake.decider {
@@ -50,7 +50,7 @@
     /// Asks the owner; none where it does not answer, so that this instance may decide itself.
     async fn ask(&self, owner: &str, model: &str) -> Option<Result<(), Refusal>> {
         let wake = WakeMessage {
-            id: crate::ask::new_id(),
+            id: crate::request::new_id(),
             model: model.to_owned(),
             deadline: OWNER_ANSWER.as_millis().try_into().unwrap_or(u64::MAX),
         };
@@ -151,7 +151,7 @@
         // The decided replica's endpoint was lost meanwhile.
         sleep(NEWS_PAUSE).await;
     }
-    refused(&Refusal::not_run(Cause::NoCapacity).retry_after(COME_BACK))
+    refused(&Refusal::not_run(Cause::NoCapacity).retry_after(RETRY_AFTER))
 }
 
 fn refused(refusal: &Refusal) -> WakeReply {
--- a/src/loads/job.rs
+++ b/src/loads/job.rs
@@ -10,11 +10,11 @@
 use crate::chart::ReplicaState;
 use crate::fleet::Endpoint;
 use crate::idle::{SharedResidencies, epoch, lock};
-use crate::interest::Interest;
 use crate::metrics::Metrics;
 use crate::placement::{Ask, PlaceError, Placement, Reserved};
 use crate::reconciler::Reconciler;
 use crate::rules::{Class, Model, Rules};
+use crate::subscriptions::Subscriptions;
 use crate::verdict::{Cause, Refusal};
 
 /// Bounds of cold starts.
@@ -59,7 +59,7 @@
     /// What is learnt of demand and loads.
     pub residencies: SharedResidencies,
     /// Models that this instance has traffic for.
-    pub interest: Interest,
+    pub subscriptions: Subscriptions,
     /// Metrics.
     pub metrics: Metrics,
 }
--- a/src/peers/fleet.rs
+++ b/src/peers/fleet.rs
@@ -21,7 +21,7 @@
 /// Longest time between two loads of one replica that change.
 const LONGEST_SPACING: Duration = Duration::from_secs(3);
 
-/// Age after which an interest that was not refreshed is dropped.
+/// Age after which a subscription that was not refreshed is dropped.
 const INTEREST_AGE: Duration = Duration::from_secs(30);
 
 /// State of a replica that its server holds no more.
@@ -66,7 +66,7 @@
     pub heard: Duration,
 }
 
-/// Loads of the models of interest, by model and server; a hint that lags.
+/// Loads of the subscribed models, by model and server; a hint that lags.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Fleet {
     /// Loads.
@@ -82,12 +82,12 @@
 /// A model and a server that holds it.
 type Place = (String, String);
 
-/// Loads and interests at one instance.
+/// Loads and subscriptions at one instance.
 #[derive(Debug, Clone, Default)]
 pub(super) struct FleetTable {
     me: String,
     sequence: u64,
-    interest: BTreeSet<String>,
+    subscriptions: BTreeSet<String>,
     loads: BTreeMap<String, BTreeMap<String, Known>>,
     subscribers: BTreeMap<String, BTreeMap<String, Duration>>,
     published: BTreeMap<Place, (LoadUpdate, Duration)>,
@@ -105,23 +105,23 @@
         }
     }
 
-    /// Sets the models of interest; answers whether they changed.
-    pub(super) fn set_interest(&mut self, models: BTreeSet<String>) -> bool {
-        let changed = self.interest != models;
+    /// Sets the subscribed models; answers whether they changed.
+    pub(super) fn set_subscriptions(&mut self, models: BTreeSet<String>) -> bool {
+        let changed = self.subscriptions != models;
         self.changed |= changed;
-        self.interest = models;
+        self.subscriptions = models;
         changed
     }
 
-    /// Interests to send, by the owning instance of the models.
-    pub(super) fn interests(&self, live: &BTreeSet<String>) -> BTreeMap<String, FleetUpdate> {
+    /// Subscriptions to send, by the owning instance of the models.
+    pub(super) fn subscriptions(&self, live: &BTreeSet<String>) -> BTreeMap<String, FleetUpdate> {
         let mut by_home: BTreeMap<String, FleetUpdate> = BTreeMap::new();
-        for model in &self.interest {
+        for model in &self.subscriptions {
             let Some(peer) = owner(&model_key(model), live).filter(|peer| **peer != self.me) else {
                 continue;
             };
             let update = by_home.entry(peer.clone()).or_default();
-            update.interest.push(model.clone());
+            update.subscriptions.push(model.clone());
         }
         by_home
     }
@@ -166,7 +166,7 @@
             };
             servers.insert(load.server.clone(), known);
         }
-        self.changed |= self.interest.contains(&load.model);
+        self.changed |= self.subscriptions.contains(&load.model);
         let peers: Vec<String> = self
             .subscribers
             .get(&load.model)
@@ -176,7 +176,7 @@
         }
     }
 
-    /// Notes the interest of a peer; loads that it does not know yet follow.
+    /// Notes the subscriptions of a peer; loads that it does not know yet follow.
     pub(super) fn subscribe(&mut self, peer: &str, models: Vec<String>, now: Duration) {
         for model in models {
             let subscribers = self.subscribers.entry(model.clone()).or_default();
@@ -199,7 +199,7 @@
             .filter(|(peer, loads)| live.contains(peer) && !loads.is_empty())
             .map(|(peer, loads)| {
                 let update = FleetUpdate {
-                    interest: Vec::new(),
+                    subscriptions: Vec::new(),
                     loads: loads.into_values().collect(),
                 };
                 (peer, update)
@@ -235,7 +235,7 @@
         self.published.retain(|_, (_, at)| !old(*at, LOAD_AGE));
     }
 
-    /// The view of the models of interest, where it changed since the last call.
+    /// The view of the subscribed models, where it changed since the last call.
     pub(super) fn changed_view(&mut self) -> Option<Fleet> {
         std::mem::take(&mut self.changed).then(|| self.view())
     }
@@ -244,7 +244,7 @@
         let wanted = self
             .loads
             .iter()
-            .filter(|(model, _)| self.interest.contains(*model));
+            .filter(|(model, _)| self.subscriptions.contains(*model));
         let models = wanted
             .map(|(model, servers)| {
                 let loads = servers
--- a/src/peers/handle.rs
+++ b/src/peers/handle.rs
@@ -79,7 +79,7 @@
 
 /// This instance stops.
 #[derive(Debug)]
-pub(super) struct Leave;
+pub(super) struct SendMode;
 
 /// Handle of a running [`Mesh`]; the mesh stops when the last clone is dropped.
 #[derive(Debug, Clone)]
@@ -113,7 +113,7 @@
         self.rules.clone()
     }
 
-    /// Loads of the models of interest.
+    /// Loads of the subscribed models.
     #[must_use]
     pub fn fleet(&self) -> watch::Receiver<Arc<Fleet>> {
         self.fleet.clone()
@@ -134,7 +134,7 @@
     }
 
     /// Sets the models whose loads this instance wants to hear of.
-    pub async fn set_interest(&self, models: BTreeSet<String>) {
+    pub async fn set_subscriptions(&self, models: BTreeSet<String>) {
         drop(self.mesh.send(SetInterest(models)).await);
     }
 
@@ -148,7 +148,7 @@
     ///
     /// Requests are still answered until the handle is dropped.
     pub async fn leave(&self) {
-        drop(self.mesh.send(Leave).await);
+        drop(self.mesh.send(SendMode).await);
     }
 
     /// Asks a peer for a model.
--- a/src/peers/mesh.rs
+++ b/src/peers/mesh.rs
@@ -117,7 +117,7 @@
     pub(super) last_link: u64,
     pub(super) dials: BTreeMap<String, Backoff>,
     pub(super) fleet: FleetTable,
-    pub(super) interest_due: Duration,
+    pub(super) subscriptions_due: Duration,
     pub(super) probe_due: Duration,
     pub(super) pending: BTreeMap<u64, Pending>,
     pub(super) last_call: u64,
@@ -169,7 +169,7 @@
             links: BTreeMap::new(),
             last_link: 0,
             dials: BTreeMap::new(),
-            interest_due: Duration::ZERO,
+            subscriptions_due: Duration::ZERO,
             probe_due: Duration::ZERO,
             pending: BTreeMap::new(),
             last_call: 0,
@@ -228,7 +228,7 @@
             self.ring = neighbours(&me, &names, self.settings.near);
             self.owners.send_replace(Arc::new(Owners::new(&names)));
             self.live = names;
-            self.interest_due = Duration::ZERO;
+            self.subscriptions_due = Duration::ZERO;
         }
         self.digest = self.roster.digest();
         self.members.send_replace(live);
--- a/src/peers/message.rs
+++ b/src/peers/message.rs
@@ -45,7 +45,7 @@
     /// Answer to a [`RulesFetch`].
     #[prost(message, tag = "9")]
     RulesText(RulesText),
-    /// Loads of endpoints, or interest in them.
+    /// Loads of endpoints, or subscriptions to them.
     #[prost(message, tag = "10")]
     Fleet(FleetUpdate),
 }
@@ -176,12 +176,12 @@
     pub text: String,
 }
 
-/// Loads of endpoints by model, or interest in them.
+/// Loads of endpoints by model, or subscriptions to them.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct FleetUpdate {
     /// Models whose loads the sender wants from now on.
     #[prost(string, repeated, tag = "1")]
-    pub interest: Vec<String>,
+    pub subscriptions: Vec<String>,
     /// Loads.
     #[prost(message, repeated, tag = "2")]
     pub loads: Vec<LoadUpdate>,
--- a/src/peers/receive.rs
+++ b/src/peers/receive.rs
@@ -90,7 +90,7 @@
             Body::Members(members) => self.on_members(id, members, now),
             Body::Rules(version) => self.learn_rules(&version, Some(id)),
             Body::Fleet(update) => {
-                self.fleet.subscribe(&peer, update.interest, now);
+                self.fleet.subscribe(&peer, update.subscriptions, now);
                 for load in &update.loads {
                     self.fleet.take(load, now);
                 }
--- a/src/peers/upkeep.rs
+++ b/src/peers/upkeep.rs
@@ -24,11 +24,11 @@
 /// Time for which views may differ before all members are sent.
 const DIFFERENCE: Duration = Duration::from_secs(3);
 
-/// Interval at which interests are sent again.
-const INTEREST_INTERVAL: Duration = Duration::from_secs(10);
+/// Interval at which subscriptions are sent again.
+const SUBSCRIBE_INTERVAL: Duration = Duration::from_secs(10);
 
-/// Pause after an interest that could not be sent.
-const INTEREST_RETRY: Duration = Duration::from_millis(500);
+/// Pause after a subscription that could not be sent.
+const SUBSCRIBE_RETRY: Duration = Duration::from_millis(500);
 
 /// Interval at which a member that is held for dead is dialed.
 const PROBE_INTERVAL: Duration = Duration::from_secs(5);
@@ -322,9 +322,9 @@
         if let Some(view) = self.fleet.changed_view() {
             self.views.send_replace(Arc::new(view));
         }
-        if now >= self.interest_due {
-            self.interest_due = now + INTEREST_INTERVAL;
-            for (peer, update) in self.fleet.interests(&self.live) {
+        if now >= self.subscriptions_due {
+            self.subscriptions_due = now + SUBSCRIBE_INTERVAL;
+            for (peer, update) in self.fleet.subscriptions(&self.live) {
                 self.send_update(&peer, update, now);
             }
         }
@@ -336,8 +336,8 @@
     fn send_update(&mut self, peer: &str, update: FleetUpdate, now: Duration) {
         let link = self.links.values_mut().filter(|link| link.peer == peer);
         let Some(link) = link.max_by_key(|link| link.opened) else {
-            if !update.interest.is_empty() {
-                self.interest_due = self.interest_due.min(now + INTEREST_RETRY);
+            if !update.subscriptions.is_empty() {
+                self.subscriptions_due = self.subscriptions_due.min(now + SUBSCRIBE_RETRY);
             }
             self.fleet.restore(peer, update);
             self.dial(peer, now);
--- a/src/records.rs
+++ b/src/records.rs
@@ -7,7 +7,7 @@
 use tokio::time::Instant;
 
 use crate::admin::{RequestRecord, RequestStep};
-use crate::ask::Ask;
+use crate::request::CallerRequest;
 use crate::rules::Class;
 use crate::verdict::Refusal;
 
@@ -28,7 +28,7 @@
 impl Record {
     /// The record of a request that arrived now.
     #[must_use]
-    pub fn new(instance: &str, ask: &Ask, class: Option<Class>, target: String) -> Self {
+    pub fn new(instance: &str, ask: &CallerRequest, class: Option<Class>, target: String) -> Self {
         let kept = RequestRecord {
             id: ask.id.clone(),
             instance: instance.to_owned(),
@@ -113,7 +113,7 @@
     /// use brassrack::records::Records;
     ///
     /// let records = Records::new(1);
-    /// records.push(RequestRecord { id: "r-1".into(), ..RequestRecord::default() });
+    /// records.add(RequestRecord { id: "r-1".into(), ..RequestRecord::default() });
     /// assert!(records.find("r-1").is_some());
     /// ```
     #[must_use]
@@ -125,7 +125,7 @@
     }
 
     /// Adds a record.
-    pub fn push(&self, record: RequestRecord) {
+    pub fn add(&self, record: RequestRecord) {
         let mut ring = self.ring.lock().unwrap_or_else(PoisonError::into_inner);
         if ring.len() >= self.kept {
             ring.pop_front();
--- a/src/ask.rs
+++ b/src/request.rs
@@ -18,7 +18,7 @@
 
 /// What the head of a request says.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Ask {
+pub struct CallerRequest {
     /// Request id, the caller's or a new one.
     pub id: String,
     /// Tenant.
@@ -31,7 +31,7 @@
     pub due: Instant,
 }
 
-impl Ask {
+impl CallerRequest {
     /// Reads the head of a request that arrives now.
     ///
     /// # Errors
@@ -133,7 +133,7 @@
     /// # Examples
     ///
     /// ```
-    /// let prompt = brassrack::ask::Prompt::parse(br#"{"model": "m", "messages": []}"#);
+    /// let prompt = brassrack::request::Prompt::parse(br#"{"model": "m", "messages": []}"#);
     /// assert_eq!(prompt.unwrap().model, "m");
     /// ```
     pub fn parse(body: &[u8]) -> Result<Self, Refusal> {
--- a/src/rules/parse.rs
+++ b/src/rules/parse.rs
@@ -46,7 +46,7 @@
     /// let rules = Rules::parse("service narocila # Maja: print orders\n").unwrap();
     /// assert!(rules.services.contains_key("narocila"));
     ///
-    /// let errors = Rules::parse("service narocila\nservise sub-desk # Ann: seats").unwrap_err();
+    /// let errors = Rules::parse("service narocila\nservise sub-admin_service # Ann: seats").unwrap_err();
     /// assert_eq!((errors[0].line, errors[0].column), (1, 17));
     /// assert_eq!(errors[1].found, "'servise'");
     /// ```
@@ -125,7 +125,7 @@
         Keyword::Service => service(draft, fields),
         Keyword::Call => call(draft, fields),
         Keyword::Tenant => tenant(draft, fields),
-        Keyword::Weigh => weigh(draft, head, fields),
+        Keyword::Weigh => weights(draft, head, fields),
     }
 }
 
@@ -258,7 +258,7 @@
     draft.tenant(&name, rule());
 }
 
-fn weigh(draft: &mut Draft, head: &Word, fields: &mut Fields) {
+fn weights(draft: &mut Draft, head: &Word, fields: &mut Fields) {
     let idle = fields.share("idle");
     let loads = fields.count("loads", 1..=MOST_LOADS);
     let adapters = fields.count("adapters", 1..=MOST_LOADS);
--- a/src/interest.rs
+++ b/src/subscriptions.rs
@@ -7,20 +7,20 @@
 use crate::clock::Clock;
 use crate::peers::MeshHandle;
 
-/// Time after its last request for which a model is of interest.
+/// Time after its last request for which a model is subscribed.
 const KEPT: Duration = Duration::from_mins(1);
 /// Time between two refreshes.
 const REFRESH: Duration = Duration::from_secs(5);
 
-/// Models of interest, each with its last use.
+/// Subscribed models, each with its last use.
 #[derive(Debug, Clone)]
-pub struct Interest {
+pub struct Subscriptions {
     used: Arc<Mutex<BTreeMap<String, Duration>>>,
     mesh: MeshHandle,
 }
 
-impl Interest {
-    /// No interest yet.
+impl Subscriptions {
+    /// No subscription yet.
     #[must_use]
     pub fn new(mesh: MeshHandle) -> Self {
         Self {
@@ -36,7 +36,7 @@
         }
     }
 
-    /// Notes the use of a model that is of interest already.
+    /// Notes the use of a model that is subscribed already.
     pub fn touch(&self, model: &str, now: Duration) {
         self.lock().insert(model.to_owned(), now);
     }
@@ -54,7 +54,7 @@
 
     async fn tell(&self) {
         let models = self.lock().keys().cloned().collect();
-        self.mesh.set_interest(models).await;
+        self.mesh.set_subscriptions(models).await;
     }
 
     fn lock(&self) -> MutexGuard<'_, BTreeMap<String, Duration>> {
--- a/src/trials.rs
+++ b/src/suspect_request.rs
@@ -17,11 +17,11 @@
 
 /// How a request may be sent.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Leave {
+pub enum SendMode {
     /// Like any other.
-    Free,
-    /// In a trial, on an endpoint that runs no other.
-    Trial,
+    Normal,
+    /// On an endpoint that runs no other request meanwhile.
+    Isolated,
 }
 
 /// One request as a suspect.
@@ -48,10 +48,10 @@
     /// # Errors
     ///
     /// The final refusal of a request that is tied to too many crashes.
-    pub fn leave(&self) -> Result<Leave, Refusal> {
+    pub fn send_mode(&self) -> Result<SendMode, Refusal> {
         match self.gate.suspects.standing(&self.digest) {
-            Standing::Clear => Ok(Leave::Free),
-            Standing::Suspect => Ok(Leave::Trial),
+            Standing::Clear => Ok(SendMode::Normal),
+            Standing::Suspect => Ok(SendMode::Isolated),
             Standing::Refused(left) => Err(refusal(left)),
         }
     }
--- a/standins/src/slopes/mesh.rs
+++ b/standins/src/slopes/mesh.rs
@@ -160,7 +160,7 @@
     let mut placed = Vec::new();
     for node in nodes {
         let wanted: BTreeSet<String> = (0..INTEREST).map(|_| pick(&mut rng, models)).collect();
-        node.set_interest(wanted).await;
+        node.set_subscriptions(wanted).await;
         placed.push([(); SERVERS].map(|()| [(); REPLICAS].map(|()| pick(&mut rng, models))));
     }
     let end = Instant::now() + window;
--- a/standins/src/slopes/parts.rs
+++ b/standins/src/slopes/parts.rs
@@ -178,10 +178,10 @@
         cost: 1,
     };
     for id in 0..256 {
-        drop(queue.push(request(id), Duration::ZERO));
+        drop(queue.enqueue(request(id), Duration::ZERO));
     }
     timed(|round| {
-        drop(queue.push(request(256 + round), Duration::ZERO));
+        drop(queue.enqueue(request(256 + round), Duration::ZERO));
         std::hint::black_box(queue.turn(Duration::ZERO).next);
     })
 }
--- a/tests/peer_contract.rs
+++ b/tests/peer_contract.rs
@@ -263,7 +263,7 @@
     let owner = owner("model/drafts", &names).unwrap();
     let others: Vec<&Node> = nodes.iter().filter(|n| n.name != *owner).collect();
     let models = BTreeSet::from(["drafts".to_string()]);
-    others[1].handle.set_interest(models).await;
+    others[1].handle.set_subscriptions(models).await;
     for load in [3, 5] {
         others[0].handle.publish(delta("drafts", load)).await;
         assert!(until(WAIT, || running(others[1], "drafts") == Some(load)).await);
--- a/tests/waiting_queue.rs
+++ b/tests/waiting_queue.rs
@@ -51,7 +51,7 @@
         request(5, "vic", Class::Standard, 500),
     ];
     for request in requests {
-        assert_eq!(queue.push(request, Duration::ZERO), Ok(None));
+        assert_eq!(queue.enqueue(request, Duration::ZERO), Ok(None));
     }
     assert_eq!(drained(&mut queue), [3, 4, 5, 2, 1]);
 }
@@ -64,10 +64,10 @@
             cost: 4,
             ..standard(id, "vic")
         };
-        assert_eq!(queue.push(costly, Duration::ZERO), Ok(None));
+        assert_eq!(queue.enqueue(costly, Duration::ZERO), Ok(None));
     }
     for id in 11..=18 {
-        assert_eq!(queue.push(standard(id, "moste"), Duration::ZERO), Ok(None));
+        assert_eq!(queue.enqueue(standard(id, "moste"), Duration::ZERO), Ok(None));
     }
     let order = drained(&mut queue);
     assert_eq!(order, [1, 11, 12, 13, 14, 2, 15, 16, 17, 18, 3, 4]);
@@ -77,12 +77,12 @@
 fn full_queue_refuses_the_longest_line() {
     let mut queue = queue(4, 1);
     for id in 1..=4 {
-        assert_eq!(queue.push(standard(id, "vic"), Duration::ZERO), Ok(None));
+        assert_eq!(queue.enqueue(standard(id, "vic"), Duration::ZERO), Ok(None));
     }
-    let refusal = queue.push(standard(5, "vic"), Duration::ZERO).unwrap_err();
+    let refusal = queue.enqueue(standard(5, "vic"), Duration::ZERO).unwrap_err();
     let seen = (refusal.verdict, refusal.cause, refusal.retry.is_some());
     assert_eq!(seen, (Verdict::NotRun, Cause::Overload, true));
-    let displaced = queue.push(standard(6, "moste"), Duration::ZERO).unwrap();
+    let displaced = queue.enqueue(standard(6, "moste"), Duration::ZERO).unwrap();
     assert_eq!(displaced.map(|r| r.id), Some(4));
     assert_eq!(queue.len(), 4);
 }
@@ -92,7 +92,7 @@
     let mut queue = queue(16, 1);
     for (id, deadline) in [(1, 100), (2, 200)] {
         let request = request(id, "vic", Class::Standard, deadline);
-        assert_eq!(queue.push(request, Duration::ZERO), Ok(None));
+        assert_eq!(queue.enqueue(request, Duration::ZERO), Ok(None));
     }
     assert_eq!(queue.next_late(), Some(MS * 90));
     let turn = queue.turn(MS * 91);
@@ -104,7 +104,7 @@
 fn request_that_cannot_make_it_is_refused_at_once() {
     let mut queue = queue(64, 1);
     for id in 0..40 {
-        assert_eq!(queue.push(standard(id, "vic"), Duration::ZERO), Ok(None));
+        assert_eq!(queue.enqueue(standard(id, "vic"), Duration::ZERO), Ok(None));
     }
     for i in 0..20 {
         assert!(queue.turn(MS * 100 * i).next.is_some());
@@ -112,15 +112,15 @@
     let now = MS * 2000;
     let hopeless = request(99, "vic", Class::Standard, 61_000);
     let short = request(98, "vic", Class::Batch, 2_500);
-    assert_eq!(queue.push(hopeless, now), Ok(None));
-    let refusal = queue.push(short, now).unwrap_err();
+    assert_eq!(queue.enqueue(hopeless, now), Ok(None));
+    let refusal = queue.enqueue(short, now).unwrap_err();
     assert_eq!(refusal.cause, Cause::DeadlineTooShort);
 }
 
 #[test]
 fn removed_request_leaves_nothing_behind() {
     let mut queue = queue(16, 1);
-    assert_eq!(queue.push(standard(1, "vic"), Duration::ZERO), Ok(None));
+    assert_eq!(queue.enqueue(standard(1, "vic"), Duration::ZERO), Ok(None));
     assert_eq!(queue.remove(1).map(|r| r.id), Some(1));
     assert_eq!(queue.remove(1), None);
     assert!(queue.is_empty() && queue.next_late().is_none());
@@ -171,7 +171,7 @@
     fn send(&mut self, queue: &mut WaitQueue, tenant: &str, request: &Waiting, now: Duration) {
         self.tenants.entry(tenant.into()).or_default().sent += 1;
         self.waiting.insert(request.id, tenant.into());
-        match queue.push(request.clone(), now) {
+        match queue.enqueue(request.clone(), now) {
             Ok(None) => {}
             Ok(Some(displaced)) => self.refuse(&displaced, now),
             Err(refusal) => {
