--- a/src/ledger/call.rs
+++ b/src/ledger/call.rs
@@ -121,7 +121,7 @@
 /// # Examples
 ///
 /// ```
-/// assert_eq!(brassrack::ledger::request_key("admin_service", "order-7"), "request/admin_service/order-7");
+/// assert_eq!(brassrack::ledger::request_key("desk", "order-7"), "request/desk/order-7");
 /// ```
 #[must_use]
 pub fn request_key(tenant: &str, key: &str) -> String {
--- a/src/peers/handle.rs
+++ b/src/peers/handle.rs
@@ -71,7 +71,7 @@
 
 /// Models whose loads this instance wants.
 #[derive(Debug)]
-pub(super) struct SetInterest(pub(super) BTreeSet<String>);
+pub(super) struct SetSubscriptions(pub(super) BTreeSet<String>);
 
 /// Version of the rules that this instance put in force.
 #[derive(Debug)]
@@ -79,7 +79,7 @@
 
 /// This instance stops.
 #[derive(Debug)]
-pub(super) struct SendMode;
+pub(super) struct Leave;
 
 /// Handle of a running [`Mesh`]; the mesh stops when the last clone is dropped.
 #[derive(Debug, Clone)]
@@ -135,7 +135,7 @@
 
     /// Sets the models whose loads this instance wants to hear of.
     pub async fn set_subscriptions(&self, models: BTreeSet<String>) {
-        drop(self.mesh.send(SetInterest(models)).await);
+        drop(self.mesh.send(SetSubscriptions(models)).await);
     }
 
     /// Says that this instance has a version of the rules in force; a lower one is ignored.
@@ -148,7 +148,7 @@
     ///
     /// Requests are still answered until the handle is dropped.
     pub async fn leave(&self) {
-        drop(self.mesh.send(SendMode).await);
+        drop(self.mesh.send(Leave).await);
     }
 
     /// Asks a peer for a model.
--- a/src/peers/inbox.rs
+++ b/src/peers/inbox.rs
@@ -5,7 +5,7 @@
 use xtra::{Context, Handler};
 
 use super::dial::{Accepted, DialError, Dialed};
-use super::handle::{Announce, Ask, PeerError, Publish, SendMode, SetInterest};
+use super::handle::{Announce, Ask, Leave, PeerError, Publish, SetSubscriptions};
 use super::link::{Arrived, Closed};
 use super::mesh::{Mesh, Pending};
 use super::message::Frame;
@@ -126,10 +126,10 @@
     }
 }
 
-impl Handler<SetInterest> for Mesh {
+impl Handler<SetSubscriptions> for Mesh {
     type Return = ();
 
-    async fn handle(&mut self, message: SetInterest, _: &mut Context<Self>) {
+    async fn handle(&mut self, message: SetSubscriptions, _: &mut Context<Self>) {
         if self.fleet.set_subscriptions(message.0) {
             self.subscriptions_due = Duration::ZERO;
         }
@@ -148,10 +148,10 @@
     }
 }
 
-impl Handler<SendMode> for Mesh {
+impl Handler<Leave> for Mesh {
     type Return = ();
 
-    async fn handle(&mut self, _: SendMode, _: &mut Context<Self>) {
+    async fn handle(&mut self, _: Leave, _: &mut Context<Self>) {
         self.roster.leave();
         let me = self.roster.me().name.clone();
         self.spread(&[me], None);
--- a/src/rules/parse.rs
+++ b/src/rules/parse.rs
@@ -46,7 +46,7 @@
     /// let rules = Rules::parse("service narocila # Maja: print orders\n").unwrap();
     /// assert!(rules.services.contains_key("narocila"));
     ///
-    /// let errors = Rules::parse("service narocila\nservise sub-admin_service # Ann: seats").unwrap_err();
+    /// let errors = Rules::parse("service narocila\nservise sub-desk # Ann: seats").unwrap_err();
     /// assert_eq!((errors[0].line, errors[0].column), (1, 17));
     /// assert_eq!(errors[1].found, "'servise'");
     /// ```
--- a/standins/src/rack/parts.rs
+++ b/standins/src/rack/parts.rs
@@ -18,7 +18,7 @@
 /// Service name of the plain service that takes print orders.
 pub const ORDER_SERVICE: &str = "narocila";
 /// Service name of the plain service that takes activations.
-pub const SEAT_SERVICE: &str = "sub-admin_service";
+pub const SEAT_SERVICE: &str = "sub-desk";
 
 /// What a rack is made of.
 #[derive(Debug, Clone)]
--- a/standins/src/replay/run.rs
+++ b/standins/src/replay/run.rs
@@ -27,7 +27,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum Event {
     Return(usize),
-    SendMode(usize),
+    Leave(usize),
     Loaded { model: usize, life: u32 },
     Finish { model: usize, life: u32 },
     Expire { model: usize, turn: u32 },
@@ -104,7 +104,7 @@
     #[must_use]
     pub fn run(mut self) -> Outcome {
         for (i, outage) in self.work.outages.iter().enumerate() {
-            self.at(outage.at, Event::SendMode(i));
+            self.at(outage.at, Event::Leave(i));
             self.at(outage.back, Event::Return(outage.server));
         }
         self.at(Duration::ZERO, Event::Tick);
@@ -142,7 +142,7 @@
                     self.servers[server].enter();
                 }
             }
-            Event::SendMode(outage) => self.leave(self.work.outages[outage]),
+            Event::Leave(outage) => self.leave(self.work.outages[outage]),
             Event::Loaded { model, life } => self.loaded(model, life),
             Event::Finish { model, life } => self.finish(model, life),
             Event::Expire { model, turn } => self.expire(model, turn),
--- a/standins/src/slopes/parts.rs
+++ b/standins/src/slopes/parts.rs
@@ -108,10 +108,10 @@
         std::hint::black_box(prepared.owner(&format!("model/m{round}")));
     });
     vec![
-        cost("owner", "choice of a owner, us", INSTANCES, owners),
+        cost("owner", "choice of an owner, us", INSTANCES, owners),
         cost(
             "owner",
-            "choice of a owner, prepared, us",
+            "choice of an owner, prepared, us",
             INSTANCES,
             chosen,
         ),
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -162,13 +162,10 @@
     assert_eq!(shown, format!("# base: 1\n{TEXT}"));
     let edited = file(
         "edited.rules",
-        &format!("{shown}service sub-admin_service # Ann: seats\n"),
+        &format!("{shown}service sub-desk # Ann: seats\n"),
     );
     let diff = tool_at(address, &["rules", "diff", &edited]).await.out;
-    assert_eq!(
-        diff,
-        "# base: 1\n+ service sub-admin_service # Ann: seats\n"
-    );
+    assert_eq!(diff, "# base: 1\n+ service sub-desk # Ann: seats\n");
     let run = tool_at(address, &["rules", "apply", &edited]).await;
     assert!(run.out.ends_with("accepted as version 2\n"), "{run:?}");
     let history = tool_at(address, &["rules", "history"]).await.out;
@@ -177,7 +174,7 @@
         "{history}"
     );
     let diff = tool_at(address, &["rules", "diff", "--to", "2"]).await.out;
-    assert_eq!(diff, "+ service sub-admin_service # Ann: seats\n");
+    assert_eq!(diff, "+ service sub-desk # Ann: seats\n");
 }
 
 #[tokio::test]
--- a/tests/crash_requests.rs
+++ b/tests/crash_requests.rs
@@ -19,7 +19,7 @@
 const RULES: &str = "\
 engines besedilnik memory=40GiB orders=checked accelerators=1 # Ana: test
 model draft engines=besedilnik size=1GiB class=interactive first-token=9s replicas=4 # Ana: test
-tenant admin_service rate=1000 concurrency=1000 class=interactive # Ana: test
+tenant desk rate=1000 concurrency=1000 class=interactive # Ana: test
 weigh idle=0.5 loads=4 adapters=32 crashes=2 # Ana: test
 ";
 
@@ -45,7 +45,7 @@
 }
 
 async fn send(rack: &Rack, turn: usize, prompt: &Prompt) -> Reply {
-    let ask = chat(prompt, "admin_service").header("brassrack-timeout", "20s");
+    let ask = chat(prompt, "desk").header("brassrack-timeout", "20s");
     rack.call(turn % 2, &ask).await.unwrap()
 }
 
--- a/tests/idle_replicas.rs
+++ b/tests/idle_replicas.rs
@@ -30,10 +30,7 @@
         tokens: 8,
         stream: false,
     };
-    let reply = rack
-        .call(turn % 2, &chat(&prompt, "admin_service"))
-        .await
-        .unwrap();
+    let reply = rack.call(turn % 2, &chat(&prompt, "desk")).await.unwrap();
     assert_eq!(reply.text(), prompt.bytes(), "{model}");
 }
 
@@ -44,7 +41,7 @@
          model a engines=besedilnik size=18GiB class=interactive first-token=9s replicas=1 # Ana: test\n\
          model b engines=besedilnik size=18GiB class=interactive first-token=9s replicas=1 # Ana: test\n\
          model c engines=besedilnik size=18GiB class=interactive first-token=9s replicas=1 # Ana: test\n\
-         tenant admin_service rate=100 concurrency=20 class=interactive # Ana: test\n\
+         tenant desk rate=100 concurrency=20 class=interactive # Ana: test\n\
          weigh idle=0.0 loads=4 adapters=32 crashes=2 # Ana: test\n",
     )
     .await;
@@ -64,7 +61,7 @@
     let rack = start(
         "engines besedilnik memory=40GiB orders=checked accelerators=1 # Ana: test\n\
          model a engines=besedilnik size=1GiB class=batch first-token=9s replicas=1 # Ana: test\n\
-         tenant admin_service rate=100 concurrency=20 class=interactive # Ana: test\n\
+         tenant desk rate=100 concurrency=20 class=interactive # Ana: test\n\
          weigh idle=1.0 loads=4 adapters=32 crashes=2 # Ana: test\n",
     )
     .await;
--- a/tests/rules_file.rs
+++ b/tests/rules_file.rs
@@ -13,7 +13,7 @@
 call narocila POST /orders repeat=never timeout=5s # Maja: a print order is cut once
 call narocila GET '/stock/*' repeat=safe timeout=500ms # Maja: stock lookups
 service narocila # Maja: orders and stock
-tenant poroke rate=20 concurrency=8 class=interactive # Tina: wedding admin_service
+tenant poroke rate=20 concurrency=8 class=interactive # Tina: wedding desk
 weigh idle=0.7 loads=4 adapters=32 crashes=2 # Maja: models sit unused
 ";
 
@@ -61,25 +61,19 @@
     const NAME: &str = "a name of 1 to 128 letters, digits, '-', '_', '.' or '/'";
     const COMMENT: &str = "a comment that names who asked, such as # Maja: counter drafts";
     expect_errors(&[
-        ("service sub-admin_service # Ann: seats", &[]),
+        ("service sub-desk # Ann: seats", &[]),
         (
-            "servise sub-admin_service # Ann: seats",
+            "servise sub-desk # Ann: seats",
             &["1: 'servise'; one of engines, model, adapter, service, call, tenant, weigh"],
         ),
+        ("service sub-desk", &[&format!("17: nothing; {COMMENT}")]),
+        ("service sub-desk #", &[&format!("18: nothing; {COMMENT}")]),
         (
-            "service sub-admin_service",
-            &[&format!("17: nothing; {COMMENT}")],
-        ),
-        (
-            "service sub-admin_service #",
-            &[&format!("18: nothing; {COMMENT}")],
-        ),
-        (
-            "service sub-admin_service # seats",
+            "service sub-desk # seats",
             &[&format!("18: 'seats'; {COMMENT}")],
         ),
         (
-            "service sub-admin_service # : seats",
+            "service sub-desk # : seats",
             &[&format!("18: ': seats'; {COMMENT}")],
         ),
         (
--- a/tests/waiting_queue.rs
+++ b/tests/waiting_queue.rs
@@ -67,7 +67,10 @@
         assert_eq!(queue.enqueue(costly, Duration::ZERO), Ok(None));
     }
     for id in 11..=18 {
-        assert_eq!(queue.enqueue(standard(id, "moste"), Duration::ZERO), Ok(None));
+        assert_eq!(
+            queue.enqueue(standard(id, "moste"), Duration::ZERO),
+            Ok(None)
+        );
     }
     let order = drained(&mut queue);
     assert_eq!(order, [1, 11, 12, 13, 14, 2, 15, 16, 17, 18, 3, 4]);
@@ -79,7 +82,9 @@
     for id in 1..=4 {
         assert_eq!(queue.enqueue(standard(id, "vic"), Duration::ZERO), Ok(None));
     }
-    let refusal = queue.enqueue(standard(5, "vic"), Duration::ZERO).unwrap_err();
+    let refusal = queue
+        .enqueue(standard(5, "vic"), Duration::ZERO)
+        .unwrap_err();
     let seen = (refusal.verdict, refusal.cause, refusal.retry.is_some());
     assert_eq!(seen, (Verdict::NotRun, Cause::Overload, true));
     let displaced = queue.enqueue(standard(6, "moste"), Duration::ZERO).unwrap();
