--- a/src/gateway/planner.rs
+++ b/src/gateway/planner.rs
@@ -15,13 +15,6 @@
 const REPLICA_SHARE: f64 = 0.4;
 /// Requests a second from which a model is kept on two engines, so that one may fail.
 const TWICE_RATE: f64 = 1.5;
-/// Share of a model's streams that engines may make late before it gets a replica: one in twenty.
-const LATE_SHARE: f64 = 0.05;
-/// Late streams a second below which chance decides: two within the time that they are averaged.
-const LATE_LEAST: f64 = 1.0;
-/// Time after a replica's load within which it is not yet known whether it helps: streams that
-/// began before it go on where they are.
-const HELPS_AFTER: Duration = Duration::from_millis(1500);
 /// Time for which a model that has just been loaded is kept, so that its waiting requests arrive.
 const SETTLE: Duration = Duration::from_millis(800);
 /// Adapters that may be on their way to one engine.
@@ -72,8 +65,6 @@
     pub since: Duration,
     /// Requests a second, lately.
     pub rate: f64,
-    /// Streams a second that engines made late, lately.
-    pub late: f64,
 }
 
 /// Loads that the weight store allows now.
@@ -216,9 +207,6 @@
     running: u32,
     /// Whether an engine keeps a copy.
     kept: bool,
-    /// Whether a replica is on its way, or when the newest came.
-    coming: bool,
-    newest: Duration,
 }
 
 fn facts(fleet: &Fleet) -> BTreeMap<String, Facts> {
@@ -231,7 +219,6 @@
         });
         sum.waiting += want.waiting;
         sum.rate += want.rate;
-        sum.late += want.late;
         if want.waiting > 0 {
             sum.since = sum.since.min(want.since);
         }
@@ -242,13 +229,11 @@
             fact.replicas += 1;
             fact.running += holding.running;
             fact.kept = true;
-            fact.newest = fact.newest.max(holding.since);
         }
         if let Some(model) = &engine.loading {
             let fact = facts.entry(model.clone()).or_default();
             fact.replicas += u32::from(!engine.models.contains_key(model));
             fact.kept = true;
-            fact.coming = true;
         }
         for model in engine.disk.iter().chain(&engine.warm) {
             facts.entry(model.clone()).or_default().kept = true;
@@ -257,24 +242,6 @@
     facts
 }
 
-/// What a replica may cost that only spreads a model's streams.
-#[derive(Debug, Clone, Copy)]
-struct Spread {
-    /// Requests that run on each of the model's replicas.
-    load: u32,
-    /// Streams a second that are late.
-    late: f64,
-}
-
-impl Spread {
-    /// Whether an engine is less loaded than the replicas are, and its other models are asked for
-    /// less than the streams that are late.
-    fn allows(&self, engine: &EngineState, way: &Way) -> bool {
-        let load: u32 = engine.models.values().map(|h| h.running).sum();
-        load * 2 < self.load && way.loss < self.late
-    }
-}
-
 /// A way to load a model.
 struct Way {
     engine: usize,
@@ -310,14 +277,7 @@
             clippy::cast_sign_loss,
             reason = "a small count that is never negative"
         )]
-        let needed = floor.max(by_load as u32);
-        needed.max(fact.replicas + u32::from(self.crowded(fact, want)))
-    }
-
-    /// Whether the engines of a model make its streams late, and one more may help.
-    fn crowded(&self, fact: &Facts, want: &Want) -> bool {
-        let late = want.late >= LATE_LEAST && want.late > want.rate * LATE_SHARE;
-        late && !fact.coming && self.now >= fact.newest + HELPS_AFTER
+        floor.max(by_load as u32)
     }
 
     /// Models that need one more replica, the longest waiting first.
@@ -370,9 +330,7 @@
                 fact.replicas = fact.replicas.saturating_sub(1);
             }
         }
-        let fact = self.facts.entry(model.to_owned()).or_default();
-        fact.replicas += 1;
-        fact.coming = true;
+        self.facts.entry(model.to_owned()).or_default().replicas += 1;
         engine.busy = true;
         engine.loading = Some(model.to_owned());
         Some(Step {
@@ -389,7 +347,6 @@
     /// The nearest copy, and the least loss among engines that have it equally near.
     fn best_way(&self, model: &str, store: bool) -> Option<Way> {
         let mut best: Option<Way> = None;
-        let spread = self.spread(model);
         for at in 0..self.engines.len() {
             let from = source(&self.engines[at], model);
             let farther = best.as_ref().is_some_and(|b| from > b.source);
@@ -399,9 +356,6 @@
             let Some(way) = self.way(model, at) else {
                 continue;
             };
-            if spread.is_some_and(|s| !s.allows(&self.engines[at], &way)) {
-                continue;
-            }
             let better = |b: &Way| (way.source, way.loss) < (b.source, b.loss);
             if best.as_ref().is_none_or(better) {
                 best = Some(way);
@@ -410,19 +364,6 @@
         best
     }
 
-    /// Bounds of a replica that only spreads a model's streams; none where requests wait for it.
-    fn spread(&self, model: &str) -> Option<Spread> {
-        let fact = self.fact(model);
-        let want = fact.want.unwrap_or_default();
-        if want.waiting > 0 || !self.crowded(&fact, &want) {
-            return None;
-        }
-        Some(Spread {
-            load: fact.running / fact.replicas.max(1),
-            late: want.late,
-        })
-    }
-
     /// Whether an engine with a copy of its own will be free sooner than the weight store delivers.
     fn copy_soon(&self, model: &str) -> bool {
         let copied = |e: &EngineState| !e.leaving && source(e, model) != Source::Store;
