Lease: a successor reads the row at the holder's silence and wakes when it is free

A successor read the row only when its link was given up, after 1.2 s and more; the row had been renewed since the last message, so that the whole wait began with that read. Then it looked each 0.4 s.

Ruled out: a shorter term (weak instances echo up to half a second late, and a lease that lapses makes the holder forget what it knows).

Change: the row is read after 0.65 s of silence (two of the holder's intervals), the wait ends with a wake at the moment when the row is free; reads in between come each 0.8 s, not 0.4 s.

Test: order_lease, successor_wakes_when_the_row_is_free.

--- a/src/gateway/keeper.rs
+++ b/src/gateway/keeper.rs
@@ -16,7 +16,10 @@
 /// Time between two looks at the lease.
 const LOOK: Duration = Duration::from_millis(100);
 /// Time between two reads of the row where the holder cannot be reached.
-const READ_EVERY: Duration = Duration::from_millis(400);
+const READ_EVERY: Duration = Duration::from_millis(800);
+/// Silence of the holder after which the row is read, before its link is given up: two of its
+/// intervals. The wait for a takeover begins with that read.
+const DOUBT: Duration = Duration::from_millis(650);
 /// Longest wait for the store; it answers in milliseconds.
 const CALL: Duration = Duration::from_millis(1500);
 
@@ -50,7 +53,7 @@
             if let Some(row) = linked.row() {
                 self.lock().vouch(row, linked.version, linked.heard);
             }
-            if !holding && linked.up {
+            if !holding && linked.up && now < linked.heard + DOUBT {
                 self.publish();
                 self.pause(&mut stopping, LOOK).await;
                 continue;
@@ -66,9 +69,14 @@
                 doubt = !self.write(version, &self.me).await;
             }
             self.publish();
-            let holding = self.lock().fence(self.gateway.now()).is_some();
-            self.pause(&mut stopping, if holding { LOOK } else { READ_EVERY })
-                .await;
+            let now = self.gateway.now();
+            let holding = self.lock().fence(now).is_some();
+            let time = if holding {
+                LOOK
+            } else {
+                self.lock().pause(now, READ_EVERY)
+            };
+            self.pause(&mut stopping, time).await;
         }
     }
 
--- a/src/gateway/lease.rs
+++ b/src/gateway/lease.rs
@@ -180,21 +180,34 @@
                 Step::Wait
             };
         }
+        let free_at = self.free_at(seen);
+        if now >= free_at {
+            Step::Write(self.version)
+        } else {
+            Step::Wait
+        }
+    }
+
+    /// When the row is free for this instance, if it was seen last at a time.
+    fn free_at(&self, seen: Duration) -> Duration {
         let Terms {
             term,
             quiet,
             handicap,
         } = self.terms;
-        let free_at = match &self.row {
+        match &self.row {
             None => seen + handicap,
             Some(row) if row.holder == self.me.holder => seen,
             Some(row) if row.released => seen + quiet + handicap,
             Some(_) => seen + term + quiet + handicap,
-        };
-        if now >= free_at {
-            Step::Write(self.version)
-        } else {
-            Step::Wait
         }
     }
+
+    /// Time until this instance has something to do, at most a given time.
+    #[must_use]
+    pub fn pause(&self, now: Duration, most: Duration) -> Duration {
+        let free_in = self.seen.map(|s| self.free_at(s).saturating_sub(now));
+        // A row that is free and cannot be written is not tried without a pause.
+        free_in.filter(|f| !f.is_zero()).unwrap_or(most).min(most)
+    }
 }
--- a/tests/order_lease.rs
+++ b/tests/order_lease.rs
@@ -177,3 +177,16 @@
     assert_eq!(lease.step(at(24)), Step::Wait);
     assert_eq!(lease.step(at(25)), Step::Write(4));
 }
+
+/// Pattern: the holder freezes. The successor claims the row when the wait ends, not at the next
+/// of its reads.
+#[test]
+fn successor_wakes_when_the_row_is_free() {
+    let mut lease = lease();
+    lease.observe(Some(row("other")), 4, at(1));
+    let most = Duration::from_millis(800);
+    assert_eq!(lease.pause(at(2), most), most);
+    let soon = Duration::from_millis(300);
+    assert_eq!(lease.pause(at(9).saturating_sub(soon), most), soon);
+    assert_eq!(lease.pause(at(9), most), most);
+}
