Beliefs: an entry that came under a fresh view counts when the view is old

A report that waited for the model from 1.3 s on was never sent.

Ruled out: a load that failed (the engine held the model all the while), a request that was not looked at again (each 0.25 s).

Change: where the view is old, an endpoint is believed to hold what the view or the newest entry shows; one that lacks it says so unrun.

Test: endpoint_beliefs, entry_counts_when_the_view_is_old, failed first.

--- a/src/gateway/servers.rs
+++ b/src/gateway/servers.rs
@@ -132,16 +132,24 @@
         if self.absent.get(target).is_some_and(|until| *until > now) {
             return false;
         }
-        let Some(adapters) = self.models.get(&target.model) else {
-            return false;
+        let shown = |models: &BTreeMap<String, BTreeSet<String>>| {
+            let adapters = models.get(&target.model);
+            adapters.is_some_and(|held| target.adapter.as_ref().is_none_or(|a| held.contains(a)))
         };
-        target.adapter.as_ref().is_none_or(|a| adapters.contains(a))
+        // An entry that came while a view was fresh may be newer than that view; an endpoint that
+        // lacks the model says so without running the request.
+        shown(&self.models) || (!self.viewed(now) && shown(&self.endpoint.models))
+    }
+
+    /// Whether the lease holder's view is fresh.
+    fn viewed(&self, now: Duration) -> bool {
+        self.viewed.is_some_and(|at| now < at + VIEW_FRESH)
     }
 
     fn adopt(&mut self, endpoint: Endpoint, now: Duration) {
         let restarted = endpoint.born != self.endpoint.born;
         let leaving = !restarted && self.endpoint.state == EndpointState::Draining;
-        let viewed = self.viewed.is_some_and(|at| now < at + VIEW_FRESH);
+        let viewed = self.viewed(now);
         if restarted {
             *self = Self::new(endpoint);
             return;
--- a/tests/endpoint_beliefs.rs
+++ b/tests/endpoint_beliefs.rs
@@ -28,6 +28,10 @@
 }
 
 fn pick(servers: &Servers, model: &str, tried: &[String]) -> Option<String> {
+    pick_at(servers, model, tried, NOW)
+}
+
+fn pick_at(servers: &Servers, model: &str, tried: &[String], now: Duration) -> Option<String> {
     let target = Target {
         model: model.into(),
         adapter: None,
@@ -39,7 +43,7 @@
         shared: None,
         tried,
     };
-    servers.pick(&need, NOW).map(|p| p.id)
+    servers.pick(&need, now).map(|p| p.id)
 }
 
 /// A view of the first endpoint that holds a model.
@@ -222,3 +226,20 @@
     }
     assert_eq!(pick(&servers, "m", &[]).as_deref(), Some("fast"));
 }
+
+/// Pattern: the holder of the lease dies while a load runs that it ordered, and the store falls
+/// silent. The entry that showed the loaded model came while the holder's view was still fresh.
+#[test]
+fn entry_counts_when_the_view_is_old() {
+    let servers = two();
+    servers.view(&[view_of("m")], NOW);
+    let loaded = Endpoint {
+        beat: 2,
+        ..endpoint("1", &["m", "x"])
+    };
+    servers.adopt(loaded, NOW);
+    assert_eq!(pick(&servers, "x", &[]), None);
+    let later = NOW + Duration::from_secs(2);
+    assert_eq!(pick_at(&servers, "x", &[], later), Some("1".into()));
+    assert_eq!(pick_at(&servers, "m", &[], later), Some("1".into()));
+}
