--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -93,7 +93,6 @@
             Count {
                 count: u32::try_from(asked.waiting.len()).unwrap_or(u32::MAX),
                 arrivals: asked.arrivals,
-                late: asked.late,
                 millis: millis(now.saturating_sub(first)),
                 ..Count::new(&service, &target)
             }
--- a/src/gateway/link/message.rs
+++ b/src/gateway/link/message.rs
@@ -28,9 +28,6 @@
     /// Milliseconds that the first of them has waited, or until it can be served.
     #[prost(uint32, tag = "6")]
     pub millis: u32,
-    /// Streams that engines made late since the last report.
-    #[prost(uint32, tag = "7")]
-    pub late: u32,
 }
 
 impl Count {
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -20,7 +20,7 @@
 mod store_room;
 mod tell;
 
-use book::{Book, Demanded, Job, RATE_OVER};
+use book::{Book, Job, RATE_OVER, Rate};
 use give::{Engineer, Outcome};
 use pace::Pace;
 use store_room::StoreLoads;
@@ -57,7 +57,7 @@
     told: Duration,
     dirty: bool,
     views: Views,
-    rates: BTreeMap<BoardKey, Demanded>,
+    rates: BTreeMap<BoardKey, Rate>,
     books: BTreeMap<String, Book>,
     store: StoreLoads,
 }
@@ -148,10 +148,9 @@
 
     fn heard(&mut self, demand: &Demand) {
         let now = self.gateway.now();
-        for count in demand.asked.iter().filter(|c| c.arrivals + c.late > 0) {
+        for count in demand.asked.iter().filter(|c| c.arrivals > 0) {
             let key = (count.place.clone(), count.target());
-            let rate = self.rates.entry(key).or_default();
-            rate.add(count.arrivals, count.late, now);
+            self.rates.entry(key).or_default().add(count.arrivals, now);
         }
         let mut suspicion = self.gateway.suspicion();
         for print in &demand.broke {
@@ -183,7 +182,7 @@
         let own = self.own.clone();
         self.heard(&own);
         self.peers.retain(|_, p| now < p.heard + PEER_SILENT);
-        self.rates.retain(|_, r| r.asked(now) > RATE_LEAST);
+        self.rates.retain(|_, r| r.now(now) > RATE_LEAST);
         let mut wants = BTreeMap::new();
         for (service, engine) in engines(&catalog) {
             self.keep_books(service, now);
@@ -241,9 +240,7 @@
         let mut wants: BTreeMap<Target, Want> = BTreeMap::new();
         for ((place, target), rate) in &self.rates {
             if place == service {
-                let want = wants.entry(target.clone()).or_default();
-                want.rate = rate.asked(now);
-                want.late = rate.late(now);
+                wants.entry(target.clone()).or_default().rate = rate.now(now);
             }
         }
         let mut running: BTreeMap<(&str, Target), u32> = BTreeMap::new();
--- a/src/gateway/orders/book.rs
+++ b/src/gateway/orders/book.rs
@@ -120,46 +120,20 @@
     }
 }
 
-/// Time over which late streams are averaged: a replica that helps shows within it.
-const LATE_OVER: Duration = Duration::from_secs(2);
-
-/// How often a model is asked for, and how often its streams are late.
-#[derive(Debug, Clone, Copy, Default)]
-pub(super) struct Demanded {
-    pub(super) asked: Rate,
-    pub(super) late: Rate,
-}
-
-impl Demanded {
-    pub(super) fn asked(&self, now: Duration) -> f64 {
-        self.asked.now(now, RATE_OVER)
-    }
-
-    pub(super) fn late(&self, now: Duration) -> f64 {
-        self.late.now(now, LATE_OVER)
-    }
-
-    pub(super) fn add(&mut self, asked: u32, late: u32, now: Duration) {
-        self.asked.add(asked, now, RATE_OVER);
-        self.late.add(late, now, LATE_OVER);
-    }
-}
-
-/// Events a second, averaged with weights that decay.
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct Rate {
-    value: f64,
-    at: Duration,
+    pub(super) value: f64,
+    pub(super) at: Duration,
 }
 
 impl Rate {
-    fn now(self, now: Duration, over: Duration) -> f64 {
+    pub(super) fn now(self, now: Duration) -> f64 {
         let age = now.saturating_sub(self.at).as_secs_f64();
-        self.value * (-age / over.as_secs_f64()).exp()
+        self.value * (-age / RATE_OVER.as_secs_f64()).exp()
     }
 
-    fn add(&mut self, count: u32, now: Duration, over: Duration) {
-        self.value = self.now(now, over) + f64::from(count) / over.as_secs_f64();
+    pub(super) fn add(&mut self, count: u32, now: Duration) {
+        self.value = self.now(now) + f64::from(count) / RATE_OVER.as_secs_f64();
         self.at = now;
     }
 }
--- a/src/gateway/orders/store_room.rs
+++ b/src/gateway/orders/store_room.rs
@@ -19,8 +19,6 @@
     begun: VecDeque<Duration>,
     running: u32,
     at_once: u32,
-    /// Most loads at once that were seen at full speed; one load always is.
-    seen: u32,
 }
 
 impl StoreLoads {
@@ -30,7 +28,6 @@
             begun: VecDeque::new(),
             running: 0,
             at_once: AT_ONCE,
-            seen: 1,
         }
     }
 
@@ -58,7 +55,6 @@
         StoreRoom {
             slots: self.at_once.saturating_sub(self.running),
             tokens: most.saturating_sub(begun),
-            ahead: self.seen.min(self.at_once).saturating_sub(self.running),
         }
     }
 
@@ -77,12 +73,6 @@
             return;
         };
         let slowdown = took.as_secs_f64() / cold.as_secs_f64();
-        if slowdown < SHARED {
-            // One more is tried next.
-            self.seen = self.seen.max(ran + 1);
-        } else if ran > 1 {
-            self.seen = self.seen.min(ran - 1);
-        }
         if slowdown > SHARED && ran > 1 {
             self.at_once = (self.at_once - 1).max(1);
         } else if ran >= self.at_once && slowdown < SHARED {
--- a/src/gateway/planner.rs
+++ b/src/gateway/planner.rs
@@ -15,13 +15,6 @@
 const REPLICA_SHARE: f64 = 0.4;
 /// Requests a second from which a model is kept on two engines, so that one may fail.
 const TWICE_RATE: f64 = 1.5;
-/// Share of a model's streams that engines may make late before it gets a replica: one in twenty.
-const LATE_SHARE: f64 = 0.05;
-/// Late streams a second below which chance decides: two within the time that they are averaged.
-const LATE_LEAST: f64 = 1.0;
-/// Time after a replica's load within which it is not yet known whether it helps: streams that
-/// began before it go on where they are.
-const HELPS_AFTER: Duration = Duration::from_millis(1500);
 /// Time for which a model that has just been loaded is kept, so that its waiting requests arrive.
 const SETTLE: Duration = Duration::from_millis(800);
 /// Adapters that may be on their way to one engine.
@@ -72,8 +65,6 @@
     pub since: Duration,
     /// Requests a second, lately.
     pub rate: f64,
-    /// Streams a second that engines made late, lately.
-    pub late: f64,
 }
 
 /// Loads that the weight store allows now.
@@ -83,8 +74,6 @@
     pub slots: u32,
     /// Loads that the rate allows.
     pub tokens: u32,
-    /// Loads ahead of demand that may begin: as many as were seen to run at full speed.
-    pub ahead: u32,
 }
 
 /// What the planner decides on.
@@ -185,11 +174,11 @@
             steps.push(step);
         }
     }
-    if room.ahead == 0 {
+    if room.slots <= AHEAD_RESERVE {
         return steps;
     }
     for model in planner.uncopied() {
-        if room.ahead == 0 || room.slots <= AHEAD_RESERVE {
+        if room.slots <= AHEAD_RESERVE {
             break;
         }
         if let Some(step) = planner.swap(&model, &mut room, false) {
@@ -218,9 +207,6 @@
     running: u32,
     /// Whether an engine keeps a copy.
     kept: bool,
-    /// Whether a replica is on its way, or when the newest came.
-    coming: bool,
-    newest: Duration,
 }
 
 fn facts(fleet: &Fleet) -> BTreeMap<String, Facts> {
@@ -233,7 +219,6 @@
         });
         sum.waiting += want.waiting;
         sum.rate += want.rate;
-        sum.late += want.late;
         if want.waiting > 0 {
             sum.since = sum.since.min(want.since);
         }
@@ -244,13 +229,11 @@
             fact.replicas += 1;
             fact.running += holding.running;
             fact.kept = true;
-            fact.newest = fact.newest.max(holding.since);
         }
         if let Some(model) = &engine.loading {
             let fact = facts.entry(model.clone()).or_default();
             fact.replicas += u32::from(!engine.models.contains_key(model));
             fact.kept = true;
-            fact.coming = true;
         }
         for model in engine.disk.iter().chain(&engine.warm) {
             facts.entry(model.clone()).or_default().kept = true;
@@ -259,24 +242,6 @@
     facts
 }
 
-/// What a replica may cost that only spreads a model's streams.
-#[derive(Debug, Clone, Copy)]
-struct Spread {
-    /// Requests that run on each of the model's replicas.
-    load: u32,
-    /// Streams a second that are late.
-    late: f64,
-}
-
-impl Spread {
-    /// Whether an engine is less loaded than the replicas are, and its other models are asked for
-    /// less than the streams that are late.
-    fn allows(&self, engine: &EngineState, way: &Way) -> bool {
-        let load: u32 = engine.models.values().map(|h| h.running).sum();
-        load * 2 < self.load && way.loss < self.late
-    }
-}
-
 /// A way to load a model.
 struct Way {
     engine: usize,
@@ -300,38 +265,19 @@
 
     /// Replicas that the demand for a model asks for.
     fn needed(&self, fact: &Facts, want: &Want) -> u32 {
+        let each = (f64::from(self.spec.slots) * REPLICA_SHARE).max(1.0);
+        let by_load = (f64::from(fact.running + want.waiting) / each).ceil();
         let floor = if want.rate >= TWICE_RATE {
             2
         } else {
             u32::from(want.waiting > 0)
         };
-        let spread = fact.replicas + u32::from(self.crowded(fact, want));
-        floor.max(self.by_load(fact, want)).max(spread)
-    }
-
-    /// Replicas that hold the requests of a model without filling their engines.
-    fn by_load(&self, fact: &Facts, want: &Want) -> u32 {
-        let each = (f64::from(self.spec.slots) * REPLICA_SHARE).max(1.0);
-        let replicas = (f64::from(fact.running + want.waiting) / each).ceil();
         #[expect(
             clippy::cast_possible_truncation,
             clippy::cast_sign_loss,
             reason = "a small count that is never negative"
         )]
-        let replicas = replicas as u32;
-        replicas
-    }
-
-    /// Whether the replicas of a model are too few for its requests.
-    fn full(&self, model: &str) -> bool {
-        let fact = self.fact(model);
-        fact.replicas < self.by_load(&fact, &fact.want.unwrap_or_default())
-    }
-
-    /// Whether the engines of a model make its streams late, and one more may help.
-    fn crowded(&self, fact: &Facts, want: &Want) -> bool {
-        let late = want.late >= LATE_LEAST && want.late > want.rate * LATE_SHARE;
-        late && !fact.coming && self.now >= fact.newest + HELPS_AFTER
+        floor.max(by_load as u32)
     }
 
     /// Models that need one more replica, the longest waiting first.
@@ -371,13 +317,11 @@
         let store = room.slots > 0 && room.tokens > 0;
         let way = self.best_way(model, store)?;
         if way.source == Source::Store {
-            let spare = self.replicas(model) > 0 && !self.full(model);
-            if urgent && (spare || self.copy_soon(model)) {
+            if urgent && self.copy_soon(model) {
                 return None;
             }
             room.slots -= 1;
             room.tokens -= 1;
-            room.ahead = room.ahead.saturating_sub(1);
         }
         let engine = &mut self.engines[way.engine];
         for out in &way.out {
@@ -386,9 +330,7 @@
                 fact.replicas = fact.replicas.saturating_sub(1);
             }
         }
-        let fact = self.facts.entry(model.to_owned()).or_default();
-        fact.replicas += 1;
-        fact.coming = true;
+        self.facts.entry(model.to_owned()).or_default().replicas += 1;
         engine.busy = true;
         engine.loading = Some(model.to_owned());
         Some(Step {
@@ -405,7 +347,6 @@
     /// The nearest copy, and the least loss among engines that have it equally near.
     fn best_way(&self, model: &str, store: bool) -> Option<Way> {
         let mut best: Option<Way> = None;
-        let spread = self.spread(model);
         for at in 0..self.engines.len() {
             let from = source(&self.engines[at], model);
             let farther = best.as_ref().is_some_and(|b| from > b.source);
@@ -415,9 +356,6 @@
             let Some(way) = self.way(model, at) else {
                 continue;
             };
-            if spread.is_some_and(|s| !s.allows(&self.engines[at], &way)) {
-                continue;
-            }
             let better = |b: &Way| (way.source, way.loss) < (b.source, b.loss);
             if best.as_ref().is_none_or(better) {
                 best = Some(way);
@@ -426,24 +364,9 @@
         best
     }
 
-    /// Bounds of a replica that only spreads a model's streams; none where requests wait for it.
-    fn spread(&self, model: &str) -> Option<Spread> {
-        let fact = self.fact(model);
-        let want = fact.want.unwrap_or_default();
-        if want.waiting > 0 || !self.crowded(&fact, &want) {
-            return None;
-        }
-        Some(Spread {
-            load: fact.running / fact.replicas.max(1),
-            late: want.late,
-        })
-    }
-
     /// Whether an engine with a copy of its own will be free sooner than the weight store delivers.
     fn copy_soon(&self, model: &str) -> bool {
-        let held =
-            |e: &EngineState| e.models.contains_key(model) || e.loading.as_deref() == Some(model);
-        let copied = |e: &EngineState| !e.leaving && !held(e) && source(e, model) != Source::Store;
+        let copied = |e: &EngineState| !e.leaving && source(e, model) != Source::Store;
         let cold = self
             .spec
             .models
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -96,8 +96,6 @@
     pub sending: bool,
     /// Longest pause between two parts of a stream.
     pub pause: Duration,
-    /// Whether an engine has made the stream late.
-    pub late: bool,
 }
 
 impl Tries {
@@ -352,17 +350,6 @@
         Err(Refusal::not_run(Cause::Overload).retry_after(retry))
     }
 
-    /// Counts the stream as late, once, where an engine took longer than is accepted.
-    pub fn note_time(&self, took: Duration, accepted: Duration, tries: &mut Tries) {
-        if took <= accepted || tries.late {
-            return;
-        }
-        tries.late = true;
-        if let Some(target) = &self.call.target {
-            self.gateway.board.late(&self.service, target);
-        }
-    }
-
     /// Whether the request may be sent once more.
     #[must_use]
     pub fn may_repeat(&self, tries: &Tries) -> bool {
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -108,8 +108,6 @@
     pub waiting: BTreeMap<u64, Duration>,
     /// Requests that came since the lease holder was told last.
     pub arrivals: u32,
-    /// Streams since then that an engine made late.
-    pub late: u32,
 }
 
 /// Service and model.
@@ -135,12 +133,6 @@
         self.lock().entry(key).or_default().arrivals += 1;
     }
 
-    /// Counts a stream whose first event or a later one came late from an engine.
-    pub fn late(&self, service: &str, target: &Target) {
-        let key = (service.to_owned(), target.clone());
-        self.lock().entry(key).or_default().late += 1;
-    }
-
     /// Registers a request that waits, until the guard is dropped.
     pub fn wait(self: &Arc<Self>, service: &str, target: &Target, now: Duration) -> WaitGuard {
         let number = {
@@ -164,14 +156,13 @@
         }
     }
 
-    /// Takes the demand; arrivals and late streams are counted anew.
+    /// Takes the demand; arrivals begin anew.
     #[must_use]
     pub fn take(&self) -> BTreeMap<BoardKey, Asked> {
         let mut asked = self.lock();
         let taken = asked.clone();
         asked.retain(|_, a| {
             a.arrivals = 0;
-            a.late = 0;
             !a.waiting.is_empty()
         });
         taken
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -134,8 +134,6 @@
     match feed.next(rest).await {
         Ok(events) => {
             tries.sending = false;
-            let took = job.now().saturating_sub(started);
-            job.note_time(took, job.route.objective, tries);
             let source = Source {
                 picked,
                 feed,
@@ -284,9 +282,7 @@
         match next {
             Ok(events) => {
                 let now = job.now();
-                let pause = now.saturating_sub(before);
-                tries.pause = tries.pause.max(pause);
-                job.note_time(pause, job.route.gap.unwrap_or(GAP), tries);
+                tries.pause = tries.pause.max(now.saturating_sub(before));
                 before = now;
                 *last = last_id(&events).or(*last);
                 if !outlet.pass(events).await {
--- a/tests/load_plans.rs
+++ b/tests/load_plans.rs
@@ -13,7 +13,6 @@
 const ROOM: StoreRoom = StoreRoom {
     slots: 4,
     tokens: 10,
-    ahead: 3,
 };
 
 fn spec(models: &[&str]) -> Engine {
@@ -65,7 +64,6 @@
         waiting: count,
         since: NOW,
         rate: 0.1,
-        late: 0.0,
     }
 }
 
@@ -178,7 +176,6 @@
     };
     let none = StoreRoom {
         slots: 0,
-        ahead: 0,
         tokens: 10,
     };
     assert!(plan(&spec, &fleet, none, NOW).is_empty());
@@ -274,88 +271,3 @@
         began.elapsed()
     );
 }
-
-fn late(rate: f64, late: f64) -> Want {
-    Want {
-        rate,
-        late,
-        ..Want::default()
-    }
-}
-
-/// An engine on which some requests run that belong to a model that was loaded at a time.
-fn running(id: &str, model: &str, count: u32, since: Duration) -> EngineState {
-    let holding = Holding {
-        running: count,
-        since,
-        ..Holding::default()
-    };
-    EngineState {
-        models: BTreeMap::from([(model.to_owned(), holding)]),
-        ..engine(id, &[])
-    }
-}
-
-fn crowded(since: Duration) -> Vec<EngineState> {
-    let full = running("full", "busy", 20, Duration::ZERO);
-    let newer = running("newer", "busy", 20, since);
-    let mut idle = engine("idle", &["c", "d", "e"]);
-    idle.disk.insert("busy".into());
-    vec![full, newer, idle]
-}
-
-/// Pattern: demand moves to a model with few replicas whose prompts stall each other, long before
-/// its engines' slots are taken.
-#[test]
-fn late_streams_bring_a_replica() {
-    let spec = spec(&["busy", "b", "c", "d", "e"]);
-    let wants = [(on("busy", None), late(8.0, 2.0))];
-    let steps = decide(&spec, crowded(Duration::ZERO), &wants);
-    assert_eq!(steps.len(), 1, "{steps:?}");
-    assert_eq!(swap(&steps[0]).0, "idle");
-}
-
-/// A few late streams among many are no reason.
-#[test]
-fn rarely_late_streams_bring_none() {
-    let spec = spec(&["busy", "b", "c", "d", "e"]);
-    let wants = [(on("busy", None), late(40.0, 1.5))];
-    assert_eq!(decide(&spec, crowded(Duration::ZERO), &wants), []);
-}
-
-/// Streams that began before the newest replica go on where they are.
-#[test]
-fn new_replica_is_given_time() {
-    let spec = spec(&["busy", "b", "c", "d", "e"]);
-    let wants = [(on("busy", None), late(8.0, 2.0))];
-    let just_now = NOW.saturating_sub(Duration::from_secs(1));
-    assert_eq!(decide(&spec, crowded(just_now), &wants), []);
-}
-
-/// Other models that are asked for more often than streams are late keep their place.
-#[test]
-fn spreading_does_not_displace_demand() {
-    let spec = spec(&["busy", "b", "c", "d", "e"]);
-    let wants = [
-        (on("busy", None), late(8.0, 2.0)),
-        (on("c", None), late(4.0, 0.0)),
-        (on("d", None), late(4.0, 0.0)),
-        (on("e", None), late(4.0, 0.0)),
-    ];
-    assert_eq!(decide(&spec, crowded(Duration::ZERO), &wants), []);
-}
-
-/// Pattern: demand moves to a model of which few engines have a copy, and all of them hold it and
-/// are full. Only the weight store can bring it to another engine.
-#[test]
-fn busy_model_comes_from_the_store() {
-    let spec = spec(&["busy", "c", "d", "e"]);
-    let mut full = running("full", "busy", 80, Duration::ZERO);
-    full.disk.insert("busy".into());
-    let engines = vec![full, engine("idle", &["c", "d", "e"])];
-    let wants = [(on("busy", None), late(40.0, 0.0))];
-    let steps = decide(&spec, engines, &wants);
-    assert_eq!(steps.len(), 1, "{steps:?}");
-    let (engine, _, source) = swap(&steps[0]);
-    assert_eq!((engine, source), ("idle", Source::Store));
-}
