Orders: how long plans take is measured and logged

Change: a histogram of the plans' time, and a line where a plan takes longer than the time between two.

--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -165,7 +165,17 @@
             return;
         }
         self.plan(now);
-        self.pace.ran(now, self.gateway.now());
+        let done = self.gateway.now();
+        self.pace.ran(now, done);
+        if !self.gateway.holding() {
+            return;
+        }
+        let took = done.saturating_sub(now);
+        self.gateway.stats.planned(took);
+        if took > TICK {
+            log::warn!(took_ms = link::millis(took), engines = self.books.len(),
+                instances = self.peers.len() + 1; "plan took long; orders and views come late");
+        }
     }
 
     fn plan(&mut self, now: Duration) {
--- a/src/gateway/stats.rs
+++ b/src/gateway/stats.rs
@@ -17,6 +17,7 @@
     store: Counter<u64>,
     first: Histogram<f64>,
     total: Histogram<f64>,
+    plan: Histogram<f64>,
 }
 
 impl Stats {
@@ -43,6 +44,11 @@
                 "brassrack_gateway_total",
                 "Time to the end of the answer",
             ),
+            plan: crate::metrics::seconds(
+                &meter,
+                "brassrack_gateway_plan",
+                "Time that a plan of the lease holder took, orders begun and views told",
+            ),
             registered,
         })
     }
@@ -77,6 +83,11 @@
         self.orders.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// The lease holder made a plan.
+    pub fn planned(&self, took: Duration) {
+        self.plan.record(took.as_secs_f64(), &[]);
+    }
+
     /// The platform's store was called.
     pub fn store_call(&self, call: &'static str, failed: bool) {
         let labels = [KeyValue::new("call", call), KeyValue::new("failed", failed)];
