--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -1,6 +1,6 @@
 //! The holder of the lease: gathers demand, plans, and gives orders to engines.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -8,23 +8,26 @@
 use xtra::prelude::*;
 
 use super::catalog::{Catalog, Engine};
-use super::edge::{Report, Target};
+use super::edge::Report;
 use super::lease::Lease;
 use super::link::{self, Demand, Heard};
-use super::planner::{self, Change, EngineState, Fleet, Holding, Source, Step, StoreRoom, Want};
+use super::planner::{self, Change, Fleet, Source, Step, StoreRoom};
 use super::shared::{BoardKey, Gateway};
 
 mod book;
+mod fleet;
 pub mod give;
 pub mod pace;
 mod store_room;
 mod tell;
+pub mod views;
 
-use book::{Book, Job, RATE_OVER, Rate};
+use book::{Book, Job, Rate};
 use give::{Engineer, Outcome};
 use pace::Pace;
 use store_room::StoreLoads;
-use tell::{Peer, Views};
+use tell::Peer;
+use views::Views;
 
 /// Messages that wait for the actor at most.
 const MAILBOX: usize = 1024;
@@ -222,100 +225,6 @@
         self.views = Views::default();
     }
 
-    fn keep_books(&mut self, service: &str, now: Duration) {
-        let servers = &self.gateway.servers;
-        let listed = servers.listed(service);
-        let ids: BTreeSet<&str> = listed.iter().map(|e| e.id.as_str()).collect();
-        self.books.retain(|id, _| ids.contains(id.as_str()));
-        for entry in &listed {
-            let restarted = |b: &Book| b.born != entry.born;
-            if self.books.get(&entry.id).is_none_or(restarted)
-                && let Some(endpoint) = servers.endpoint(&entry.id)
-            {
-                self.books.insert(entry.id.clone(), Book::new(&endpoint));
-            }
-            if let Some(book) = self.books.get_mut(&entry.id) {
-                book.leaving |= !entry.ready;
-                book.since.retain(|_, at| now < *at + RATE_OVER);
-            }
-        }
-    }
-
-    fn demands(&self) -> impl Iterator<Item = &Demand> {
-        let peers = self.peers.values().map(|p| &p.demand);
-        peers.chain(std::iter::once(&self.own))
-    }
-
-    fn fleet(&self, service: &str, now: Duration) -> Fleet {
-        let mut wants: BTreeMap<Target, Want> = BTreeMap::new();
-        for ((place, target), rate) in &self.rates {
-            if place == service {
-                wants.entry(target.clone()).or_default().rate = rate.now(now);
-            }
-        }
-        let mut running: BTreeMap<(&str, Target), u32> = BTreeMap::new();
-        for demand in self.demands() {
-            for count in demand.asked.iter().filter(|c| c.place == service) {
-                if count.count == 0 {
-                    continue;
-                }
-                let since = now.saturating_sub(Duration::from_millis(count.millis.into()));
-                let want = wants.entry(count.target()).or_default();
-                want.since = if want.waiting == 0 {
-                    since
-                } else {
-                    want.since.min(since)
-                };
-                want.waiting += count.count;
-            }
-            for count in &demand.running {
-                *running.entry((&count.place, count.target())).or_default() += count.count;
-            }
-        }
-        let engines = self.books.iter().map(|(id, book)| {
-            let on = |model: &str, adapter: Option<&String>| {
-                let target = Target {
-                    model: model.to_owned(),
-                    adapter: adapter.cloned(),
-                };
-                running
-                    .get(&(id.as_str(), target))
-                    .copied()
-                    .unwrap_or_default()
-            };
-            let models = book.models.iter().map(|(model, adapters)| {
-                let adapters: BTreeMap<String, u32> = adapters
-                    .iter()
-                    .map(|a| (a.clone(), on(model, Some(a))))
-                    .collect();
-                let holding = Holding {
-                    running: on(model, None) + adapters.values().sum::<u32>(),
-                    adapters,
-                    since: book.since.get(model).copied().unwrap_or_default(),
-                };
-                (model.clone(), holding)
-            });
-            EngineState {
-                id: id.clone(),
-                domain: book.domain.clone(),
-                models: models.collect(),
-                coming: book.coming.clone(),
-                warm: book.warm.clone(),
-                disk: book.disk.clone(),
-                loading: book.swap.as_ref().and_then(|j| match &j.change {
-                    Change::Swap { model, .. } => Some(model.clone()),
-                    Change::Adapter { .. } => None,
-                }),
-                busy: book.swap.is_some() || book.adapters > 0 || book.unknown,
-                leaving: book.leaving,
-            }
-        });
-        Fleet {
-            engines: engines.collect(),
-            wants,
-        }
-    }
-
     fn begin(&mut self, spec: &Engine, step: Step, fleet: &Fleet, fence: u64, now: Duration) {
         let Some(book) = self.books.get_mut(&step.engine) else {
             return;
--- /dev/null
+++ b/src/gateway/orders/fleet.rs
@@ -0,0 +1,106 @@
+//! What the planner is told: engines as known, and the demand of all instances.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use super::super::edge::Target;
+use super::super::link::Demand;
+use super::super::planner::{Change, EngineState, Fleet, Holding, Want};
+use super::Orders;
+use super::book::{Book, RATE_OVER};
+
+impl Orders {
+    pub(super) fn keep_books(&mut self, service: &str, now: Duration) {
+        let servers = &self.gateway.servers;
+        let listed = servers.listed(service);
+        let ids: BTreeSet<&str> = listed.iter().map(|e| e.id.as_str()).collect();
+        self.books.retain(|id, _| ids.contains(id.as_str()));
+        for entry in &listed {
+            let restarted = |b: &Book| b.born != entry.born;
+            if self.books.get(&entry.id).is_none_or(restarted)
+                && let Some(endpoint) = servers.endpoint(&entry.id)
+            {
+                self.books.insert(entry.id.clone(), Book::new(&endpoint));
+            }
+            if let Some(book) = self.books.get_mut(&entry.id) {
+                book.leaving |= !entry.ready;
+                book.since.retain(|_, at| now < *at + RATE_OVER);
+            }
+        }
+    }
+
+    pub(super) fn demands(&self) -> impl Iterator<Item = &Demand> {
+        let peers = self.peers.values().map(|p| &p.demand);
+        peers.chain(std::iter::once(&self.own))
+    }
+
+    pub(super) fn fleet(&self, service: &str, now: Duration) -> Fleet {
+        let mut wants: BTreeMap<Target, Want> = BTreeMap::new();
+        for ((place, target), rate) in &self.rates {
+            if place == service {
+                wants.entry(target.clone()).or_default().rate = rate.now(now);
+            }
+        }
+        let mut running: BTreeMap<(&str, Target), u32> = BTreeMap::new();
+        for demand in self.demands() {
+            for count in demand.asked.iter().filter(|c| c.place == service) {
+                if count.count == 0 {
+                    continue;
+                }
+                let since = now.saturating_sub(Duration::from_millis(count.millis.into()));
+                let want = wants.entry(count.target()).or_default();
+                want.since = if want.waiting == 0 {
+                    since
+                } else {
+                    want.since.min(since)
+                };
+                want.waiting += count.count;
+            }
+            for count in &demand.running {
+                *running.entry((&count.place, count.target())).or_default() += count.count;
+            }
+        }
+        let engines = self.books.iter().map(|(id, book)| {
+            let on = |model: &str, adapter: Option<&String>| {
+                let target = Target {
+                    model: model.to_owned(),
+                    adapter: adapter.cloned(),
+                };
+                running
+                    .get(&(id.as_str(), target))
+                    .copied()
+                    .unwrap_or_default()
+            };
+            let models = book.models.iter().map(|(model, adapters)| {
+                let adapters: BTreeMap<String, u32> = adapters
+                    .iter()
+                    .map(|a| (a.clone(), on(model, Some(a))))
+                    .collect();
+                let holding = Holding {
+                    running: on(model, None) + adapters.values().sum::<u32>(),
+                    adapters,
+                    since: book.since.get(model).copied().unwrap_or_default(),
+                };
+                (model.clone(), holding)
+            });
+            EngineState {
+                id: id.clone(),
+                domain: book.domain.clone(),
+                models: models.collect(),
+                coming: book.coming.clone(),
+                warm: book.warm.clone(),
+                disk: book.disk.clone(),
+                loading: book.swap.as_ref().and_then(|j| match &j.change {
+                    Change::Swap { model, .. } => Some(model.clone()),
+                    Change::Adapter { .. } => None,
+                }),
+                busy: book.swap.is_some() || book.adapters > 0 || book.unknown,
+                leaving: book.leaving,
+            }
+        });
+        Fleet {
+            engines: engines.collect(),
+            wants,
+        }
+    }
+}
--- a/src/gateway/orders/tell.rs
+++ b/src/gateway/orders/tell.rs
@@ -17,8 +17,6 @@
 const VIEW_EVERY: Duration = Duration::from_secs(1);
 /// Longest time between two outlooks to an instance, which carry the clock.
 const BEAT_EVERY: Duration = Duration::from_millis(300);
-/// Change of an engine's load from which it is told at once.
-const LOAD_STEP: u32 = 6;
 
 #[derive(Debug)]
 pub(super) struct Peer {
@@ -32,58 +30,6 @@
     pub(super) refused: usize,
 }
 
-/// The views of all engines, each with the version at which it last changed by much.
-#[derive(Debug, Default)]
-pub(super) struct Views {
-    version: u64,
-    engines: BTreeMap<String, Told>,
-}
-
-#[derive(Debug)]
-struct Told {
-    version: u64,
-    /// Load and queue at that version.
-    load: u32,
-    queued: u32,
-    view: EngineView,
-}
-
-impl Views {
-    fn update(&mut self, views: Vec<EngineView>) {
-        let before = std::mem::take(&mut self.engines);
-        for view in views {
-            let told = before.get(&view.id).filter(|t| t.near(&view));
-            if told.is_none() {
-                self.version += 1;
-            }
-            let entry = Told {
-                version: told.map_or(self.version, |t| t.version),
-                load: told.map_or(view.load, |t| t.load),
-                queued: told.map_or(view.queued, |t| t.queued),
-                view,
-            };
-            self.engines.insert(entry.view.id.clone(), entry);
-        }
-    }
-
-    /// The views that changed after a version.
-    fn since(&self, version: u64) -> Vec<EngineView> {
-        let newer = self.engines.values().filter(|t| t.version > version);
-        newer.map(|t| t.view.clone()).collect()
-    }
-}
-
-impl Told {
-    /// Whether a view differs by less than what is told at once.
-    fn near(&self, view: &EngineView) -> bool {
-        self.load.abs_diff(view.load) < LOAD_STEP
-            && self.queued.abs_diff(view.queued) < LOAD_STEP
-            && self.view.leaving == view.leaving
-            && self.view.accepted == view.accepted
-            && self.view.models == view.models
-    }
-}
-
 impl Orders {
     /// Tells all instances, this one included, what changed.
     pub(super) fn tell(&mut self, catalog: &Catalog, estimates: &[Count], now: Duration) {
@@ -154,7 +100,7 @@
                     peer.whole = now;
                 }
                 let sent = peer.answers.try_send(outlook).is_ok();
-                peer.known = if sent { self.views.version } else { 0 };
+                peer.known = if sent { self.views.version() } else { 0 };
             }
         }
     }
--- a/src/gateway/planner.rs
+++ b/src/gateway/planner.rs
@@ -11,6 +11,11 @@
 use super::catalog::{Engine, Model};
 use super::edge::Target;
 
+mod adapters;
+mod facts;
+
+use facts::{Facts, facts};
+
 /// Share of an engine's slots that the requests of one model may fill before it gets a replica.
 const REPLICA_SHARE: f64 = 0.4;
 /// Requests a second from which a model is kept on two engines, so that one may fail.
@@ -196,52 +201,6 @@
     now: Duration,
 }
 
-/// What is known of a model over all engines, counted once for a plan.
-#[derive(Debug, Clone, Copy, Default)]
-struct Facts {
-    /// Demand, its adapters included; none where nobody asks.
-    want: Option<Want>,
-    /// Engines that hold it or are about to.
-    replicas: u32,
-    /// Requests that run on them.
-    running: u32,
-    /// Whether an engine keeps a copy.
-    kept: bool,
-}
-
-fn facts(fleet: &Fleet) -> BTreeMap<String, Facts> {
-    let mut facts: BTreeMap<String, Facts> = BTreeMap::new();
-    for (target, want) in &fleet.wants {
-        let fact = facts.entry(target.model.clone()).or_default();
-        let sum = fact.want.get_or_insert(Want {
-            since: Duration::MAX,
-            ..Want::default()
-        });
-        sum.waiting += want.waiting;
-        sum.rate += want.rate;
-        if want.waiting > 0 {
-            sum.since = sum.since.min(want.since);
-        }
-    }
-    for engine in fleet.engines.iter().filter(|e| !e.leaving) {
-        for (model, holding) in &engine.models {
-            let fact = facts.entry(model.clone()).or_default();
-            fact.replicas += 1;
-            fact.running += holding.running;
-            fact.kept = true;
-        }
-        if let Some(model) = &engine.loading {
-            let fact = facts.entry(model.clone()).or_default();
-            fact.replicas += u32::from(!engine.models.contains_key(model));
-            fact.kept = true;
-        }
-        for model in engine.disk.iter().chain(&engine.warm) {
-            facts.entry(model.clone()).or_default().kept = true;
-        }
-    }
-    facts
-}
-
 /// A way to load a model.
 struct Way {
     engine: usize,
@@ -448,90 +407,4 @@
             .sum();
         held + coming
     }
-
-    /// Adapters that requests wait for and that no engine holds or fetches.
-    fn wanted_adapters(&self) -> Vec<Target> {
-        let mut wanted: Vec<(Duration, Target)> = self
-            .wants
-            .iter()
-            .filter(|(t, w)| w.waiting > 0 && t.adapter.is_some() && !self.served(t))
-            .map(|(t, w)| (w.since, t.clone()))
-            .collect();
-        wanted.sort();
-        wanted.into_iter().map(|(_, target)| target).collect()
-    }
-
-    fn served(&self, target: &Target) -> bool {
-        let name = target.adapter.as_deref().unwrap_or_default();
-        self.engines.iter().filter(|e| !e.leaving).any(|e| {
-            let held = |h: &Holding| h.adapters.contains_key(name);
-            e.coming.contains(target) || e.models.get(&target.model).is_some_and(held)
-        })
-    }
-
-    fn adapter(&mut self, target: &Target) -> Option<Step> {
-        let best = (0..self.engines.len())
-            .filter_map(|at| Some((self.place(target, at)?, at)))
-            .min_by(|a, b| a.0.partial_cmp(&b.0).unwrap_or(std::cmp::Ordering::Equal))?;
-        let ((_, _, out), at) = best;
-        let engine = &mut self.engines[at];
-        for old in &out {
-            if let Some(holding) = engine.models.get_mut(&old.model) {
-                holding
-                    .adapters
-                    .remove(old.adapter.as_deref().unwrap_or_default());
-            }
-        }
-        engine.coming.insert(target.clone());
-        Some(Step {
-            engine: engine.id.clone(),
-            change: Change::Adapter {
-                out,
-                target: target.clone(),
-            },
-            urgent: true,
-        })
-    }
-
-    /// Cost of an adapter on an engine and the adapters that have to go, if it fits.
-    fn place(&self, target: &Target, at: usize) -> Option<(usize, u32, Vec<Target>)> {
-        let engine = &self.engines[at];
-        if engine.leaving || engine.busy || engine.coming.len() >= COMING_MOST {
-            return None;
-        }
-        let holding = engine.models.get(&target.model)?;
-        let held: usize = engine.models.values().map(|h| h.adapters.len()).sum();
-        let places = usize::try_from(self.spec.places).unwrap_or(usize::MAX);
-        let size = self.spec.models.get(&target.model)?.adapter;
-        let mut free = self.spec.memory - self.used(engine);
-        let mut open = places.saturating_sub(held + engine.coming.len());
-        let mut out = Vec::new();
-        let mut idle = self.idle_adapters(engine);
-        while open == 0 || free < size {
-            let (_, old) = idle.pop()?;
-            free += self.spec.models.get(&old.model)?.adapter;
-            open += 1;
-            out.push(old);
-        }
-        Some((out.len(), holding.running, out))
-    }
-
-    /// Adapters that no request uses or waits for, the least asked for last.
-    fn idle_adapters(&self, engine: &EngineState) -> Vec<(f64, Target)> {
-        let mut idle = Vec::new();
-        for (model, holding) in &engine.models {
-            for (adapter, running) in &holding.adapters {
-                let target = Target {
-                    model: model.clone(),
-                    adapter: Some(adapter.clone()),
-                };
-                let want = self.wants.get(&target).copied().unwrap_or_default();
-                if *running == 0 && want.waiting == 0 {
-                    idle.push((want.rate, target));
-                }
-            }
-        }
-        idle.sort_by(|a, b| b.0.total_cmp(&a.0));
-        idle
-    }
 }
