One piece of code for what stood in several places of the gateway

Cause: read as a newcomer, the gateway had the same logic up to five times: whether a request may run once more, what follows when an answer breaks off, which headers are not passed on (the length was removed apart each time), whether an endpoint holds a model or adapter, an adapter's name, the sender of orders to an engine, the services with engines. Two functions of the catalog were not used.

Change: Target::base, adapter_name and held_in; Catalog::engines; Job::may_run_again, replaceable and broke_off; Tries::ran_at; strip also removes the length; Engineer::new. No decision changed.

--- a/src/gateway/catalog.rs
+++ b/src/gateway/catalog.rs
@@ -249,15 +249,9 @@
             .find_map(|(at, _)| routes.get(&path[..=at]))
     }
 
-    /// All routes.
-    pub fn routes(&self) -> impl Iterator<Item = &Route> {
-        let routes = self.routes.values().flat_map(BTreeMap::values);
-        routes.map(AsRef::as_ref)
-    }
-
-    /// What an endpoint's engine can do, where it is a model server.
-    #[must_use]
-    pub fn engine(&self, service: &str) -> Option<&Engine> {
-        self.services.get(service)?.engine.as_ref()
+    /// The services whose endpoints are model servers, with what their engines can do.
+    pub fn engines(&self) -> impl Iterator<Item = (&str, &Engine)> {
+        let services = self.services.iter();
+        services.filter_map(|(name, s)| Some((name.as_str(), s.engine.as_ref()?)))
     }
 }
--- a/src/gateway/edge.rs
+++ b/src/gateway/edge.rs
@@ -97,13 +97,16 @@
     /// Number of this description since its start.
     pub beat: u64,
     /// Models that it holds, each with its adapters.
-    pub models: BTreeMap<String, BTreeSet<String>>,
+    pub models: Models,
     /// Models whose weights lie in its main memory.
     pub warm: BTreeSet<String>,
     /// Models whose weights lie on its disk.
     pub disk: BTreeSet<String>,
 }
 
+/// Models that an endpoint holds, each with its adapters.
+pub type Models = BTreeMap<String, BTreeSet<String>>;
+
 /// A model, or an adapter of it.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Target {
@@ -113,6 +116,59 @@
     pub adapter: Option<String>,
 }
 
+impl Target {
+    /// A base model.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use brassrack::gateway::edge::Target;
+    ///
+    /// assert_eq!(Target::base("m").adapter_name(), "");
+    /// ```
+    #[must_use]
+    pub fn base(model: &str) -> Self {
+        Self {
+            model: model.to_owned(),
+            adapter: None,
+        }
+    }
+
+    /// Name of the adapter; empty for the base model.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use brassrack::gateway::edge::Target;
+    ///
+    /// let target = Target { adapter: Some("a1".into()), ..Target::base("m") };
+    /// assert_eq!(target.adapter_name(), "a1");
+    /// ```
+    #[must_use]
+    pub fn adapter_name(&self) -> &str {
+        self.adapter.as_deref().unwrap_or_default()
+    }
+
+    /// Whether an endpoint that holds some models can run a request for this one.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::collections::{BTreeMap, BTreeSet};
+    /// use brassrack::gateway::edge::Target;
+    ///
+    /// let models = BTreeMap::from([("m".to_owned(), BTreeSet::new())]);
+    /// let base = Target::base("m");
+    /// assert!(base.held_in(&models));
+    /// assert!(!Target { adapter: Some("a1".into()), ..base }.held_in(&models));
+    /// ```
+    #[must_use]
+    pub fn held_in(&self, models: &Models) -> bool {
+        let held = models.get(&self.model);
+        held.is_some_and(|adapters| self.adapter.as_ref().is_none_or(|a| adapters.contains(a)))
+    }
+}
+
 /// What a request's head says.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Call {
@@ -174,7 +230,7 @@
     /// Requests waiting.
     pub queued: u32,
     /// Models held, each with its adapters.
-    pub models: BTreeMap<String, BTreeSet<String>>,
+    pub models: Models,
     /// Adapters on their way.
     pub coming: BTreeSet<Target>,
     /// Models whose weights lie in main memory.
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -3,11 +3,11 @@
 use std::time::Duration;
 
 use hyper::Response;
-use hyper::header::CONTENT_LENGTH;
 use tokio::time::timeout;
 
+use super::headers::strip;
 use super::send::{Checked, Sent};
-use super::serve::{Job, Tries, replaceable, strip};
+use super::serve::{Job, Tries};
 use super::servers::{Health, Picked};
 use crate::http::{Body, full};
 use crate::outbound::Answer;
@@ -49,21 +49,19 @@
             continue;
         };
         let status = answer.head.status.as_u16();
-        if !replaceable(job.route.kind, status) {
+        if !job.replaceable(status) {
             return pass(job, answer, tries, &picked.id);
         }
         // A failure of the endpoint's own counts as run; it is what the caller gets if no other
         // endpoint does better.
-        tries.ran += 1;
-        tries.failed.push(picked.id.clone());
+        tries.ran_at(&picked.id);
         spare = Some((answer, picked.id));
     }
 }
 
 async fn attempt(job: &Job, picked: &Picked, tries: &mut Tries) -> Option<Answer> {
     let left = job.left();
-    let again = job.route.kind.repeats() && tries.ran + 1 < job.route.attempts;
-    let limit = if again {
+    let limit = if job.may_run_again(tries) {
         left.min(job.route.objective * PATIENCE)
     } else {
         left
@@ -94,11 +92,7 @@
 }
 
 fn spoilt(job: &Job, picked: &Picked, tries: &mut Tries, error: &str) -> Option<Answer> {
-    let now = job.now();
-    job.gateway.servers.learn(picked.key, Health::Bad, now);
-    job.gateway.suspicion().broke(job.print, now);
-    tries.ran += 1;
-    tries.failed.push(picked.id.clone());
+    job.broke_off(picked, tries, true);
     log::info!(id = job.call.id.as_str(), endpoint = picked.id.as_str(), error = error;
         "answer broke off");
     None
@@ -124,7 +118,6 @@
 fn pass(job: &Job, answer: Answer, tries: &Tries, endpoint: &str) -> Response<Body> {
     let Answer { mut head, body } = answer;
     strip(&mut head.headers);
-    head.headers.remove(CONTENT_LENGTH);
     let took = job.now().saturating_sub(job.arrived);
     job.gateway.stats.first(&job.route.name, took);
     job.ended("answered", tries, head.status.as_u16(), endpoint);
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -100,8 +100,7 @@
     let asked = asked.collect();
     let mut running = Vec::new();
     let catalog = gateway.catalog();
-    let services = catalog.iter().flat_map(|c| c.services.iter());
-    for (service, _) in services.filter(|(_, s)| s.engine.is_some()) {
+    for (service, _) in catalog.iter().flat_map(|c| c.engines()) {
         for (id, target, count) in gateway.servers.running(service) {
             running.push(Count {
                 count,
--- a/src/gateway/link/message.rs
+++ b/src/gateway/link/message.rs
@@ -1,10 +1,8 @@
 //! Messages between an instance and the holder of the lease, as Protocol Buffers.
 
-use std::collections::{BTreeMap, BTreeSet};
-
 use prost::Message;
 
-use super::super::edge::Target;
+use super::super::edge::{Models, Target};
 use super::super::servers::View;
 
 /// A model or adapter and numbers about it.
@@ -157,7 +155,7 @@
             accepted: self.accepted,
             models: open
                 .map(|m| (m.name.clone(), m.adapters.iter().cloned().collect()))
-                .collect::<BTreeMap<String, BTreeSet<String>>>(),
+                .collect::<Models>(),
             closing: closing.map(|m| m.name.clone()).collect(),
             load: self.load,
             running: self.running,
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -7,7 +7,7 @@
 use tokio::sync::mpsc;
 use xtra::prelude::*;
 
-use super::catalog::{Catalog, Engine};
+use super::catalog::Engine;
 use super::edge::Report;
 use super::lease::Lease;
 use super::link::{self, Demand, Heard};
@@ -120,7 +120,7 @@
             loop {
                 tokio::select! {
                     () = tokio::time::sleep(TICK) => {}
-                    () = board.changed.notified(), if ticks_held(&gateway) => {}
+                    () = board.changed.notified(), if gateway.holding() => {}
                 }
                 if ticks.send(Tick).await.is_err() {
                     return;
@@ -197,7 +197,7 @@
         self.peers.retain(|_, p| now < p.heard + PEER_SILENT);
         self.rates.retain(|_, r| r.now(now) > RATE_LEAST);
         let mut wants = BTreeMap::new();
-        for (service, engine) in engines(&catalog) {
+        for (service, engine) in catalog.engines() {
             self.keep_books(service, now);
             let fleet = self.fleet(service, now);
             let room = self.store.room(engine, now);
@@ -206,7 +206,7 @@
             }
             wants.insert(service, fleet.wants);
         }
-        let slots = engines(&catalog).map(|(_, e)| e.slots).max().unwrap_or(1);
+        let slots = catalog.engines().map(|(_, e)| e.slots).max().unwrap_or(1);
         self.ask_reports(slots, now);
         if now >= self.told + TELL_EVERY || self.dirty {
             self.told = now;
@@ -257,11 +257,11 @@
                 book.coming.insert(target.clone());
                 for old in out {
                     if let Some(adapters) = book.models.get_mut(&old.model) {
-                        adapters.remove(old.adapter.as_deref().unwrap_or_default());
+                        adapters.remove(old.adapter_name());
                     }
                 }
                 log::info!(engine = step.engine.as_str(), model = target.model.as_str(),
-                    adapter = target.adapter.as_deref().unwrap_or_default(), out = out.len(),
+                    adapter = target.adapter_name(), out = out.len(),
                     fence = fence; "adapter load decided");
             }
         }
@@ -269,13 +269,7 @@
         let Some(me) = self.me.clone() else {
             return;
         };
-        let engineer = Engineer {
-            gateway: Arc::clone(&self.gateway),
-            lease: Arc::clone(&self.lease),
-            engine: step.engine.clone(),
-            address: book.address,
-            accepted: Arc::clone(&book.accepted),
-        };
+        let engineer = Engineer::new(&self.gateway, &self.lease, &step.engine, book);
         let born = book.born;
         tokio::spawn(async move {
             let started = engineer.gateway.now();
@@ -307,13 +301,7 @@
             // Spreads the reports, so that they do not come all at once.
             let jitter = Duration::from_millis(u64::from(rand::random::<u8>()));
             book.asked = now + jitter;
-            let engineer = Engineer {
-                gateway: Arc::clone(&self.gateway),
-                lease: Arc::clone(&self.lease),
-                engine: id.clone(),
-                address: book.address,
-                accepted: Arc::clone(&book.accepted),
-            };
+            let engineer = Engineer::new(&self.gateway, &self.lease, id, book);
             let (engine, me) = (id.clone(), me.clone());
             tokio::spawn(async move {
                 let asked = engineer.gateway.now();
@@ -343,7 +331,7 @@
             let catalog = self.gateway.catalog();
             let cold = catalog
                 .iter()
-                .flat_map(|c| engines(c))
+                .flat_map(|c| c.engines())
                 .find_map(|(_, e)| e.models.get(model).map(|m| m.cold));
             self.store
                 .end(settled.took, cold, settled.outcome == Outcome::Done);
@@ -390,15 +378,6 @@
     }
 }
 
-fn ticks_held(gateway: &Gateway) -> bool {
-    gateway.holding()
-}
-
-fn engines(catalog: &Catalog) -> impl Iterator<Item = (&str, &Engine)> {
-    let services = catalog.services.iter();
-    services.filter_map(|(name, s)| Some((name.as_str(), s.engine.as_ref()?)))
-}
-
 impl Handler<Tick> for Orders {
     type Return = ();
 
--- a/src/gateway/orders/book.rs
+++ b/src/gateway/orders/book.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::super::edge::{Endpoint, Report, Target};
+use super::super::edge::{Endpoint, Models, Report, Target};
 use super::super::planner::Change;
 use super::give::shows_end;
 
@@ -29,7 +29,7 @@
     pub(super) accepted: Arc<tokio::sync::Mutex<u64>>,
     /// The same, as last seen.
     pub(super) counted: u64,
-    pub(super) models: BTreeMap<String, BTreeSet<String>>,
+    pub(super) models: Models,
     pub(super) since: BTreeMap<String, Duration>,
     pub(super) coming: BTreeSet<Target>,
     pub(super) warm: BTreeSet<String>,
--- a/src/gateway/orders/give.rs
+++ b/src/gateway/orders/give.rs
@@ -17,6 +17,7 @@
 use super::super::lease::Lease;
 use super::super::planner::Change;
 use super::super::shared::Gateway;
+use super::book::Book;
 use crate::outbound::Freshness;
 
 /// Longest wait for an order's or a report's answer; engines answer in milliseconds.
@@ -99,22 +100,37 @@
 }
 
 impl Engineer {
+    pub(super) fn new(
+        gateway: &Arc<Gateway>,
+        lease: &Arc<Mutex<Lease>>,
+        engine: &str,
+        book: &Book,
+    ) -> Self {
+        Self {
+            gateway: Arc::clone(gateway),
+            lease: Arc::clone(lease),
+            engine: engine.to_owned(),
+            address: book.address,
+            accepted: Arc::clone(&book.accepted),
+        }
+    }
+
     /// Carries out a change whose load takes some time.
     pub(super) async fn carry_out(&self, change: &Change, takes: Duration) -> Outcome {
         match change {
             Change::Swap { out, model, .. } => {
                 for old in out {
-                    let outcome = self.order(Action::Unload, base(old)).await;
+                    let outcome = self.order(Action::Unload, Target::base(old)).await;
                     if !outcome.taken() {
                         return outcome;
                     }
                     sleep(UNLOAD_PAUSE).await;
                 }
-                let outcome = self.order(Action::Load, base(model)).await;
+                let outcome = self.order(Action::Load, Target::base(model)).await;
                 if outcome != Outcome::Accepted {
                     return outcome;
                 }
-                self.await_load(&base(model), takes).await
+                self.await_load(&Target::base(model), takes).await
             }
             Change::Adapter { out, target } => {
                 for old in out {
@@ -221,7 +237,7 @@
         self.gateway.stats.ordered(outcome);
         log::info!(engine = self.engine.as_str(), action:% = order.action,
             model = order.target.model.as_str(),
-            adapter = order.target.adapter.as_deref().unwrap_or_default(),
+            adapter = order.target.adapter_name(),
             expected = order.expected, fence = order.fence, status = status, outcome = outcome;
             "order answered");
         answer
@@ -274,7 +290,7 @@
             let Some(report) = self.report().await else {
                 continue;
             };
-            if report.accepted >= accepted && !held(&report.models, adapter) {
+            if report.accepted >= accepted && !adapter.held_in(&report.models) {
                 return Outcome::Done;
             }
         }
@@ -297,7 +313,7 @@
             }
             let reports = takes.is_zero() || look % LOOKS_A_REPORT == 0;
             if reports && let Some(report) = self.report().await {
-                let holds = report.accepted >= accepted && held(&report.models, target);
+                let holds = report.accepted >= accepted && target.held_in(&report.models);
                 if holds && !report.coming.contains(target) {
                     return Outcome::Done;
                 }
@@ -310,7 +326,7 @@
     /// Whether a newer row of the server list says that the engine holds a model.
     fn listed(&self, target: &Target, beat: u64) -> bool {
         let endpoint = self.gateway.servers.endpoint(&self.engine);
-        endpoint.is_some_and(|e| e.beat > beat && held(&e.models, target))
+        endpoint.is_some_and(|e| e.beat > beat && target.held_in(&e.models))
     }
 }
 
@@ -343,7 +359,7 @@
 
 /// Whether an engine's state is what an order asks for.
 fn shows(order: &Order, report: &Report) -> bool {
-    let holds = held(&report.models, &order.target);
+    let holds = order.target.held_in(&report.models);
     match (order.action, order.target.adapter.is_some()) {
         (Action::Load, true) => holds || report.coming.contains(&order.target),
         (Action::Load, false) => holds || report.busy,
@@ -363,15 +379,6 @@
     report.accepted >= known || asked >= settled + SHOWN_AFTER * LOST_COUNT
 }
 
-fn held(
-    models: &std::collections::BTreeMap<String, std::collections::BTreeSet<String>>,
-    target: &Target,
-) -> bool {
-    models
-        .get(&target.model)
-        .is_some_and(|held| target.adapter.as_ref().is_none_or(|a| held.contains(a)))
-}
-
 fn read(status: StatusCode) -> Answer {
     match status {
         StatusCode::ACCEPTED => Answer::Accepted,
@@ -381,10 +388,3 @@
         _ => Answer::Refused,
     }
 }
-
-fn base(model: &str) -> Target {
-    Target {
-        model: model.to_owned(),
-        adapter: None,
-    }
-}
--- a/src/gateway/orders/tell.rs
+++ b/src/gateway/orders/tell.rs
@@ -11,7 +11,7 @@
 use super::super::link::{self, Count, Demand, EngineView, Outlook};
 use super::super::planner::{Change, Want};
 use super::super::servers::View;
-use super::{Orders, engines};
+use super::Orders;
 
 /// Time between two full views to an instance.
 const VIEW_EVERY: Duration = Duration::from_secs(1);
@@ -113,7 +113,7 @@
         now: Duration,
     ) -> Vec<Count> {
         let mut estimates = Vec::new();
-        for (service, engine) in engines(catalog) {
+        for (service, engine) in catalog.engines() {
             let mut queued = 0;
             for (target, want) in wants.get(service).into_iter().flatten() {
                 if want.waiting == 0 || target.adapter.is_some() {
--- a/src/gateway/planner/adapters.rs
+++ b/src/gateway/planner/adapters.rs
@@ -18,7 +18,7 @@
     }
 
     fn served(&self, target: &Target) -> bool {
-        let name = target.adapter.as_deref().unwrap_or_default();
+        let name = target.adapter_name();
         self.engines.iter().filter(|e| !e.leaving).any(|e| {
             let held = |h: &Holding| h.adapters.contains_key(name);
             e.coming.contains(target) || e.models.get(&target.model).is_some_and(held)
@@ -33,9 +33,7 @@
         let engine = &mut self.engines[at];
         for old in &out {
             if let Some(holding) = engine.models.get_mut(&old.model) {
-                holding
-                    .adapters
-                    .remove(old.adapter.as_deref().unwrap_or_default());
+                holding.adapters.remove(old.adapter_name());
             }
         }
         engine.coming.insert(target.clone());
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -60,6 +60,16 @@
         outcome
     }
 
+    /// Learns that an endpoint broke its answer off; `cut` where it closed the connection.
+    pub fn broke_off(&self, picked: &Picked, tries: &mut Tries, cut: bool) {
+        let now = self.now();
+        self.gateway.servers.learn(picked.key, Health::Bad, now);
+        if cut {
+            self.gateway.suspicion().broke(self.print, now);
+        }
+        tries.ran_at(&picked.id);
+    }
+
     fn request(&self, picked: &Picked, resume: Option<u64>) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.method.clone();
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -5,51 +5,32 @@
 
 use bytes::Bytes;
 use hyper::body::Incoming;
-use hyper::header::{
-    CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderName, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE,
-    TRAILER, TRANSFER_ENCODING, UPGRADE,
-};
-use hyper::{Method, Request, Response, Uri};
+use hyper::{HeaderMap, Method, Request, Response, Uri};
 
-use super::catalog::{Kind, Route};
+use super::catalog::Route;
 use super::edge::Call;
-use super::servers::{Need, Picked};
+use super::headers::strip;
 use super::shared::Gateway;
 use super::suspicion::{Fingerprint, fingerprint};
-use super::{admission, forward, stream};
+use super::{forward, stream};
 use crate::gate::Bounds;
 use crate::http::Body;
 use crate::request;
 use crate::verdict::{Cause, Refusal, Verdict};
 
-/// Time after which a caller that was refused for want of a configuration may come back.
+/// Time to retry after, where no configuration is known yet.
 const NOT_READY_RETRY: Duration = Duration::from_millis(500);
-/// Time after which a caller may come back where this instance stops: another one takes it.
-const STOPPING_RETRY: Duration = Duration::from_millis(50);
-/// Time after which a caller may come back where no endpoint takes work: they restart in seconds.
-const NO_ENDPOINT_RETRY: Duration = Duration::from_secs(1);
-/// Time after which a caller may come back where endpoints were full.
-const FULL_RETRY: Duration = Duration::from_millis(250);
-/// Least time before a caller gives up in which a request is still sent: connect and prefill.
-const LEAST_LEFT: Duration = Duration::from_millis(60);
+/// Time to retry after, where this instance stops: another one takes the request.
+pub(super) const STOPPING_RETRY: Duration = Duration::from_millis(50);
+/// Time to retry after, where no endpoint takes work: they restart in seconds.
+pub(super) const NO_ENDPOINT_RETRY: Duration = Duration::from_secs(1);
+/// Time to retry after, where endpoints were full.
+pub(super) const FULL_RETRY: Duration = Duration::from_millis(250);
 /// Callers give up a stream without a first event after this time, or after multiples of the
 /// objective or of the accepted pause, whichever is longest.
 const GIVE_UP: (Duration, u32, u32) = (Duration::from_secs(2), 4, 8);
 /// Most sends of one request that end without running.
 const UNRUN_MOST: u32 = 4;
-/// Headers that concern one connection only.
-const HOP_HEADERS: [HeaderName; 7] = [
-    CONNECTION,
-    PROXY_AUTHENTICATE,
-    PROXY_AUTHORIZATION,
-    TE,
-    TRAILER,
-    TRANSFER_ENCODING,
-    UPGRADE,
-];
-/// Headers of one connection without a name in the library.
-const HOP_NAMES: [&str; 2] = ["keep-alive", "proxy-connection"];
-
 /// A request that was read whole.
 #[derive(Debug)]
 pub struct Job {
@@ -99,6 +80,12 @@
 }
 
 impl Tries {
+    /// Counts a send that ran, or may have, and brought nothing for the caller.
+    pub fn ran_at(&mut self, endpoint: &str) {
+        self.ran += 1;
+        self.failed.push(endpoint.to_owned());
+    }
+
     /// Whether the request may have run.
     #[must_use]
     pub const fn verdict(&self) -> Verdict {
@@ -156,7 +143,6 @@
     let end = arrived + call.deadline.unwrap_or(route.timeout).min(route.timeout);
     let mut headers = head.headers;
     strip(&mut headers);
-    headers.remove(CONTENT_LENGTH);
     let job = Job {
         first_by: end.min(arrived + patience(&route)),
         version: catalog.version,
@@ -218,23 +204,6 @@
         total_ms = super::link::millis(took); "request refused");
 }
 
-/// Removes the headers that concern one connection only.
-pub fn strip(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = headers
-        .get_all(CONNECTION)
-        .iter()
-        .filter_map(|v| v.to_str().ok())
-        .flat_map(|v| v.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    for name in named.iter().chain(&HOP_HEADERS) {
-        headers.remove(name);
-    }
-    for name in HOP_NAMES {
-        headers.remove(name);
-    }
-}
-
 impl Job {
     fn begin(&self) {
         self.gateway.budgets().request(&self.service);
@@ -255,99 +224,21 @@
         self.end.saturating_sub(self.now())
     }
 
-    fn need<'a>(&'a self, tries: &'a Tries) -> Need<'a> {
-        Need {
-            service: &self.service,
-            target: self.call.target.as_ref(),
-            domain: &self.gateway.settings.domain,
-            shared: self.call.shared.as_deref(),
-            tried: &tries.failed,
-        }
+    /// Whether a request that ran, or may have, on some endpoints may run on one more.
+    pub(super) fn may_run_after(&self, ran: u32) -> bool {
+        self.route.kind.repeats() && ran < self.route.attempts
     }
 
-    /// An endpoint for the request; waits for its model where none holds it.
-    ///
-    /// # Errors
-    ///
-    /// A refusal, at once where no endpoint can be ready before the caller gives up.
-    pub async fn place(&self, tries: &Tries) -> Result<Picked, Refusal> {
-        let servers = &self.gateway.servers;
-        let mut changes = servers.changes();
-        let mut waiting = None;
-        let refusal = |cause| Refusal::not_run(cause).at_least(tries.verdict());
-        loop {
-            changes.borrow_and_update();
-            let now = self.now();
-            let give_up = self.first_by.saturating_sub(LEAST_LEFT);
-            if now >= give_up {
-                return Err(refusal(Cause::NoCapacity).retry_after(FULL_RETRY));
-            }
-            if let Some(picked) = servers.pick(&self.need(tries), now) {
-                return self.admit(picked, tries);
-            }
-            if *self.gateway.stopping.borrow() {
-                return Err(refusal(Cause::Stopping).retry_after(STOPPING_RETRY));
-            }
-            let Some(target) = &self.call.target else {
-                return Err(refusal(Cause::NoEndpoint).retry_after(NO_ENDPOINT_RETRY));
-            };
-            if servers.ready(&self.service) == 0 {
-                return Err(refusal(Cause::NoEndpoint).retry_after(NO_ENDPOINT_RETRY));
-            }
-            let estimated = self.gateway.estimated(&self.service, target);
-            let unknown = admission::longest_unknown(&self.route);
-            let refuse = match estimated {
-                Some(ready_in) => now + ready_in > give_up,
-                None => now > self.arrived + unknown && tries.ran == 0,
-            };
-            if refuse {
-                let again = estimated.unwrap_or(NO_ENDPOINT_RETRY);
-                return Err(refusal(Cause::DeadlineTooShort).retry_after(again));
-            }
-            if waiting.is_none() {
-                let board = &self.gateway.board;
-                waiting = Some(board.wait(&self.service, target, now));
-                log::info!(id = self.call.id.as_str(), service = self.service.as_str(),
-                    model = target.model.as_str(),
-                    adapter = target.adapter.as_deref().unwrap_or_default(),
-                    left_ms = super::link::millis(give_up.saturating_sub(now));
-                    "no endpoint holds the model; waiting");
-            }
-            let pause = give_up.saturating_sub(now).min(LOOK_AGAIN);
-            if tokio::time::timeout(pause, changes.changed())
-                .await
-                .is_ok_and(|c| c.is_err())
-            {
-                return Err(refusal(Cause::Stopping));
-            }
-        }
-    }
-
-    /// Whether another endpoint than one can take the request now.
+    /// Whether the request may be sent to another endpoint if the send that is under way fails.
     #[must_use]
-    pub fn elsewhere(&self, tries: &Tries, than: &Picked) -> bool {
-        if *self.gateway.stopping.borrow() {
-            return false;
-        }
-        let mut others = tries.failed.clone();
-        others.push(than.id.clone());
-        let need = Need {
-            tried: &others,
-            ..self.need(tries)
-        };
-        let picked = self.gateway.servers.pick(&need, self.now());
-        picked.is_some_and(|p| p.wait.is_zero())
+    pub fn may_run_again(&self, tries: &Tries) -> bool {
+        self.may_run_after(tries.ran + 1)
     }
 
-    /// Refuses a request that would wait too long in the queue of the best endpoint.
-    fn admit(&self, picked: Picked, tries: &Tries) -> Result<Picked, Refusal> {
-        if tries.ran > 0 || picked.wait <= admission::longest_wait(&self.route) {
-            return Ok(picked);
-        }
-        log::info!(id = self.call.id.as_str(), endpoint = picked.id.as_str(),
-            wait_ms = super::link::millis(picked.wait); "engines are full");
-        let retry = admission::retry_after(picked.wait, rand::random());
-        Err(Refusal::not_run(Cause::Overload).retry_after(retry))
+    /// Whether an answer that ran and failed may be replaced by another endpoint's.
+    #[must_use]
+    pub fn replaceable(&self, status: u16) -> bool {
+        self.route.kind.repeats() && status >= 500
     }
 
     /// Whether the request may be sent once more.
@@ -356,7 +247,7 @@
         if tries.sends == 0 {
             return true;
         }
-        if tries.ran > 0 && !(self.route.kind.repeats() && tries.ran < self.route.attempts) {
+        if tries.ran > 0 && !self.may_run_after(tries.ran) {
             return false;
         }
         if tries.unrun >= UNRUN_MOST {
@@ -404,12 +295,3 @@
             total_ms = super::link::millis(took); "request ended");
     }
 }
-
-/// Time between two looks for an endpoint where nothing is heard of a change.
-const LOOK_AGAIN: Duration = Duration::from_millis(250);
-
-/// Whether an answer that ran and failed may be replaced by another endpoint's.
-#[must_use]
-pub fn replaceable(kind: Kind, status: u16) -> bool {
-    kind.repeats() && status >= 500
-}
--- a/src/gateway/servers/server.rs
+++ b/src/gateway/servers/server.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use super::super::edge::{Endpoint, EndpointState, Target};
+use super::super::edge::{Endpoint, EndpointState, Models, Target};
 use super::super::pick::Candidate;
 use super::Need;
 
@@ -31,7 +31,7 @@
     /// Orders that it accepted.
     pub accepted: u64,
     /// Models that it holds, each with its adapters.
-    pub models: BTreeMap<String, BTreeSet<String>>,
+    pub models: Models,
     /// Models that are about to be unloaded there.
     pub closing: BTreeSet<String>,
     /// Requests running or waiting there, from all instances.
@@ -50,7 +50,7 @@
     /// Its description of itself.
     pub endpoint: Endpoint,
     /// Models that it is believed to hold.
-    pub models: BTreeMap<String, BTreeSet<String>>,
+    pub models: Models,
     /// Orders that it accepted, as far as known.
     pub accepted: u64,
     /// Models that take no new requests here.
@@ -111,13 +111,9 @@
         if self.absent.get(target).is_some_and(|until| *until > now) {
             return false;
         }
-        let shown = |models: &BTreeMap<String, BTreeSet<String>>| {
-            let adapters = models.get(&target.model);
-            adapters.is_some_and(|held| target.adapter.as_ref().is_none_or(|a| held.contains(a)))
-        };
         // An entry that came while a view was fresh may be newer than that view; an endpoint that
         // lacks the model says so without running the request.
-        shown(&self.models) || (!self.viewed(now) && shown(&self.endpoint.models))
+        target.held_in(&self.models) || (!self.viewed(now) && target.held_in(&self.endpoint.models))
     }
 
     /// Whether the lease holder's view is fresh.
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -356,10 +356,7 @@
             .estimates
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
-        let base = Target {
-            model: target.model.clone(),
-            adapter: None,
-        };
+        let base = Target::base(&target.model);
         let (told, ready_in) = *estimates.get(&(service.to_owned(), base))?;
         let age = now.saturating_sub(told);
         (age < ESTIMATE_FRESH).then(|| ready_in.saturating_sub(age))
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -7,11 +7,11 @@
 
 use bytes::Bytes;
 use hyper::Response;
-use hyper::header::CONTENT_LENGTH;
 use hyper::http::response::Parts;
 
+use super::headers::strip;
 use super::send::{Checked, Sent};
-use super::serve::{Job, Tries, replaceable, strip};
+use super::serve::{Job, Tries};
 use super::servers::{Health, Picked, Running};
 use crate::http::{Body, full};
 use crate::outbound::Sender;
@@ -66,7 +66,6 @@
     match opened {
         Ok(Begun::Events(mut head, source, events)) => {
             strip(&mut head.headers);
-            head.headers.remove(CONTENT_LENGTH);
             let took = job.now().saturating_sub(job.arrived);
             job.gateway.stats.first(&job.route.name, took);
             log::info!(id = job.call.id.as_str(), endpoint = source.picked.id.as_str(),
@@ -119,9 +118,8 @@
     let Checked { reply, .. } = *checked;
     let status = reply.response.status();
     if !status.is_success() {
-        if replaceable(job.route.kind, status.as_u16()) && tries.ran + 1 < job.route.attempts {
-            tries.ran += 1;
-            tries.failed.push(picked.id.clone());
+        if job.replaceable(status.as_u16()) && job.may_run_again(tries) {
+            tries.ran_at(&picked.id);
             return Begun::Nothing;
         }
         return plain(job, picked, tries, reply).await;
@@ -156,7 +154,7 @@
 fn first_limit(job: &Job, tries: &Tries, picked: &Picked) -> Duration {
     let left = job.left();
     let elsewhere = || picked.wait.is_zero() && job.elsewhere(tries, picked);
-    if job.route.kind.repeats() && tries.ran + 1 < job.route.attempts && elsewhere() {
+    if job.may_run_again(tries) && elsewhere() {
         let patience = job.route.objective * FIRST_PATIENCE;
         return left.min(patience.max(FIRST_PATIENCE_LEAST));
     }
@@ -176,18 +174,11 @@
     };
     let mut head = answer.head;
     strip(&mut head.headers);
-    head.headers.remove(CONTENT_LENGTH);
     Begun::Plain(Response::from_parts(head, full(answer.body)), picked.id)
 }
 
 fn failed(job: &Job, picked: &Picked, tries: &mut Tries, end: End) {
-    let now = job.now();
-    job.gateway.servers.learn(picked.key, Health::Bad, now);
-    if end == End::Cut {
-        job.gateway.suspicion().broke(job.print, now);
-    }
-    tries.ran += 1;
-    tries.failed.push(picked.id.clone());
+    job.broke_off(picked, tries, end == End::Cut);
     log::info!(id = job.call.id.as_str(), endpoint = picked.id.as_str(), end:% = end,
         ran = tries.ran, left_ms = super::link::millis(job.left()); "stream broke off");
 }
@@ -269,8 +260,7 @@
             (since, parts) = (job.now(), 0);
         }
         parts += 1;
-        let resumable = job.route.kind.repeats() && tries.ran + 1 < job.route.attempts;
-        let limit = if resumable {
+        let limit = if job.may_run_again(tries) {
             left.min(job.route.gap.unwrap_or(GAP) * GAP_PATIENCE)
         } else {
             left
@@ -304,7 +294,7 @@
     outlet: &mut Outlet,
     last: &mut Option<u64>,
 ) -> Option<Source> {
-    if !job.route.kind.repeats() || tries.ran >= job.route.attempts || job.left().is_zero() {
+    if !job.may_run_after(tries.ran) || job.left().is_zero() {
         return None;
     }
     job.first_by = job.end.min(job.now() + RESUME_PATIENCE);
