Orders and planner: settling and swaps have files of their own

Change: orders/settle.rs, planner/swaps.rs; constants stand with the code that uses them. No decision changed.

--- a/src/gateway/planner/adapters.rs
+++ b/src/gateway/planner/adapters.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use super::{COMING_MOST, Change, EngineState, Holding, Planner, Step, Target};
+use super::{Change, EngineState, Holding, Planner, Step, Target};
+
+/// Adapters that may be on their way to one engine.
+const COMING_MOST: usize = 4;
 
 impl Planner<'_> {
     /// Adapters that requests wait for and that no engine holds or fetches.
