--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -1,7 +1,7 @@
-//! Which requests are refused at once because engines are full, and when they may come back.
+//! Which requests are refused at once because engines are full, and when they may be sent again.
 //!
 //! A queue that is let grow makes every request late. It is kept so short that a request that is
-//! taken still meets its objective; the others are told at once, with times to come back that
+//! taken still meets its objective; the others are refused at once, with times to retry after that
 //! differ, so that they do not all return together.
 
 use std::time::Duration;
@@ -14,13 +14,13 @@
 /// The same for the most urgent rank, which engines take before the others in their queue.
 const URGENT_SHARE: f64 = 1.4;
 /// Objectives for which a request waits for a model of which nobody knows when it is ready: a
-/// later answer is worth little, and the caller can still come back.
+/// later answer is worth little, and the caller can still retry.
 const UNKNOWN_OBJECTIVES: u32 = 2;
 /// Least such time: a load from an engine's disk and the order for it.
 const UNKNOWN_LEAST: Duration = Duration::from_millis(1800);
-/// Least time to come back.
+/// Least time to retry after.
 const RETRY_LEAST: Duration = Duration::from_millis(300);
-/// Spread of the times to come back.
+/// Spread of the times to retry after.
 const RETRY_SPREAD: Duration = Duration::from_millis(1200);
 
 /// Longest expected wait in an engine's queue with which a request is taken.
@@ -60,7 +60,7 @@
     (route.objective * UNKNOWN_OBJECTIVES).max(UNKNOWN_LEAST)
 }
 
-/// Time after which a request that would have to wait may come back, by a uniform draw from 0
+/// Time after which a caller whose request would have to wait may retry, by a uniform draw from 0
 /// to 1.
 ///
 /// # Examples
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -8,10 +8,10 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep, timeout_at};
 
-use super::keeper::LeaseKeeper;
 use super::lease::{Lease, LeaseRow};
 use super::link::{self, Linked, Whereabouts};
 use super::orders::Orders;
+use super::renewal::LeaseRenewal;
 use super::shared::{Edges, Gateway, GatewaySettings};
 use super::{feed, listener};
 use crate::daemon::StartError;
@@ -84,14 +84,14 @@
     let (linked, is_linked) = watch::channel(Linked::default());
     let (heard, inbox) = mpsc::channel(HEARD);
     Orders::start(Arc::clone(gateway), Arc::clone(&lease), inbox);
-    let keeper = LeaseKeeper {
+    let renewal = LeaseRenewal {
         gateway: Arc::clone(gateway),
         lease,
         whereabouts,
         linked: is_linked.clone(),
         me,
     };
-    tokio::spawn(keeper.run());
+    tokio::spawn(renewal.run());
     tokio::spawn(link::serve(
         Arc::clone(gateway),
         peers,
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -38,7 +38,7 @@
 
 /// What the holder hears.
 #[derive(Debug)]
-pub enum Heard {
+pub enum LinkEvent {
     /// An instance reported; its answers go through the channel.
     Demand(u64, Demand, mpsc::Sender<Outlook>),
     /// Its link is gone.
@@ -144,7 +144,7 @@
     gateway: Arc<Gateway>,
     listener: TcpListener,
     whereabouts: watch::Receiver<Whereabouts>,
-    heard: mpsc::Sender<Heard>,
+    heard: mpsc::Sender<LinkEvent>,
 ) {
     let mut number = 0;
     loop {
@@ -169,7 +169,7 @@
     gateway: Arc<Gateway>,
     stream: TcpStream,
     whereabouts: watch::Receiver<Whereabouts>,
-    heard: mpsc::Sender<Heard>,
+    heard: mpsc::Sender<LinkEvent>,
     number: u64,
 ) {
     if let Err(error) = stream.set_nodelay(true) {
@@ -184,7 +184,7 @@
                 let Ok(demand) = Demand::decode(bytes) else { break };
                 let known = whereabouts.borrow().clone();
                 if known.holding {
-                    let message = Heard::Demand(number, demand, to_peer.clone());
+                    let message = LinkEvent::Demand(number, demand, to_peer.clone());
                     if heard.send(message).await.is_err() {
                         break;
                     }
@@ -205,7 +205,7 @@
             break;
         }
     }
-    if heard.send(Heard::Gone(number)).await.is_err() {
+    if heard.send(LinkEvent::Gone(number)).await.is_err() {
         log::debug!("the instance is stopping");
     }
 }
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -9,25 +9,25 @@
 
 use super::catalog::Engine;
 use super::lease::Lease;
-use super::link::{self, Demand, Heard};
+use super::link::{self, Demand, LinkEvent};
 use super::planner::{self, Change, Fleet, Source, Step, StoreRoom};
 use super::shared::{BoardKey, Gateway};
 
-mod book;
 mod fleet;
-pub mod give;
 pub mod pace;
+mod publish;
+mod record;
+pub mod send;
 mod settle;
 mod store_room;
-mod tell;
 pub mod views;
 
-use book::{Book, Job, Rate};
-use give::Engineer;
 use pace::Pace;
+use publish::Peer;
+use record::{EngineRecord, Job, Rate};
+use send::OrderSender;
 use settle::Settled;
 use store_room::StoreLoads;
-use tell::Peer;
 use views::Views;
 
 /// Messages that wait for the actor at most.
@@ -56,7 +56,7 @@
     dirty: bool,
     views: Views,
     rates: BTreeMap<BoardKey, Rate>,
-    books: BTreeMap<String, Book>,
+    records: BTreeMap<String, EngineRecord>,
     store: StoreLoads,
 }
 
@@ -69,7 +69,7 @@
     pub fn start(
         gateway: Arc<Gateway>,
         lease: Arc<Mutex<Lease>>,
-        mut heard: mpsc::Receiver<Heard>,
+        mut heard: mpsc::Receiver<LinkEvent>,
     ) {
         let window = gateway.settings.window;
         let address = xtra::spawn_tokio(
@@ -85,7 +85,7 @@
                 dirty: false,
                 views: Views::default(),
                 rates: BTreeMap::new(),
-                books: BTreeMap::new(),
+                records: BTreeMap::new(),
                 store: StoreLoads::new(window),
             },
             Mailbox::bounded(MAILBOX),
@@ -152,7 +152,7 @@
         let took = done.saturating_sub(now);
         self.gateway.stats.planned(took);
         if took > TICK {
-            log::warn!(took_ms = link::millis(took), engines = self.books.len(),
+            log::warn!(took_ms = link::millis(took), engines = self.records.len(),
                 instances = self.peers.len() + 1; "plan took long; orders and views come late");
         }
     }
@@ -174,7 +174,7 @@
         self.rates.retain(|_, r| r.now(now) > RATE_LEAST);
         let mut wants = BTreeMap::new();
         for (service, engine) in catalog.engines() {
-            self.keep_books(service, now);
+            self.keep_records(service, now);
             let fleet = self.fleet(service, now);
             let room = self.store.room(engine, now);
             for step in planner::plan(engine, &fleet, room, now) {
@@ -188,13 +188,13 @@
             self.told = now;
             self.dirty = false;
             let estimates = self.estimates(&catalog, &wants, now);
-            self.tell(&catalog, &estimates, now);
+            self.publish(&catalog, &estimates, now);
         }
     }
 
     /// Forgets what only a holder knows.
     fn idle(&mut self) {
-        self.books.clear();
+        self.records.clear();
         self.peers.clear();
         self.echoes.clear();
         self.store.clear();
@@ -202,7 +202,7 @@
     }
 
     fn begin(&mut self, spec: &Engine, step: Step, fleet: &Fleet, fence: u64, now: Duration) {
-        let Some(book) = self.books.get_mut(&step.engine) else {
+        let Some(record) = self.records.get_mut(&step.engine) else {
             return;
         };
         let mut takes = Duration::ZERO;
@@ -216,9 +216,9 @@
                     takes = self.store.begin(takes, now);
                 }
                 for gone in out {
-                    book.models.remove(gone);
+                    record.models.remove(gone);
                 }
-                book.swap = Some(Job {
+                record.swap = Some(Job {
                     change: step.change.clone(),
                     until: now + takes,
                 });
@@ -226,13 +226,13 @@
                 log::info!(engine = step.engine.as_str(), model = model.as_str(),
                     out = out.join(","), source:% = source, urgent = step.urgent,
                     waiting = want.map_or(0, |(_, w)| w.waiting), fence = fence,
-                    accepted = book.count(); "load decided");
+                    accepted = record.count(); "load decided");
             }
             Change::Adapter { out, target } => {
-                book.adapters += 1;
-                book.coming.insert(target.clone());
+                record.adapters += 1;
+                record.coming.insert(target.clone());
                 for old in out {
-                    if let Some(adapters) = book.models.get_mut(&old.model) {
+                    if let Some(adapters) = record.models.get_mut(&old.model) {
                         adapters.remove(old.adapter_name());
                     }
                 }
@@ -245,12 +245,12 @@
         let Some(me) = self.me.clone() else {
             return;
         };
-        let engineer = Engineer::new(&self.gateway, &self.lease, &step.engine, book);
-        let born = book.born;
+        let sender = OrderSender::new(&self.gateway, &self.lease, &step.engine, record);
+        let born = record.born;
         tokio::spawn(async move {
-            let started = engineer.gateway.now();
-            let outcome = engineer.carry_out(&step.change, takes).await;
-            let took = engineer.gateway.now().saturating_sub(started);
+            let started = sender.gateway.now();
+            let outcome = sender.carry_out(&step.change, takes).await;
+            let took = sender.gateway.now().saturating_sub(started);
             let settled = Settled {
                 engine: step.engine,
                 born,
@@ -276,15 +276,15 @@
     }
 }
 
-impl Handler<Heard> for Orders {
+impl Handler<LinkEvent> for Orders {
     type Return = ();
 
-    async fn handle(&mut self, message: Heard, _ctx: &mut Context<Self>) {
+    async fn handle(&mut self, message: LinkEvent, _ctx: &mut Context<Self>) {
         match message {
-            Heard::Gone(number) => {
+            LinkEvent::Gone(number) => {
                 self.peers.remove(&number);
             }
-            Heard::Demand(number, demand, answers) => {
+            LinkEvent::Demand(number, demand, answers) => {
                 self.heard(&demand);
                 let echo = Duration::from_millis(demand.echo);
                 self.echoes.insert(demand.name.clone(), echo);
--- a/src/gateway/orders/fleet.rs
+++ b/src/gateway/orders/fleet.rs
@@ -7,24 +7,25 @@
 use super::super::link::Demand;
 use super::super::planner::{Change, EngineState, Fleet, Holding, Want};
 use super::Orders;
-use super::book::{Book, RATE_OVER};
+use super::record::{EngineRecord, RATE_OVER};
 
 impl Orders {
-    pub(super) fn keep_books(&mut self, service: &str, now: Duration) {
+    pub(super) fn keep_records(&mut self, service: &str, now: Duration) {
         let servers = &self.gateway.servers;
         let listed = servers.listed(service);
         let ids: BTreeSet<&str> = listed.iter().map(|e| e.id.as_str()).collect();
-        self.books.retain(|id, _| ids.contains(id.as_str()));
+        self.records.retain(|id, _| ids.contains(id.as_str()));
         for entry in &listed {
-            let restarted = |b: &Book| b.born != entry.born;
-            if self.books.get(&entry.id).is_none_or(restarted)
+            let restarted = |b: &EngineRecord| b.born != entry.born;
+            if self.records.get(&entry.id).is_none_or(restarted)
                 && let Some(endpoint) = servers.endpoint(&entry.id)
             {
-                self.books.insert(entry.id.clone(), Book::new(&endpoint));
+                self.records
+                    .insert(entry.id.clone(), EngineRecord::new(&endpoint));
             }
-            if let Some(book) = self.books.get_mut(&entry.id) {
-                book.leaving |= !entry.ready;
-                book.since.retain(|_, at| now < *at + RATE_OVER);
+            if let Some(record) = self.records.get_mut(&entry.id) {
+                record.leaving |= !entry.ready;
+                record.since.retain(|_, at| now < *at + RATE_OVER);
             }
         }
     }
@@ -60,7 +61,7 @@
                 *running.entry((&count.place, count.target())).or_default() += count.count;
             }
         }
-        let engines = self.books.iter().map(|(id, book)| {
+        let engines = self.records.iter().map(|(id, record)| {
             let on = |model: &str, adapter: Option<&String>| {
                 let target = Target {
                     model: model.to_owned(),
@@ -71,7 +72,7 @@
                     .copied()
                     .unwrap_or_default()
             };
-            let models = book.models.iter().map(|(model, adapters)| {
+            let models = record.models.iter().map(|(model, adapters)| {
                 let adapters: BTreeMap<String, u32> = adapters
                     .iter()
                     .map(|a| (a.clone(), on(model, Some(a))))
@@ -79,23 +80,23 @@
                 let holding = Holding {
                     running: on(model, None) + adapters.values().sum::<u32>(),
                     adapters,
-                    since: book.since.get(model).copied().unwrap_or_default(),
+                    since: record.since.get(model).copied().unwrap_or_default(),
                 };
                 (model.clone(), holding)
             });
             EngineState {
                 id: id.clone(),
-                domain: book.domain.clone(),
+                domain: record.domain.clone(),
                 models: models.collect(),
-                coming: book.coming.clone(),
-                warm: book.warm.clone(),
-                disk: book.disk.clone(),
-                loading: book.swap.as_ref().and_then(|j| match &j.change {
+                coming: record.coming.clone(),
+                warm: record.warm.clone(),
+                disk: record.disk.clone(),
+                loading: record.swap.as_ref().and_then(|j| match &j.change {
                     Change::Swap { model, .. } => Some(model.clone()),
                     Change::Adapter { .. } => None,
                 }),
-                busy: book.swap.is_some() || book.adapters > 0 || book.unknown,
-                leaving: book.leaving,
+                busy: record.swap.is_some() || record.adapters > 0 || record.unknown,
+                leaving: record.leaving,
             }
         });
         Fleet {
--- a/src/gateway/orders/tell.rs
+++ b/src/gateway/orders/publish.rs
@@ -32,30 +32,30 @@
 
 impl Orders {
     /// Tells all instances, this one included, what changed.
-    pub(super) fn tell(&mut self, catalog: &Catalog, estimates: &[Count], now: Duration) {
+    pub(super) fn publish(&mut self, catalog: &Catalog, estimates: &[Count], now: Duration) {
         let mut loads: BTreeMap<String, u32> = BTreeMap::new();
         for demand in self.demands() {
             for count in &demand.running {
                 *loads.entry(count.place.clone()).or_default() += count.count;
             }
         }
-        for (id, book) in &mut self.books {
-            book.load = loads.get(id).copied().unwrap_or_default();
+        for (id, record) in &mut self.records {
+            record.load = loads.get(id).copied().unwrap_or_default();
         }
         let views: Vec<View> = self
-            .books
+            .records
             .iter_mut()
-            .filter(|(_, book)| !book.unknown)
-            .map(|(id, book)| View {
+            .filter(|(_, record)| !record.unknown)
+            .map(|(id, record)| View {
                 id: id.clone(),
-                born: book.born,
-                accepted: book.count(),
-                models: book.models.clone(),
-                closing: book.closing(),
-                load: book.load,
-                running: book.running,
-                queued: book.queued,
-                leaving: book.leaving,
+                born: record.born,
+                accepted: record.count(),
+                models: record.models.clone(),
+                closing: record.closing(),
+                load: record.load,
+                running: record.running,
+                queued: record.queued,
+                leaving: record.leaving,
             })
             .collect();
         let version = self
@@ -119,10 +119,10 @@
                 if want.waiting == 0 || target.adapter.is_some() {
                     continue;
                 }
-                let loading = self.books.values().filter_map(|b| b.swap.as_ref()).find(
+                let loading = self.records.values().filter_map(|b| b.swap.as_ref()).find(
                     |j| matches!(&j.change, Change::Swap { model, .. } if *model == target.model),
                 );
-                let copied = self.books.values().any(|b| {
+                let copied = self.records.values().any(|b| {
                     b.disk.contains(&target.model) || b.models.contains_key(&target.model)
                 });
                 let cold = engine
--- a/src/gateway/orders/book.rs
+++ b/src/gateway/orders/record.rs
@@ -7,7 +7,7 @@
 
 use super::super::edge::{Endpoint, Models, Report, Target};
 use super::super::planner::Change;
-use super::give::shows_end;
+use super::send::shows_end;
 
 /// Time over which the rate of requests for a model is averaged: a few swaps' time.
 pub(super) const RATE_OVER: Duration = Duration::from_secs(8);
@@ -21,7 +21,7 @@
 
 /// What the holder knows of an engine.
 #[derive(Debug)]
-pub(super) struct Book {
+pub(super) struct EngineRecord {
     pub(super) address: SocketAddr,
     pub(super) domain: String,
     pub(super) born: u64,
@@ -46,7 +46,7 @@
     pub(super) unknown: bool,
 }
 
-impl Book {
+impl EngineRecord {
     pub(super) fn new(endpoint: &Endpoint) -> Self {
         Self {
             address: endpoint.address,
--- a/src/gateway/orders/give.rs
+++ b/src/gateway/orders/send.rs
@@ -17,7 +17,7 @@
 use super::super::lease::Lease;
 use super::super::planner::Change;
 use super::super::shared::Gateway;
-use super::book::Book;
+use super::record::EngineRecord;
 use crate::outbound::Freshness;
 
 /// Longest wait for an order's or a report's answer; engines answer in milliseconds.
@@ -91,7 +91,7 @@
 
 /// Gives orders to one engine.
 #[derive(Debug)]
-pub(super) struct Engineer {
+pub(super) struct OrderSender {
     pub(super) gateway: Arc<Gateway>,
     pub(super) lease: Arc<Mutex<Lease>>,
     pub(super) engine: String,
@@ -99,19 +99,19 @@
     pub(super) accepted: Arc<tokio::sync::Mutex<u64>>,
 }
 
-impl Engineer {
+impl OrderSender {
     pub(super) fn new(
         gateway: &Arc<Gateway>,
         lease: &Arc<Mutex<Lease>>,
         engine: &str,
-        book: &Book,
+        record: &EngineRecord,
     ) -> Self {
         Self {
             gateway: Arc::clone(gateway),
             lease: Arc::clone(lease),
             engine: engine.to_owned(),
-            address: book.address,
-            accepted: Arc::clone(&book.accepted),
+            address: record.address,
+            accepted: Arc::clone(&record.accepted),
         }
     }
 
--- a/src/gateway/orders/settle.rs
+++ b/src/gateway/orders/settle.rs
@@ -8,7 +8,7 @@
 use super::super::link;
 use super::super::planner::{Change, Source};
 use super::Orders;
-use super::give::{Engineer, Outcome};
+use super::send::{OrderSender, Outcome};
 
 /// Time between two reports that are asked of an engine without a running order.
 const REPORT_EVERY: Duration = Duration::from_millis(900);
@@ -41,20 +41,20 @@
         let Some(me) = self.me.clone() else {
             return;
         };
-        for (id, book) in &mut self.books {
-            let loaded = book.load * LOADED_SHARE >= slots || book.queued > 0;
+        for (id, record) in &mut self.records {
+            let loaded = record.load * LOADED_SHARE >= slots || record.queued > 0;
             let every = if loaded { REPORT_LOADED } else { REPORT_EVERY };
-            if now < book.asked + every {
+            if now < record.asked + every {
                 continue;
             }
             // Spreads the reports, so that they do not come all at once.
             let jitter = Duration::from_millis(u64::from(rand::random::<u8>()));
-            book.asked = now + jitter;
-            let engineer = Engineer::new(&self.gateway, &self.lease, id, book);
+            record.asked = now + jitter;
+            let sender = OrderSender::new(&self.gateway, &self.lease, id, record);
             let (engine, me) = (id.clone(), me.clone());
             tokio::spawn(async move {
-                let asked = engineer.gateway.now();
-                let Some(report) = engineer.report().await else {
+                let asked = sender.gateway.now();
+                let Some(report) = sender.report().await else {
                     return;
                 };
                 let reported = Reported {
@@ -85,39 +85,39 @@
             self.store
                 .end(settled.took, cold, settled.outcome == Outcome::Done);
         }
-        let Some(book) = self.books.get_mut(&settled.engine) else {
+        let Some(record) = self.records.get_mut(&settled.engine) else {
             return;
         };
-        if book.born != settled.born {
+        if record.born != settled.born {
             return;
         }
-        book.settled = now;
-        book.asked = Duration::ZERO;
+        record.settled = now;
+        record.asked = Duration::ZERO;
         let took = link::millis(settled.took);
         match settled.change {
             Change::Swap { model, source, .. } => {
-                book.swap = None;
+                record.swap = None;
                 log::info!(engine = settled.engine.as_str(), model = model.as_str(),
                     outcome:% = settled.outcome, took_ms = took, source:% = source; "load ended");
                 if settled.outcome == Outcome::Done {
-                    book.since.insert(model.clone(), now);
-                    book.warm.insert(model.clone());
-                    book.disk.insert(model.clone());
-                    book.models.entry(model).or_default();
+                    record.since.insert(model.clone(), now);
+                    record.warm.insert(model.clone());
+                    record.disk.insert(model.clone());
+                    record.models.entry(model).or_default();
                 } else {
                     // Unknown until the engine reports: count nothing as free, offer nothing.
-                    book.unknown = true;
+                    record.unknown = true;
                 }
             }
             Change::Adapter { target, .. } => {
-                book.adapters = book.adapters.saturating_sub(1);
-                book.coming.remove(&target);
+                record.adapters = record.adapters.saturating_sub(1);
+                record.coming.remove(&target);
                 if settled.outcome == Outcome::Done {
-                    if let Some(adapters) = book.models.get_mut(&target.model) {
+                    if let Some(adapters) = record.models.get_mut(&target.model) {
                         adapters.extend(target.adapter);
                     }
                 } else {
-                    book.unknown = true;
+                    record.unknown = true;
                     log::warn!(engine = settled.engine.as_str(), model = target.model.as_str(),
                         adapter = target.adapter.unwrap_or_default(),
                         outcome:% = settled.outcome, took_ms = took; "adapter load ended");
@@ -131,8 +131,8 @@
     type Return = ();
 
     async fn handle(&mut self, message: Reported, _ctx: &mut Context<Self>) {
-        if let Some(book) = self.books.get_mut(&message.engine) {
-            book.report(message.report, message.asked);
+        if let Some(record) = self.records.get_mut(&message.engine) {
+            record.report(message.report, message.asked);
         }
     }
 }
--- a/src/gateway/keeper.rs
+++ b/src/gateway/renewal.rs
@@ -25,7 +25,7 @@
 
 /// Keeps the lease's row.
 #[derive(Debug)]
-pub struct LeaseKeeper {
+pub struct LeaseRenewal {
     /// Shared state.
     pub gateway: Arc<Gateway>,
     /// The lease.
@@ -38,7 +38,7 @@
     pub me: LeaseRow,
 }
 
-impl LeaseKeeper {
+impl LeaseRenewal {
     /// Runs until the instance stops.
     pub async fn run(self) {
         let mut stopping = self.gateway.stopping.subscribe();
--- a/tests/order_settling.rs
+++ b/tests/order_settling.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use brassrack::gateway::edge::{Action, Order, Report, Target};
-use brassrack::gateway::orders::give::{Settled, settle, shows_end};
+use brassrack::gateway::orders::send::{Settled, settle, shows_end};
 
 fn order(action: Action, adapter: Option<&str>) -> Order {
     Order {
