Orders: a report is asked for when it can show the last order's end

Cause: since reports count by when they were asked for, the one that was asked for at once after each swap never counted; the next came at its interval, 0.9 s later, when the engine was often busy again.

Change: a report is due at its interval, and once as soon as it shows the end of the last order (0.4 s after it).

Test: order_settling, report_is_due_when_it_shows_the_end.

--- a/src/gateway/orders/record.rs
+++ b/src/gateway/orders/record.rs
@@ -40,7 +40,9 @@
     pub(super) queued: u32,
     pub(super) load: u32,
     pub(super) settled: Duration,
+    /// When a report was asked for last, and what the next one is put off by.
     pub(super) asked: Duration,
+    pub(super) jitter: Duration,
     pub(super) leaving: bool,
     /// Whether what it holds is unknown until its next report.
     pub(super) unknown: bool,
@@ -66,6 +68,7 @@
             load: 0,
             settled: Duration::ZERO,
             asked: Duration::ZERO,
+            jitter: Duration::ZERO,
             leaving: false,
             unknown: true,
         }
--- a/src/gateway/orders/send.rs
+++ b/src/gateway/orders/send.rs
@@ -368,6 +368,14 @@
     }
 }
 
+/// Whether a report has to be asked for: at its interval, and as soon as it shows the end of the
+/// last order.
+#[must_use]
+pub fn report_due(asked: Duration, settled: Duration, every: Duration, now: Duration) -> bool {
+    let shown = settled + SHOWN_AFTER;
+    now >= asked + every || (asked < shown && now >= shown)
+}
+
 /// Whether a report shows what an engine holds after the last order to it has ended.
 ///
 /// What counts is when it was asked for: an answer may lie unread at a busy instance for long.
--- a/src/gateway/orders/settle.rs
+++ b/src/gateway/orders/settle.rs
@@ -8,7 +8,7 @@
 use super::super::link;
 use super::super::planner::{Change, Source};
 use super::Orders;
-use super::send::{OrderSender, Outcome};
+use super::send::{OrderSender, Outcome, report_due};
 
 /// Time between two reports that are asked of an engine without a running order.
 const REPORT_EVERY: Duration = Duration::from_millis(900);
@@ -44,12 +44,12 @@
         for (id, record) in &mut self.records {
             let loaded = record.load * LOADED_SHARE >= slots || record.queued > 0;
             let every = if loaded { REPORT_LOADED } else { REPORT_EVERY };
-            if now < record.asked + every {
+            if !report_due(record.asked, record.settled, every + record.jitter, now) {
                 continue;
             }
+            record.asked = now;
             // Spreads the reports, so that they do not come all at once.
-            let jitter = Duration::from_millis(u64::from(rand::random::<u8>()));
-            record.asked = now + jitter;
+            record.jitter = Duration::from_millis(u64::from(rand::random::<u8>()));
             let sender = OrderSender::new(&self.gateway, &self.lease, id, record);
             let (engine, me) = (id.clone(), me.clone());
             tokio::spawn(async move {
@@ -92,7 +92,6 @@
             return;
         }
         record.settled = now;
-        record.asked = Duration::ZERO;
         let took = link::millis(settled.took);
         match settled.change {
             Change::Swap { model, source, .. } => {
--- a/tests/order_settling.rs
+++ b/tests/order_settling.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use brassrack::gateway::edge::{Action, Order, Report, Target};
-use brassrack::gateway::orders::send::{Settled, settle, shows_end};
+use brassrack::gateway::orders::send::{Settled, report_due, settle, shows_end};
 
 fn order(action: Action, adapter: Option<&str>) -> Order {
     Order {
@@ -107,3 +107,15 @@
     assert!(!shows_end(&report(0, &[]), 5, ms(1000), ms(2000)));
     assert!(shows_end(&report(0, &[]), 5, ms(1000), ms(2600)));
 }
+
+/// Pattern: an engine swaps models every two seconds. A report that is asked for at once after an
+/// order is too old to count, and the next one at its interval often finds the engine busy again.
+#[test]
+fn report_is_due_when_it_shows_the_end() {
+    let every = ms(900);
+    assert!(!report_due(ms(800), ms(1000), every, ms(1001)));
+    assert!(!report_due(ms(800), ms(1000), every, ms(1399)));
+    assert!(report_due(ms(800), ms(1000), every, ms(1400)));
+    assert!(!report_due(ms(1400), ms(1000), every, ms(1500)));
+    assert!(report_due(ms(1400), ms(1000), every, ms(2300)));
+}
