Orders: what comes in the pause after a plan is planned for at its end

Cause: the pause after a plan, which keeps the holder from falling behind, dropped the wish for a plan; what came in it, such as the end of a load, was seen with the next tick, up to 50 ms later. Change: the end of the pause is awaited where something came in it.

Test: plan_pace, pause_after_a_short_plan_is_short.

--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -52,6 +52,8 @@
     echoes: BTreeMap<String, Duration>,
     own: Demand,
     pace: Pace,
+    /// Whether the end of the pause after a plan is awaited.
+    waiting: bool,
     told: Duration,
     dirty: bool,
     views: Views,
@@ -64,6 +66,10 @@
 #[derive(Debug, Clone, Copy)]
 struct Tick;
 
+/// The pause after a plan has ended, and something came meanwhile.
+#[derive(Debug, Clone, Copy)]
+struct PauseEnded;
+
 impl Orders {
     /// Starts the actor; it hears other instances through the channel.
     pub fn start(
@@ -81,6 +87,7 @@
                 echoes: BTreeMap::new(),
                 own: Demand::default(),
                 pace: Pace::default(),
+                waiting: false,
                 told: Duration::ZERO,
                 dirty: false,
                 views: Views::default(),
@@ -137,10 +144,12 @@
         }
     }
 
-    /// Plans and tells, unless the last time was just now.
+    /// Plans and tells, after the pause that the last plan asks for.
     fn run(&mut self) {
         let now = self.gateway.now();
-        if !self.pace.due(now) {
+        let wait = self.pace.wait(now);
+        if !wait.is_zero() {
+            self.run_after(wait);
             return;
         }
         self.plan(now);
@@ -157,6 +166,19 @@
         }
     }
 
+    fn run_after(&mut self, wait: Duration) {
+        let Some(me) = self.me.clone().filter(|_| !self.waiting) else {
+            return;
+        };
+        self.waiting = true;
+        tokio::spawn(async move {
+            tokio::time::sleep(wait).await;
+            if me.send(PauseEnded).await.is_err() {
+                log::debug!("the instance is stopping");
+            }
+        });
+    }
+
     fn plan(&mut self, now: Duration) {
         let Some(fence) = self.fence() else {
             self.idle();
@@ -276,6 +298,15 @@
     }
 }
 
+impl Handler<PauseEnded> for Orders {
+    type Return = ();
+
+    async fn handle(&mut self, _: PauseEnded, _ctx: &mut Context<Self>) {
+        self.waiting = false;
+        self.run();
+    }
+}
+
 impl Handler<LinkEvent> for Orders {
     type Return = ();
 
--- a/src/gateway/orders/pace.rs
+++ b/src/gateway/orders/pace.rs
@@ -19,8 +19,8 @@
 /// let mut pace = Pace::default();
 /// let at = Duration::from_millis;
 /// pace.ran(at(100), at(140));
-/// assert!(!pace.due(at(200)));
-/// assert!(pace.due(at(260)));
+/// assert_eq!(pace.wait(at(200)), at(60));
+/// assert!(pace.wait(at(260)).is_zero());
 /// ```
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Pace {
@@ -28,10 +28,10 @@
 }
 
 impl Pace {
-    /// Whether a plan may be made now.
+    /// Time until a plan may be made; zero where it may be made now.
     #[must_use]
-    pub fn due(&self, now: Duration) -> bool {
-        now >= self.next
+    pub const fn wait(&self, now: Duration) -> Duration {
+        self.next.saturating_sub(now)
     }
 
     /// A plan was made from one moment to another.
--- a/tests/plan_pace.rs
+++ b/tests/plan_pace.rs
@@ -17,7 +17,7 @@
     while now < Duration::from_secs(11) {
         now += read;
         messages += 1;
-        if pace.due(now) {
+        if pace.wait(now).is_zero() {
             pace.ran(now, now + plan);
             now += plan;
             planned += plan;
@@ -26,3 +26,14 @@
     assert!(messages > 6_600, "{messages} messages read in ten seconds");
     assert!(planned > Duration::from_secs(1), "planned for {planned:?}");
 }
+
+/// What comes in the pause is planned for at its end, not at the next tick: a model that has just
+/// been loaded is told of some milliseconds later.
+#[test]
+fn pause_after_a_short_plan_is_short() {
+    let at = Duration::from_millis;
+    let mut pace = Pace::default();
+    pace.ran(at(100), at(104));
+    assert_eq!(pace.wait(at(105)), at(11));
+    assert!(pace.wait(at(116)).is_zero());
+}
