Orders: this instance's demand is not copied for each plan

Cause: the demand was copied only so that it could be counted while it was kept. Change: it is counted first and kept then.

--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -187,11 +187,11 @@
         let Some(catalog) = self.gateway.catalog() else {
             return;
         };
-        self.own = link::demand(&self.gateway);
+        let mut own = link::demand(&self.gateway);
         // Breaks that this instance saw are counted where they were seen.
-        self.own.broke.clear();
-        let own = self.own.clone();
+        own.broke.clear();
         self.heard(&own);
+        self.own = own;
         self.peers.retain(|_, p| now < p.heard + PEER_SILENT);
         self.rates.retain(|_, r| r.now(now) > RATE_LEAST);
         let mut wants = BTreeMap::new();
