--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -5,12 +5,13 @@
 use std::time::Duration;
 
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::watch;
 use tokio::time::{Instant, sleep, timeout_at};
 
 use super::lease::{Lease, LeaseRow};
 use super::link::{self, HolderInfo, HolderLink};
 use super::orders::OrderController;
+use super::orders::inbox::DemandInbox;
 use super::renewal::LeaseRenewal;
 use super::shared::{Gateway, GatewaySettings, PlatformApi};
 use super::{feed, listener};
@@ -21,8 +22,6 @@
 const READINESS_NOTICE: Duration = Duration::from_millis(2600);
 /// Time before the end of the grace period at which the process exits by itself.
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
-/// Capacity of the queue of messages from other instances.
-const PEER_QUEUE_MESSAGES: usize = 1024;
 /// Interval at which the number of dropped log lines is checked.
 const DROPPED_LOG_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -89,8 +88,8 @@
     )));
     let (holder_info, holder_state) = watch::channel(HolderInfo::default());
     let (link_sender, holder_link) = watch::channel(HolderLink::default());
-    let (peer_messages, inbox) = mpsc::channel(PEER_QUEUE_MESSAGES);
-    OrderController::start(Arc::clone(gateway), Arc::clone(&lease), inbox);
+    let inbox = Arc::new(DemandInbox::default());
+    OrderController::start(Arc::clone(gateway), Arc::clone(&lease), Arc::clone(&inbox));
     let renewal = LeaseRenewal {
         gateway: Arc::clone(gateway),
         lease,
@@ -103,7 +102,7 @@
         Arc::clone(gateway),
         peers,
         holder_state.clone(),
-        peer_messages,
+        inbox,
     ));
     tokio::spawn(link::maintain_link(
         Arc::clone(gateway),
--- a/src/gateway/lease.rs
+++ b/src/gateway/lease.rs
@@ -8,6 +8,7 @@
 //! store outage the holder may therefore continue as long as it has heard from every possible
 //! successor within the term.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -128,6 +129,14 @@
             .filter(|_| now + EXPIRY_MARGIN < self.valid_until)
     }
 
+    /// Fencing token of this instance's term, also where its validity has run out.
+    ///
+    /// As long as it stays the same, no other instance has held the lease.
+    #[must_use]
+    pub const fn term(&self) -> Option<u64> {
+        self.fencing_token
+    }
+
     /// Last known version of the row.
     #[must_use]
     pub const fn version(&self) -> u64 {
@@ -225,3 +234,32 @@
             .min(limit)
     }
 }
+
+/// Newest reading of the holder's clock that each instance echoed.
+///
+/// An echo shows that its instance knew the holder to be alive at that reading. One that has
+/// fallen silent counts until the next renewal: it may become the successor.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Echoes {
+    readings: BTreeMap<String, Duration>,
+}
+
+impl Echoes {
+    /// Records a reading echoed by an instance; zero before it has heard from the holder.
+    pub fn record(&mut self, instance: &str, reading: Duration) {
+        self.readings.insert(instance.to_owned(), reading);
+    }
+
+    /// Extends the lease by the oldest reading.
+    ///
+    /// A renewal restarts the takeover wait of every instance without a link, so that older
+    /// readings of these need not be considered.
+    pub fn extend(&mut self, lease: &mut Lease, is_linked: impl Fn(&str) -> bool) {
+        let renewed = lease.renewed_at();
+        self.readings
+            .retain(|name, reading| *reading > renewed || is_linked(name));
+        if let Some(oldest) = self.readings.values().min() {
+            lease.extend(*oldest);
+        }
+    }
+}
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -16,6 +16,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use super::lease::LeaseRow;
+use super::orders::inbox::{DemandInbox, LinkReport};
 use super::servers::EndpointView;
 use super::shared::Gateway;
 
@@ -37,15 +38,6 @@
 /// Most updates queued for a slow link.
 const MAX_QUEUED_UPDATES: usize = 64;
 
-/// Event on a link of another instance, for the lease holder.
-#[derive(Debug)]
-pub enum LinkEvent {
-    /// Link number and demand report; updates for the instance go through the channel.
-    Report(u64, DemandReport, mpsc::Sender<FleetUpdate>),
-    /// Number of a link that was closed.
-    Closed(u64),
-}
-
 /// State of the link to the lease holder.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct HolderLink {
@@ -147,7 +139,7 @@
     gateway: Arc<Gateway>,
     listener: TcpListener,
     holder_info: watch::Receiver<HolderInfo>,
-    events: mpsc::Sender<LinkEvent>,
+    inbox: Arc<DemandInbox>,
 ) {
     let mut link_id = 0;
     loop {
@@ -161,7 +153,7 @@
             Arc::clone(&gateway),
             stream,
             holder_info.clone(),
-            events.clone(),
+            Arc::clone(&inbox),
             link_id,
         );
         tokio::spawn(task);
@@ -172,7 +164,7 @@
     gateway: Arc<Gateway>,
     stream: TcpStream,
     holder_info: watch::Receiver<HolderInfo>,
-    events: mpsc::Sender<LinkEvent>,
+    inbox: Arc<DemandInbox>,
     link_id: u64,
 ) {
     if let Err(error) = stream.set_nodelay(true) {
@@ -187,10 +179,11 @@
                 let Ok(report) = DemandReport::decode(bytes) else { break };
                 let known = holder_info.borrow().clone();
                 if known.holding {
-                    let message = LinkEvent::Report(link_id, report, outgoing.clone());
-                    if events.send(message).await.is_err() {
-                        break;
-                    }
+                    inbox.report(link_id, LinkReport {
+                        demand: report,
+                        updates: outgoing.clone(),
+                        heard_at: gateway.now(),
+                    });
                     None
                 } else {
                     Some(FleetUpdate {
@@ -208,9 +201,7 @@
             break;
         }
     }
-    if events.send(LinkEvent::Closed(link_id)).await.is_err() {
-        log::debug!("the instance is stopping");
-    }
+    inbox.close(link_id);
 }
 
 async fn send(link: &mut Frames, message: &impl Message) -> Option<()> {
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -1,30 +1,37 @@
 //! Lease holder: collects demand, plans which models engines hold, and issues orders to them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use tokio::sync::mpsc;
 use xtra::prelude::*;
 
 use super::catalog::Engine;
 use super::lease::Lease;
-use super::link::{self, DemandReport, LinkEvent};
+use super::link::{self, DemandReport};
 use super::planner::{self, EngineAction, Fleet, PlannedAction, StoreCapacity, WeightSource};
 use super::shared::{DemandKey, Gateway};
 
 mod engine_events;
 mod fleet;
+pub mod inbox;
+pub mod port;
 mod publish;
-mod record;
+pub mod record;
+pub mod records;
 pub mod send;
+pub mod sequence;
 mod store_loads;
 pub mod throttle;
 pub mod views;
 
 use engine_events::ChangeEnded;
+use inbox::DemandInbox;
+use port::PlatformEngine;
 use publish::Peer;
-use record::{ActiveSwap, ArrivalRate, EngineRecord};
+use record::ArrivalRate;
+use records::EngineRecords;
 use send::OrderSender;
 use store_loads::StoreLoads;
 use throttle::PlanThrottle;
@@ -47,10 +54,8 @@
     gateway: Arc<Gateway>,
     lease: Arc<Mutex<Lease>>,
     own_address: Option<Address<Self>>,
+    inbox: Arc<DemandInbox>,
     peers: BTreeMap<u64, Peer>,
-    /// Newest reading of this instance's clock that each instance echoed, by name; those of
-    /// instances without a link stay until the lease is renewed.
-    echoes: BTreeMap<String, Duration>,
     own_demand: DemandReport,
     throttle: PlanThrottle,
     /// Whether a [`PauseEnded`] message is scheduled.
@@ -60,7 +65,7 @@
     dirty: bool,
     views: EngineViews,
     rates: BTreeMap<DemandKey, ArrivalRate>,
-    records: BTreeMap<String, EngineRecord>,
+    records: EngineRecords,
     store_loads: StoreLoads,
 }
 
@@ -73,20 +78,16 @@
 struct PauseEnded;
 
 impl OrderController {
-    /// Starts the actor, which receives the demand of other instances through `events`.
-    pub fn start(
-        gateway: Arc<Gateway>,
-        lease: Arc<Mutex<Lease>>,
-        mut events: mpsc::Receiver<LinkEvent>,
-    ) {
+    /// Starts the actor, which receives the demand of other instances through `inbox`.
+    pub fn start(gateway: Arc<Gateway>, lease: Arc<Mutex<Lease>>, inbox: Arc<DemandInbox>) {
         let window = gateway.settings.load_window;
         let address = xtra::spawn_tokio(
             Self {
                 gateway: Arc::clone(&gateway),
                 lease,
                 own_address: None,
+                inbox: Arc::clone(&inbox),
                 peers: BTreeMap::new(),
-                echoes: BTreeMap::new(),
                 own_demand: DemandReport::default(),
                 throttle: PlanThrottle::default(),
                 pause_pending: false,
@@ -94,27 +95,20 @@
                 dirty: false,
                 views: EngineViews::default(),
                 rates: BTreeMap::new(),
-                records: BTreeMap::new(),
+                records: EngineRecords::default(),
                 store_loads: StoreLoads::new(window),
             },
             Mailbox::bounded(MAILBOX_MESSAGES),
         );
-        let ticks = address.clone();
         let demand_tracker = Arc::clone(&gateway.demand);
         tokio::spawn(async move {
             loop {
                 tokio::select! {
                     () = tokio::time::sleep(PLAN_INTERVAL) => {}
                     () = demand_tracker.changed.notified(), if gateway.holds_lease() => {}
+                    () = inbox.urgent.notified() => {}
                 }
-                if ticks.send(Tick).await.is_err() {
-                    return;
-                }
-            }
-        });
-        tokio::spawn(async move {
-            while let Some(event) = events.recv().await {
-                if address.send(event).await.is_err() {
+                if address.send(Tick).await.is_err() {
                     return;
                 }
             }
@@ -122,16 +116,15 @@
     }
 
     /// The fencing token while orders may be issued; extends the lease by echoed clocks first.
-    fn fencing_token(&mut self) -> Option<u64> {
+    fn fencing_token(&self) -> Option<u64> {
         let mut lease = self.lease.lock().unwrap_or_else(PoisonError::into_inner);
-        // A renewal restarts the takeover wait of every instance without a link, so that older
-        // echoes of these need not be considered.
-        let renewed = lease.renewed_at();
-        let linked = |name: &String| self.peers.values().any(|p| p.demand.instance == *name);
-        self.echoes.retain(|name, at| *at > renewed || linked(name));
-        if let Some(oldest) = self.echoes.values().min() {
-            lease.extend(*oldest);
-        }
+        let linked: BTreeSet<&str> = self
+            .peers
+            .values()
+            .map(|p| p.demand.instance.as_str())
+            .collect();
+        let mut echoes = self.inbox.echoes();
+        echoes.extend(&mut lease, |name| linked.contains(name));
         lease.fencing_token(self.gateway.now())
     }
 
@@ -183,10 +176,14 @@
     }
 
     fn plan(&mut self, now: Duration) {
+        self.read_inbox();
         let Some(fencing_token) = self.fencing_token() else {
-            self.clear_state();
+            self.drop_lost_term();
             return;
         };
+        if self.records.enter_term(fencing_token) {
+            self.clear_published();
+        }
         let Some(catalog) = self.gateway.catalog() else {
             return;
         };
@@ -217,13 +214,42 @@
         }
     }
 
-    /// Clears the state that only the lease holder keeps.
-    fn clear_state(&mut self) {
-        self.records.clear();
-        self.peers.clear();
-        self.echoes.clear();
+    /// Takes the reports that arrived on the links since the last plan.
+    fn read_inbox(&mut self) {
+        let news = self.inbox.take();
+        for (number, report) in news.reports {
+            self.record_demand(&report.demand);
+            if let Some(peer) = self.peers.get_mut(&number) {
+                peer.heard_at = report.heard_at;
+                peer.demand = report.demand;
+            } else {
+                self.peers.insert(number, Peer::new(report));
+            }
+        }
+        for number in news.closed {
+            self.peers.remove(&number);
+        }
+    }
+
+    /// Ends the term once another instance may have held the lease.
+    fn drop_lost_term(&mut self) {
+        let lease = self.lease.lock().unwrap_or_else(PoisonError::into_inner);
+        let held = lease.term();
+        drop(lease);
+        if self.records.leave_lost_term(held) {
+            self.peers.clear();
+            self.clear_published();
+        }
+    }
+
+    /// Forgets the loads and the published views of an earlier term.
+    fn clear_published(&mut self) {
         self.store_loads.clear();
         self.views = EngineViews::default();
+        for peer in self.peers.values_mut() {
+            peer.sent_version = 0;
+            peer.full_sent = Duration::ZERO;
+        }
     }
 
     fn start_change(
@@ -251,13 +277,6 @@
                 if *source == WeightSource::Store {
                     load_time = self.store_loads.start(load_time, now);
                 }
-                for old in evict {
-                    record.models.remove(old);
-                }
-                record.swap = Some(ActiveSwap {
-                    change: step.action.clone(),
-                    expected_end: now + load_time,
-                });
                 let demand = fleet.demand.iter().find(|(t, _)| t.model == *model);
                 log::info!(engine = step.engine.as_str(), model = model.as_str(),
                     out = evict.join(","), source:% = source, urgent = step.urgent,
@@ -265,13 +284,6 @@
                     accepted = record.accepted_count(); "load decided");
             }
             EngineAction::LoadAdapter { evict, target } => {
-                record.adapter_loads += 1;
-                record.pending_adapters.insert(target.clone());
-                for old in evict {
-                    if let Some(adapters) = record.models.get_mut(&old.model) {
-                        adapters.remove(old.adapter_name());
-                    }
-                }
                 log::info!(engine = step.engine.as_str(), model = target.model.as_str(),
                     adapter = target.adapter_name(), out = evict.len(),
                     fence = fencing_token; "adapter load decided");
@@ -281,17 +293,23 @@
         let Some(controller) = self.own_address.clone() else {
             return;
         };
-        let sender = OrderSender::new(&self.gateway, &self.lease, &step.engine, record);
-        let started_ms = record.started_ms;
+        let ticket = record.begin_change(&step.action, now + load_time);
+        let address = record.address;
+        let sender = OrderSender {
+            port: Box::new(self.port(&step.engine, address)),
+            engine: step.engine.clone(),
+            holder: self.gateway.settings.name.clone(),
+            ticket: ticket.clone(),
+        };
         tokio::spawn(async move {
-            let begun = sender.gateway.now();
-            let outcome = sender.execute(&step.action, load_time).await;
-            let took = sender.gateway.now().saturating_sub(begun);
+            let begun = sender.port.now();
+            let result = sender.execute(&step.action, load_time).await;
+            let took = sender.port.now().saturating_sub(begun);
             let ended = ChangeEnded {
                 engine: step.engine,
-                started_ms,
                 change: step.action,
-                outcome,
+                ticket,
+                result,
                 took,
             };
             if controller.send(ended).await.is_err() {
@@ -299,6 +317,15 @@
             }
         });
     }
+
+    fn port(&self, engine: &str, address: SocketAddr) -> PlatformEngine {
+        PlatformEngine {
+            gateway: Arc::clone(&self.gateway),
+            lease: Arc::clone(&self.lease),
+            engine: engine.to_owned(),
+            address,
+        }
+    }
 }
 
 impl Handler<Tick> for OrderController {
@@ -320,40 +347,3 @@
         self.replan();
     }
 }
-
-impl Handler<LinkEvent> for OrderController {
-    type Return = ();
-
-    async fn handle(&mut self, message: LinkEvent, _ctx: &mut Context<Self>) {
-        match message {
-            LinkEvent::Closed(number) => {
-                self.peers.remove(&number);
-            }
-            LinkEvent::Report(number, demand, updates) => {
-                self.record_demand(&demand);
-                let echo = Duration::from_millis(demand.clock_echo);
-                self.echoes.insert(demand.instance.clone(), echo);
-                let urgent = demand.requested.iter().any(|c| c.count > 0);
-                let heard_at = self.gateway.now();
-                if let Some(peer) = self.peers.get_mut(&number) {
-                    peer.heard_at = heard_at;
-                    peer.demand = demand;
-                } else {
-                    let peer = Peer {
-                        demand,
-                        heard_at,
-                        updates,
-                        sent_version: 0,
-                        full_sent: Duration::ZERO,
-                        last_sent: Duration::ZERO,
-                        refused_sent: 0,
-                    };
-                    self.peers.insert(number, peer);
-                }
-                if urgent {
-                    self.replan();
-                }
-            }
-        }
-    }
-}
--- a/src/gateway/orders/engine_events.rs
+++ b/src/gateway/orders/engine_events.rs
@@ -8,7 +8,10 @@
 use super::super::planner::{EngineAction, WeightSource};
 use super::super::protocol::Report;
 use super::OrderController;
-use super::send::{OrderSender, Outcome, report_due};
+use super::port::EnginePort;
+use super::record::ChangeResult;
+use super::send::{Outcome, report_due};
+use super::sequence::OrderTicket;
 
 /// Interval between report requests to an engine that is not loaded.
 const REPORT_INTERVAL: Duration = Duration::from_millis(900);
@@ -30,9 +33,9 @@
 #[derive(Debug)]
 pub(super) struct ChangeEnded {
     pub(super) engine: String,
-    pub(super) started_ms: u64,
     pub(super) change: EngineAction,
-    pub(super) outcome: Outcome,
+    pub(super) ticket: OrderTicket,
+    pub(super) result: ChangeResult,
     pub(super) took: Duration,
 }
 
@@ -41,7 +44,8 @@
         let Some(controller) = self.own_address.clone() else {
             return;
         };
-        for (id, record) in &mut self.records {
+        let mut due = Vec::new();
+        for (id, record) in self.records.iter_mut() {
             let loaded = record.load * LOADED_SLOTS_DIVISOR >= slots || record.queued > 0;
             let interval = if loaded {
                 LOADED_REPORT_INTERVAL
@@ -59,11 +63,14 @@
             record.report_requested = now;
             // Jitter keeps the reports of all engines from arriving at once.
             record.report_jitter = Duration::from_millis(u64::from(rand::random::<u8>()));
-            let sender = OrderSender::new(&self.gateway, &self.lease, id, record);
-            let (engine, controller) = (id.clone(), controller.clone());
+            due.push((id.clone(), record.address));
+        }
+        for (engine, address) in due {
+            let port = self.port(&engine, address);
+            let controller = controller.clone();
             tokio::spawn(async move {
-                let requested = sender.gateway.now();
-                let Some(report) = sender.fetch_report().await else {
+                let requested = port.now();
+                let Some(report) = port.report().await else {
                     return;
                 };
                 let received = ReportReceived {
@@ -92,46 +99,25 @@
                 .flat_map(|c| c.engines())
                 .find_map(|(_, e)| e.models.get(model).map(|m| m.cold_load));
             self.store_loads
-                .finish(ended.took, cold, ended.outcome == Outcome::Done);
+                .finish(ended.took, cold, ended.result.outcome == Outcome::Done);
         }
-        let Some(record) = self.records.get_mut(&ended.engine) else {
-            return;
-        };
-        if record.started_ms != ended.started_ms {
-            return;
-        }
-        record.change_ended = now;
+        let outcome = ended.result.outcome;
+        let known = self.records.get_mut(&ended.engine).is_some_and(|record| {
+            record.finish_change(&ended.change, &ended.ticket, ended.result, now)
+        });
         let took = link::millis(ended.took);
         match ended.change {
             EngineAction::LoadModel { model, source, .. } => {
-                record.swap = None;
                 log::info!(engine = ended.engine.as_str(), model = model.as_str(),
-                    outcome:% = ended.outcome, took_ms = took, source:% = source; "load ended");
-                if ended.outcome == Outcome::Done {
-                    record.loaded_at.insert(model.clone(), now);
-                    record.warm.insert(model.clone());
-                    record.disk.insert(model.clone());
-                    record.models.entry(model).or_default();
-                } else {
-                    // Until the engine reports, none of its memory counts as free and none of its
-                    // models is offered.
-                    record.state_unknown = true;
-                }
+                    outcome:% = outcome, took_ms = took, source:% = source, known = known;
+                    "load ended");
             }
-            EngineAction::LoadAdapter { target, .. } => {
-                record.adapter_loads = record.adapter_loads.saturating_sub(1);
-                record.pending_adapters.remove(&target);
-                if ended.outcome == Outcome::Done {
-                    if let Some(adapters) = record.models.get_mut(&target.model) {
-                        adapters.extend(target.adapter);
-                    }
-                } else {
-                    record.state_unknown = true;
-                    log::warn!(engine = ended.engine.as_str(), model = target.model.as_str(),
-                        adapter = target.adapter.unwrap_or_default(),
-                        outcome:% = ended.outcome, took_ms = took; "adapter load ended");
-                }
+            EngineAction::LoadAdapter { target, .. } if outcome != Outcome::Done => {
+                log::warn!(engine = ended.engine.as_str(), model = target.model.as_str(),
+                    adapter = target.adapter.unwrap_or_default(),
+                    outcome:% = outcome, took_ms = took, known = known; "adapter load ended");
             }
+            EngineAction::LoadAdapter { .. } => {}
         }
     }
 }
--- a/src/gateway/orders/fleet.rs
+++ b/src/gateway/orders/fleet.rs
@@ -1,33 +1,19 @@
 //! Input of the planner: known states of engines and the demand of all instances.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use super::super::link::DemandReport;
-use super::super::planner::{EngineAction, EngineState, Fleet, LoadedModel, TargetDemand};
+use super::super::planner::{Fleet, TargetDemand};
 use super::super::protocol::Target;
 use super::OrderController;
-use super::record::{EngineRecord, RATE_WINDOW};
 
 impl OrderController {
     pub(super) fn sync_records(&mut self, service: &str, now: Duration) {
         let servers = &self.gateway.servers;
         let listed = servers.list_service(service);
-        let ids: BTreeSet<&str> = listed.iter().map(|e| e.id.as_str()).collect();
-        self.records.retain(|id, _| ids.contains(id.as_str()));
-        for entry in &listed {
-            let restarted = |r: &EngineRecord| r.started_ms != entry.started_ms;
-            if self.records.get(&entry.id).is_none_or(restarted)
-                && let Some(endpoint) = servers.endpoint(&entry.id)
-            {
-                self.records
-                    .insert(entry.id.clone(), EngineRecord::new(&endpoint));
-            }
-            if let Some(record) = self.records.get_mut(&entry.id) {
-                record.leaving |= !entry.ready;
-                record.loaded_at.retain(|_, at| now < *at + RATE_WINDOW);
-            }
-        }
+        let describe = |id: &str| servers.endpoint(id);
+        self.records.sync(service, &listed, describe, now);
     }
 
     pub(super) fn demands(&self) -> impl Iterator<Item = &DemandReport> {
@@ -45,7 +31,7 @@
                     .request_rate = rate.at(now);
             }
         }
-        let mut running: BTreeMap<(&str, Target), u32> = BTreeMap::new();
+        let mut running: BTreeMap<&str, BTreeMap<Target, u32>> = BTreeMap::new();
         for demand in self.demands() {
             for count in demand.requested.iter().filter(|c| c.scope == service) {
                 if count.count == 0 {
@@ -61,49 +47,16 @@
                 target_demand.waiting += count.count;
             }
             for count in &demand.running {
-                *running.entry((&count.scope, count.target())).or_default() += count.count;
+                let engine = running.entry(&count.scope).or_default();
+                *engine.entry(count.target()).or_default() += count.count;
             }
         }
-        let engines = self.records.iter().map(|(id, record)| {
-            let running_on = |model: &str, adapter: Option<&String>| {
-                let target = Target {
-                    model: model.to_owned(),
-                    adapter: adapter.cloned(),
-                };
-                running
-                    .get(&(id.as_str(), target))
-                    .copied()
-                    .unwrap_or_default()
-            };
-            let models = record.models.iter().map(|(model, adapters)| {
-                let adapters: BTreeMap<String, u32> = adapters
-                    .iter()
-                    .map(|a| (a.clone(), running_on(model, Some(a))))
-                    .collect();
-                let loaded_model = LoadedModel {
-                    running: running_on(model, None) + adapters.values().sum::<u32>(),
-                    adapters,
-                    loaded_at: record.loaded_at.get(model).copied().unwrap_or_default(),
-                };
-                (model.clone(), loaded_model)
-            });
-            EngineState {
-                id: id.clone(),
-                domain: record.domain.clone(),
-                models: models.collect(),
-                loading_adapters: record.pending_adapters.clone(),
-                in_memory: record.warm.clone(),
-                on_disk: record.disk.clone(),
-                loading_model: record.swap.as_ref().and_then(|s| match &s.change {
-                    EngineAction::LoadModel { model, .. } => Some(model.clone()),
-                    EngineAction::LoadAdapter { .. } => None,
-                }),
-                busy: record.swap.is_some() || record.adapter_loads > 0 || record.state_unknown,
-                draining: record.leaving,
-            }
-        });
+        let running_on = |engine: &str, target: &Target| {
+            let count = running.get(engine).and_then(|r| r.get(target));
+            count.copied().unwrap_or_default()
+        };
         Fleet {
-            engines: engines.collect(),
+            engines: self.records.states(service, running_on, now),
             demand: target_demands,
         }
     }
--- /dev/null
+++ b/src/gateway/orders/inbox.rs
@@ -0,0 +1,98 @@
+//! Reports of other instances that the lease holder has not processed yet.
+//!
+//! A holder that is behind finds the newest report of each link, whatever arrived in the meantime,
+//! and the links keep reading the echoes that prolong its lease.
+
+use std::collections::BTreeMap;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use tokio::sync::{Notify, mpsc};
+
+use super::super::lease::Echoes;
+use super::super::link::{DemandReport, FleetUpdate, TargetCount};
+
+/// Newest report of a link.
+#[derive(Debug, Clone)]
+pub struct LinkReport {
+    /// The report; its arrivals and aborted requests include those of unprocessed earlier ones.
+    pub demand: DemandReport,
+    /// Sends updates to the instance.
+    pub updates: mpsc::Sender<FleetUpdate>,
+    /// When the report was received.
+    pub heard_at: Duration,
+}
+
+/// What happened on the links since it was last taken.
+#[derive(Debug, Default)]
+pub struct LinkNews {
+    /// Newest report of each link, by the link's number.
+    pub reports: BTreeMap<u64, LinkReport>,
+    /// Numbers of the links that were closed.
+    pub closed: Vec<u64>,
+}
+
+/// Collects what arrives on the links of other instances.
+#[derive(Debug, Default)]
+pub struct DemandInbox {
+    news: Mutex<LinkNews>,
+    echoes: Mutex<Echoes>,
+    /// Notified when requests wait at an instance.
+    pub urgent: Notify,
+}
+
+impl DemandInbox {
+    /// Adds a report; it replaces the unprocessed one of its link.
+    pub fn report(&self, link: u64, mut report: LinkReport) {
+        let echo = Duration::from_millis(report.demand.clock_echo);
+        self.echoes().record(&report.demand.instance, echo);
+        let is_urgent = report.demand.requested.iter().any(|c| c.count > 0);
+        let mut news = self.news();
+        if let Some(earlier) = news.reports.remove(&link) {
+            add_events(&mut report.demand, earlier.demand);
+        }
+        news.reports.insert(link, report);
+        drop(news);
+        if is_urgent {
+            self.urgent.notify_one();
+        }
+    }
+
+    /// Records that a link was closed.
+    pub fn close(&self, link: u64) {
+        self.news().closed.push(link);
+    }
+
+    /// Returns what happened since the last call.
+    #[must_use]
+    pub fn take(&self) -> LinkNews {
+        std::mem::take(&mut self.news())
+    }
+
+    /// Clock readings that the instances echoed.
+    pub fn echoes(&self) -> MutexGuard<'_, Echoes> {
+        self.echoes.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn news(&self) -> MutexGuard<'_, LinkNews> {
+        self.news.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Adds the arrivals and aborted requests of an earlier report, which each report tells only once.
+fn add_events(demand: &mut DemandReport, earlier: DemandReport) {
+    for count in earlier.requested.into_iter().filter(|c| c.arrivals > 0) {
+        let same = demand.requested.iter_mut().find(|c| {
+            c.scope == count.scope && c.model == count.model && c.adapter == count.adapter
+        });
+        match same {
+            Some(newer) => newer.arrivals += count.arrivals,
+            None => demand.requested.push(TargetCount {
+                count: 0,
+                wait_ms: 0,
+                ..count
+            }),
+        }
+    }
+    demand.aborted.extend(earlier.aborted);
+}
--- a/src/gateway/orders/publish.rs
+++ b/src/gateway/orders/publish.rs
@@ -12,6 +12,7 @@
 use super::super::protocol::Target;
 use super::super::servers::EndpointView;
 use super::OrderController;
+use super::inbox::LinkReport;
 
 /// Interval between sends of all views to an instance.
 const FULL_VIEW_INTERVAL: Duration = Duration::from_secs(1);
@@ -40,7 +41,7 @@
                 *loads.entry(count.scope.clone()).or_default() += count.count;
             }
         }
-        for (id, record) in &mut self.records {
+        for (id, record) in self.records.iter_mut() {
             record.load = loads.get(id).copied().unwrap_or_default();
         }
         let views: Vec<EndpointView> = self
@@ -122,10 +123,10 @@
                 if demand.waiting == 0 || target.adapter.is_some() {
                     continue;
                 }
-                let active = self.records.values().filter_map(|r| r.swap.as_ref()).find(
+                let active = self.records.iter().filter_map(|(_, r)| r.swap.as_ref()).find(
                     |s| matches!(&s.change, EngineAction::LoadModel { model, .. } if *model == target.model),
                 );
-                let has_copy = self.records.values().any(|r| {
+                let has_copy = self.records.iter().any(|(_, r)| {
                     r.disk.contains(&target.model) || r.models.contains_key(&target.model)
                 });
                 let cold = engine
@@ -153,6 +154,19 @@
 }
 
 impl Peer {
+    /// A peer that has to be sent everything.
+    pub(super) fn new(report: LinkReport) -> Self {
+        Self {
+            demand: report.demand,
+            heard_at: report.heard_at,
+            updates: report.updates,
+            sent_version: 0,
+            full_sent: Duration::ZERO,
+            last_sent: Duration::ZERO,
+            refused_sent: 0,
+        }
+    }
+
     /// Estimates for the models that requests at this instance wait for.
     fn relevant_estimates(&self, estimates: &[TargetCount]) -> Vec<TargetCount> {
         let has_waiting = |e: &&TargetCount| {
--- a/src/gateway/orders/record.rs
+++ b/src/gateway/orders/record.rs
@@ -2,43 +2,68 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
-use super::super::planner::EngineAction;
+use super::super::planner::{EngineAction, EngineState, LoadedModel};
 use super::super::protocol::{Endpoint, HeldModels, Report, Target};
-use super::send::is_current;
+use super::send::{Outcome, is_current};
+use super::sequence::{OrderSequence, OrderTicket};
 
 /// Time constant of the average arrival rate for a model: as long as a few swaps take.
 ///
 /// The times of loads are kept as long.
 pub(super) const RATE_WINDOW: Duration = Duration::from_secs(8);
 
+/// Time for which an adapter that an engine would not unload counts as in use.
+const IN_USE_TIME: Duration = Duration::from_secs(2);
+
 /// A swap in progress.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub(super) struct ActiveSwap {
-    pub(super) change: EngineAction,
-    pub(super) expected_end: Duration,
+pub struct ActiveSwap {
+    /// The change that is being carried out.
+    pub change: EngineAction,
+    /// When its load is expected to end.
+    pub expected_end: Duration,
+}
+
+/// How a change ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ChangeResult {
+    /// Outcome of the last order.
+    pub outcome: Outcome,
+    /// Number of evictions that were carried out, in the order of the change.
+    pub unloaded: usize,
 }
 
 /// State of an engine as known to the lease holder.
 #[derive(Debug)]
-pub(super) struct EngineRecord {
-    pub(super) address: SocketAddr,
-    pub(super) domain: String,
+pub struct EngineRecord {
+    /// Service that it belongs to.
+    pub service: String,
+    /// Address.
+    pub address: SocketAddr,
+    /// Failure domain.
+    pub domain: String,
     /// Start of the engine, in Unix milliseconds; 0 where unknown.
-    pub(super) started_ms: u64,
-    /// Number of orders that the engine accepted; locked while one is being sent.
-    pub(super) accepted: Arc<tokio::sync::Mutex<u64>>,
-    /// Last reading of `accepted`, for use while it is locked.
-    pub(super) last_accepted: u64,
-    pub(super) models: HeldModels,
+    pub started_ms: u64,
+    /// Models that it holds, each with its adapters.
+    pub models: HeldModels,
+    /// Swap that is being carried out.
+    pub swap: Option<ActiveSwap>,
+    /// Whether it accepts no new requests.
+    pub leaving: bool,
+    /// Whether the models that it holds are unknown until its next report.
+    pub state_unknown: bool,
+    sequence: OrderSequence,
+    /// Last reading of the number of accepted orders, for use while an order is being sent.
+    last_accepted: u64,
     /// Times of recent loads, by model.
     pub(super) loaded_at: BTreeMap<String, Duration>,
     pub(super) pending_adapters: BTreeSet<Target>,
+    /// Adapters that the engine would not unload, and until when they count as in use.
+    in_use: BTreeMap<Target, Duration>,
     pub(super) warm: BTreeSet<String>,
     pub(super) disk: BTreeSet<String>,
-    pub(super) swap: Option<ActiveSwap>,
     pub(super) adapter_loads: u32,
     pub(super) running: u32,
     pub(super) queued: u32,
@@ -48,25 +73,26 @@
     pub(super) report_requested: Duration,
     /// Random delay of the next report request.
     pub(super) report_jitter: Duration,
-    pub(super) leaving: bool,
-    /// Whether the models that it holds are unknown until its next report.
-    pub(super) state_unknown: bool,
 }
 
 impl EngineRecord {
     pub(super) fn new(endpoint: &Endpoint) -> Self {
         Self {
+            service: endpoint.service.clone(),
             address: endpoint.address,
             domain: endpoint.domain.clone(),
             started_ms: endpoint.start_ms,
-            accepted: Arc::default(),
-            last_accepted: 0,
             models: endpoint.models.clone(),
+            swap: None,
+            leaving: false,
+            state_unknown: true,
+            sequence: OrderSequence::default(),
+            last_accepted: 0,
             loaded_at: BTreeMap::new(),
             pending_adapters: BTreeSet::new(),
+            in_use: BTreeMap::new(),
             warm: endpoint.memory_models.clone(),
             disk: endpoint.disk_models.clone(),
-            swap: None,
             adapter_loads: 0,
             running: 0,
             queued: 0,
@@ -74,32 +100,116 @@
             change_ended: Duration::ZERO,
             report_requested: Duration::ZERO,
             report_jitter: Duration::ZERO,
-            leaving: false,
-            state_unknown: true,
         }
     }
 
     /// Number of accepted orders; the last reading while an order is being sent.
-    pub(super) fn accepted_count(&mut self) -> u64 {
-        if let Ok(accepted) = self.accepted.try_lock() {
-            self.last_accepted = *accepted;
+    pub fn accepted_count(&mut self) -> u64 {
+        if let Some(accepted) = self.sequence.accepted() {
+            self.last_accepted = accepted;
         }
         self.last_accepted
     }
 
-    pub(super) const fn is_idle(&self) -> bool {
+    /// Whether no change is being carried out.
+    #[must_use]
+    pub const fn is_idle(&self) -> bool {
         self.swap.is_none() && self.adapter_loads == 0
     }
 
-    pub(super) fn unloading_models(&self) -> BTreeSet<String> {
+    /// Models that the swap in progress unloads.
+    #[must_use]
+    pub fn unloading_models(&self) -> BTreeSet<String> {
         match self.swap.as_ref().map(|s| &s.change) {
             Some(EngineAction::LoadModel { evict, .. }) => evict.iter().cloned().collect(),
             _ => BTreeSet::new(),
         }
     }
 
+    /// Records the start of a change and returns its permission to send orders.
+    pub fn begin_change(&mut self, change: &EngineAction, expected_end: Duration) -> OrderTicket {
+        match change {
+            EngineAction::LoadModel { evict, .. } => {
+                for old in evict {
+                    self.models.remove(old);
+                }
+                self.swap = Some(ActiveSwap {
+                    change: change.clone(),
+                    expected_end,
+                });
+            }
+            EngineAction::LoadAdapter { evict, target } => {
+                self.adapter_loads += 1;
+                self.pending_adapters.insert(target.clone());
+                for old in evict {
+                    if let Some(adapters) = self.models.get_mut(&old.model) {
+                        adapters.remove(old.adapter_name());
+                    }
+                }
+            }
+        }
+        self.sequence.ticket()
+    }
+
+    /// Records the end of a change; returns false if it belongs to an earlier record.
+    pub fn finish_change(
+        &mut self,
+        change: &EngineAction,
+        ticket: &OrderTicket,
+        result: ChangeResult,
+        now: Duration,
+    ) -> bool {
+        if !self.sequence.issued(ticket) {
+            return false;
+        }
+        self.change_ended = now;
+        match change {
+            EngineAction::LoadModel { model, .. } => {
+                self.swap = None;
+                if result.outcome == Outcome::Done {
+                    self.loaded_at.insert(model.clone(), now);
+                    self.warm.insert(model.clone());
+                    self.disk.insert(model.clone());
+                    self.models.entry(model.clone()).or_default();
+                } else {
+                    // Until the engine reports, none of its memory counts as free and none of its
+                    // models is offered.
+                    self.state_unknown = true;
+                }
+            }
+            EngineAction::LoadAdapter { evict, target } => {
+                self.adapter_loads = self.adapter_loads.saturating_sub(1);
+                self.pending_adapters.remove(target);
+                match result.outcome {
+                    Outcome::Done => {
+                        if let Some(adapters) = self.models.get_mut(&target.model) {
+                            adapters.extend(target.adapter.clone());
+                        }
+                    }
+                    Outcome::InUse => self.keep_adapters(evict.get(result.unloaded..), now),
+                    _ => self.state_unknown = true,
+                }
+            }
+        }
+        true
+    }
+
+    /// Restores adapters that were not unloaded, as the engine would not unload the first of them.
+    fn keep_adapters(&mut self, kept: Option<&[Target]>, now: Duration) {
+        let kept = kept.unwrap_or_default();
+        self.in_use.retain(|_, until| now < *until);
+        for (at, adapter) in kept.iter().enumerate() {
+            if let Some(adapters) = self.models.get_mut(&adapter.model) {
+                adapters.extend(adapter.adapter.clone());
+            }
+            if at == 0 {
+                self.in_use.insert(adapter.clone(), now + IN_USE_TIME);
+            }
+        }
+    }
+
     /// Applies a report that was requested at a given time.
-    pub(super) fn apply_report(&mut self, report: Report, requested: Duration) {
+    pub fn apply_report(&mut self, report: Report, requested: Duration) {
         if report.draining {
             self.leaving = true;
         }
@@ -111,13 +221,14 @@
         if !self.is_idle() {
             return;
         }
-        let Ok(mut accepted) = self.accepted.try_lock() else {
+        let Some(accepted) = self.sequence.accepted() else {
             return;
         };
-        if !is_current(&report, *accepted, self.change_ended, requested) {
+        if !is_current(&report, accepted, self.change_ended, requested)
+            || !self.sequence.set_accepted(report.accepted_orders)
+        {
             return;
         }
-        *accepted = report.accepted_orders;
         self.last_accepted = report.accepted_orders;
         // The engine runs an order of another holder: nothing may be loaded until its result is
         // known.
@@ -127,6 +238,48 @@
         self.warm = report.memory_models;
         self.disk = report.disk_models;
     }
+
+    /// State for the planner; `running` tells the requests of all instances on a target here.
+    pub(super) fn state(
+        &self,
+        id: &str,
+        running: impl Fn(&Target) -> u32,
+        now: Duration,
+    ) -> EngineState {
+        let models = self.models.iter().map(|(model, adapters)| {
+            let adapters: BTreeMap<String, u32> = adapters
+                .iter()
+                .map(|name| {
+                    let target = Target {
+                        model: model.clone(),
+                        adapter: Some(name.clone()),
+                    };
+                    let in_use = self.in_use.get(&target).is_some_and(|until| now < *until);
+                    (name.clone(), running(&target).max(u32::from(in_use)))
+                })
+                .collect();
+            let loaded_model = LoadedModel {
+                running: running(&Target::base(model)) + adapters.values().sum::<u32>(),
+                adapters,
+                loaded_at: self.loaded_at.get(model).copied().unwrap_or_default(),
+            };
+            (model.clone(), loaded_model)
+        });
+        EngineState {
+            id: id.to_owned(),
+            domain: self.domain.clone(),
+            models: models.collect(),
+            loading_adapters: self.pending_adapters.clone(),
+            in_memory: self.warm.clone(),
+            on_disk: self.disk.clone(),
+            loading_model: self.swap.as_ref().and_then(|s| match &s.change {
+                EngineAction::LoadModel { model, .. } => Some(model.clone()),
+                EngineAction::LoadAdapter { .. } => None,
+            }),
+            busy: !self.is_idle() || self.state_unknown,
+            draining: self.leaving,
+        }
+    }
 }
 
 /// Exponentially decaying average of arrivals per second.
--- a/src/gateway/orders/send.rs
+++ b/src/gateway/orders/send.rs
@@ -4,32 +4,28 @@
 //! finds a different count and has no effect, so an unanswered order can be sent again, and at most
 //! one of the orders with the same count ever takes effect.
 
-use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::Full;
-use hyper::{Request, StatusCode};
 use tokio::time::sleep;
 
-use super::super::lease::Lease;
 use super::super::planner::EngineAction;
 use super::super::protocol::{Action, Order, Report, Target};
-use super::super::shared::Gateway;
-use super::record::EngineRecord;
-use crate::outbound::Freshness;
+use super::port::{EnginePort, OrderAnswer};
+use super::record::ChangeResult;
+use super::sequence::OrderTicket;
 
-/// Timeout of an order or a report request; engines answer in milliseconds.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(700);
-/// Largest body of an engine's answer.
-const MAX_REPORT_BYTES: usize = 1 << 20;
-/// Delay before an order is sent again to an engine that is carrying out another one.
+/// First delay before an order is sent again to an engine that is carrying out another one.
 const BUSY_RETRY_DELAY: Duration = Duration::from_millis(40);
+/// Growth of that delay from send to send, in percent.
+const BUSY_DELAY_GROWTH_PERCENT: u32 = 150;
+/// Longest such delay.
+const MAX_BUSY_DELAY: Duration = Duration::from_millis(250);
 /// Time that an engine takes to unload a model without running requests.
 const UNLOAD_TIME: Duration = Duration::from_millis(60);
 /// Number of times that an order is sent; an unload may have to wait for running requests.
-const MAX_SENDS: u32 = 60;
+const MAX_SENDS: u32 = 24;
+/// Sends without an answer or a report after which the engine counts as unreachable.
+const MAX_SILENT_SENDS: u32 = 3;
 /// Sends after which a report can no longer predate the last accepted order.
 const LAGGING_SENDS: u32 = 8;
 /// Interval between checks whether a load or an adapter's unload has ended.
@@ -60,12 +56,18 @@
     Accepted,
     /// The engine accepted other orders in the meantime.
     Conflict,
+    /// Requests use the adapter that the order unloads; no order was carried out.
+    InUse,
     /// The engine refused the order.
     Refused,
     /// Another engine, or none, is at the address.
     Gone,
+    /// The engine answers neither orders nor report requests.
+    Unreachable,
     /// This instance no longer holds the lease.
     NoLease,
+    /// The state that the change was planned on is no longer the engine's.
+    Stale,
     /// The load or unload did not end within its timeout.
     Overrun,
     /// The engine accepted no send of the order.
@@ -80,74 +82,55 @@
     }
 }
 
-/// Answer of an engine to one send of an order.
-enum OrderAnswer {
-    Accepted,
-    /// The engine is in the ordered state.
-    Holds,
-    Conflict,
-    Refused,
-    Gone,
-    Unknown,
-}
-
-/// Sends orders to one engine.
+/// Sends the orders of one change to an engine.
 #[derive(Debug)]
-pub(super) struct OrderSender {
-    pub(super) gateway: Arc<Gateway>,
-    pub(super) lease: Arc<Mutex<Lease>>,
-    pub(super) engine: String,
-    pub(super) address: SocketAddr,
-    pub(super) accepted: Arc<tokio::sync::Mutex<u64>>,
+pub struct OrderSender {
+    /// Connection to the engine.
+    pub port: Box<dyn EnginePort>,
+    /// Id of the engine's incarnation.
+    pub engine: String,
+    /// Name of this instance.
+    pub holder: String,
+    /// Permission to send orders to the engine.
+    pub ticket: OrderTicket,
 }
 
 impl OrderSender {
-    pub(super) fn new(
-        gateway: &Arc<Gateway>,
-        lease: &Arc<Mutex<Lease>>,
-        engine: &str,
-        record: &EngineRecord,
-    ) -> Self {
-        Self {
-            gateway: Arc::clone(gateway),
-            lease: Arc::clone(lease),
-            engine: engine.to_owned(),
-            address: record.address,
-            accepted: Arc::clone(&record.accepted),
-        }
-    }
-
     /// Carries out a change whose load is expected to take `load_time`.
-    pub(super) async fn execute(&self, change: &EngineAction, load_time: Duration) -> Outcome {
-        match change {
+    pub async fn execute(&self, change: &EngineAction, load_time: Duration) -> ChangeResult {
+        let mut unloaded = 0;
+        let target = match change {
             EngineAction::LoadModel { evict, model, .. } => {
                 for old in evict {
                     let outcome = self.issue(Action::Unload, Target::base(old)).await;
                     if !outcome.is_success() {
-                        return outcome;
+                        return ChangeResult { outcome, unloaded };
                     }
+                    unloaded += 1;
                     sleep(UNLOAD_TIME).await;
                 }
-                let outcome = self.issue(Action::Load, Target::base(model)).await;
-                if outcome != Outcome::Accepted {
-                    return outcome;
-                }
-                self.wait_loaded(&Target::base(model), load_time).await
+                Target::base(model)
             }
             EngineAction::LoadAdapter { evict, target } => {
                 for old in evict {
                     let outcome = self.unload_adapter(old).await;
                     if outcome != Outcome::Done {
-                        return outcome;
+                        return ChangeResult { outcome, unloaded };
                     }
+                    unloaded += 1;
                 }
-                let outcome = self.issue(Action::Load, target.clone()).await;
-                if outcome != Outcome::Accepted {
-                    return outcome;
-                }
-                self.wait_loaded(target, Duration::ZERO).await
+                target.clone()
             }
+        };
+        let load_time = match change {
+            EngineAction::LoadModel { .. } => load_time,
+            EngineAction::LoadAdapter { .. } => Duration::ZERO,
+        };
+        let mut outcome = self.issue(Action::Load, target.clone()).await;
+        if outcome == Outcome::Accepted {
+            outcome = self.wait_loaded(&target, load_time).await;
         }
+        ChangeResult { outcome, unloaded }
     }
 
     /// Sends one order until the engine accepts it.
@@ -155,20 +138,28 @@
     /// Orders to one engine are sent one at a time, so that an order that it accepted in the
     /// meantime is known to be this one.
     async fn issue(&self, action: Action, target: Target) -> Outcome {
-        let mut accepted = self.accepted.lock().await;
+        let Some(mut accepted) = self.ticket.lock().await else {
+            return Outcome::Stale;
+        };
+        let mut busy_delay = BUSY_RETRY_DELAY;
+        let mut silent = 0;
         for sends in 0..MAX_SENDS {
-            let Some(fencing_token) = self.fencing_token() else {
+            if !self.ticket.is_valid() {
+                return Outcome::Stale;
+            }
+            let Some(fencing_token) = self.port.fencing_token() else {
                 return Outcome::NoLease;
             };
             let order = Order {
                 action,
                 target: target.clone(),
                 expected_orders: *accepted,
-                holder: self.gateway.settings.name.clone(),
+                holder: self.holder.clone(),
                 fencing_token,
                 endpoint: self.engine.clone(),
             };
-            match self.send_once(&order).await {
+            let answer = self.port.send(&order).await;
+            match answer {
                 OrderAnswer::Accepted => {
                     *accepted += 1;
                     return Outcome::Accepted;
@@ -181,12 +172,24 @@
                 }
                 OrderAnswer::Refused => return Outcome::Refused,
                 OrderAnswer::Gone => return Outcome::Gone,
-                OrderAnswer::Conflict => sleep(BUSY_RETRY_DELAY).await,
+                OrderAnswer::NotSent => return Outcome::Unreachable,
+                OrderAnswer::Conflict => {
+                    sleep(busy_delay).await;
+                    busy_delay = (busy_delay * BUSY_DELAY_GROWTH_PERCENT / 100).min(MAX_BUSY_DELAY);
+                }
                 OrderAnswer::Unknown => sleep(REPORT_LAG).await,
             }
-            let Some(report) = self.fetch_report().await else {
+            let Some(report) = self.port.report().await else {
+                silent += u32::from(answer == OrderAnswer::Unknown);
+                if silent >= MAX_SILENT_SENDS {
+                    return Outcome::Unreachable;
+                }
                 continue;
             };
+            silent = 0;
+            if answer == OrderAnswer::Conflict && is_adapter_in_use(&order, &report) {
+                return Outcome::InUse;
+            }
             match resolve(&order, &report, sends) {
                 Resolution::Retry => {}
                 Resolution::Accepted => {
@@ -195,6 +198,7 @@
                 }
                 Resolution::Superseded => {
                     *accepted = report.accepted_orders;
+                    self.ticket.revoke_all();
                     return Outcome::Conflict;
                 }
             }
@@ -202,95 +206,19 @@
         Outcome::Busy
     }
 
-    fn fencing_token(&self) -> Option<u64> {
-        let lease = self.lease.lock().unwrap_or_else(PoisonError::into_inner);
-        lease.fencing_token(self.gateway.now())
-    }
-
-    async fn send_once(&self, order: &Order) -> OrderAnswer {
-        let request = self.gateway.platform.wire.order_request(order);
-        let outbound = &self.gateway.outbound;
-        let call = outbound.call(
-            self.address,
-            request,
-            Freshness::Proved,
-            ANSWER_TIMEOUT,
-            MAX_REPORT_BYTES,
-        );
-        let (answer, status) = match call.await {
-            Err(error) => {
-                log::warn!(engine = self.engine.as_str(), action:% = order.action,
-                    expected = order.expected_orders, error:% = error; "engine did not answer the order");
-                (OrderAnswer::Unknown, 0)
-            }
-            Ok(answer) => {
-                let status = answer.head.status;
-                (classify(status), status.as_u16())
-            }
-        };
-        let outcome = match answer {
-            OrderAnswer::Accepted => "accepted",
-            OrderAnswer::Holds => "holds",
-            OrderAnswer::Conflict => "conflict",
-            OrderAnswer::Refused => "refused",
-            OrderAnswer::Gone => "gone",
-            OrderAnswer::Unknown => "unknown",
-        };
-        self.gateway.stats.record_order(outcome);
-        log::info!(engine = self.engine.as_str(), action:% = order.action,
-            model = order.target.model.as_str(),
-            adapter = order.target.adapter_name(),
-            expected = order.expected_orders, fence = order.fencing_token, status = status,
-            outcome = outcome;
-            "order answered");
-        answer
-    }
-
-    pub(super) async fn fetch_report(&self) -> Option<Report> {
-        let mut request = Request::new(Full::new(Bytes::new()));
-        *request.uri_mut() = self.gateway.platform.wire.report_uri();
-        let outbound = &self.gateway.outbound;
-        let call = outbound.call(
-            self.address,
-            request,
-            Freshness::Proved,
-            ANSWER_TIMEOUT,
-            MAX_REPORT_BYTES,
-        );
-        let answer = match call.await {
-            Ok(answer) if answer.head.status == StatusCode::OK => answer,
-            Ok(answer) => {
-                log::debug!(engine = self.engine.as_str(), status = answer.head.status.as_u16();
-                    "engine refused the report request");
-                return None;
-            }
-            Err(error) => {
-                log::debug!(engine = self.engine.as_str(), error:% = error;
-                    "engine did not answer the report request");
-                return None;
-            }
-        };
-        match self.gateway.platform.wire.decode_report(&answer.body) {
-            Ok(report) => Some(report),
-            Err(error) => {
-                log::warn!(engine = self.engine.as_str(), error:% = error;
-                    "cannot decode the engine report; keeping the last one");
-                None
-            }
-        }
-    }
-
     /// Unloads an adapter and awaits its removal; one in use stays until its requests have ended.
     async fn unload_adapter(&self, adapter: &Target) -> Outcome {
         let outcome = self.issue(Action::Unload, adapter.clone()).await;
         if outcome != Outcome::Accepted {
             return outcome;
         }
-        let accepted = *self.accepted.lock().await;
-        let deadline = self.gateway.now() + MIN_LOAD_TIMEOUT;
-        while self.gateway.now() < deadline {
+        let Some(accepted) = self.ticket.lock().await.map(|count| *count) else {
+            return Outcome::Stale;
+        };
+        let deadline = self.port.now() + MIN_LOAD_TIMEOUT;
+        while self.port.now() < deadline {
             sleep(POLL_INTERVAL).await;
-            let Some(report) = self.fetch_report().await else {
+            let Some(report) = self.port.report().await else {
                 continue;
             };
             if report.accepted_orders >= accepted && !adapter.held_in(&report.models) {
@@ -302,20 +230,24 @@
 
     /// Waits until the engine holds a model or adapter, at most for the load's timeout.
     async fn wait_loaded(&self, target: &Target, load_time: Duration) -> Outcome {
-        let accepted = *self.accepted.lock().await;
-        let deadline = self.gateway.now() + (load_time * LOAD_TIMEOUT_FACTOR).max(MIN_LOAD_TIMEOUT);
-        let listed = self.gateway.servers.endpoint(&self.engine);
-        let revision = listed.map_or(0, |e| e.sequence);
+        let Some(accepted) = self.ticket.lock().await.map(|count| *count) else {
+            return Outcome::Stale;
+        };
+        let deadline = self.port.now() + (load_time * LOAD_TIMEOUT_FACTOR).max(MIN_LOAD_TIMEOUT);
+        let revision = self.port.listed().map_or(0, |e| e.sequence);
         sleep(load_time.mul_f64(POLL_START_SHARE)).await;
         for poll in 0.. {
-            if self.gateway.now() >= deadline {
+            if self.port.now() >= deadline {
                 break;
             }
+            if !self.ticket.is_valid() {
+                return Outcome::Stale;
+            }
             if self.is_listed(target, revision) {
                 return Outcome::Done;
             }
             let poll_report = load_time.is_zero() || poll % POLLS_PER_REPORT == 0;
-            if poll_report && let Some(report) = self.fetch_report().await {
+            if poll_report && let Some(report) = self.port.report().await {
                 let holds = report.accepted_orders >= accepted && target.held_in(&report.models);
                 if holds && !report.loading_adapters.contains(target) {
                     return Outcome::Done;
@@ -328,11 +260,21 @@
 
     /// Whether the server list has the target on the engine, in a row newer than `revision`.
     fn is_listed(&self, target: &Target, revision: u64) -> bool {
-        let endpoint = self.gateway.servers.endpoint(&self.engine);
+        let endpoint = self.port.listed();
         endpoint.is_some_and(|e| e.sequence > revision && target.held_in(&e.models))
     }
 }
 
+/// Whether an engine that rejected an order did so because requests use the adapter to unload.
+#[must_use]
+pub fn is_adapter_in_use(order: &Order, report: &Report) -> bool {
+    order.action == Action::Unload
+        && order.target.adapter.is_some()
+        && !report.executing
+        && report.accepted_orders == order.expected_orders
+        && order.target.held_in(&report.models)
+}
+
 /// What a report shows about an order without a clear answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Resolution {
@@ -365,8 +307,8 @@
     let holds = order.target.held_in(&report.models);
     match (order.action, order.target.adapter.is_some()) {
         (Action::Load, true) => holds || report.loading_adapters.contains(&order.target),
-        (Action::Load, false) => holds || report.executing,
-        // `busy` is no evidence here: it may stem from another holder's order with this count.
+        // An executing engine is no evidence: it may run another holder's order with this count.
+        (Action::Load, false) => holds,
         (Action::Unload, _) => !holds,
     }
 }
@@ -388,13 +330,3 @@
     }
     report.accepted_orders >= accepted || requested >= ended + REPORT_CATCH_UP * LOST_COUNT_FACTOR
 }
-
-fn classify(status: StatusCode) -> OrderAnswer {
-    match status {
-        StatusCode::ACCEPTED => OrderAnswer::Accepted,
-        StatusCode::OK => OrderAnswer::Holds,
-        StatusCode::CONFLICT => OrderAnswer::Conflict,
-        StatusCode::MISDIRECTED_REQUEST => OrderAnswer::Gone,
-        _ => OrderAnswer::Refused,
-    }
-}
