Server list: linked instances read it for changes that the holder tells of

Changed: the holder tells the version at which an endpoint came, left, restarted or began to drain. A linked instance reads the list for it, at most as often as before, and otherwise every three drain deadlines; the configuration, which links carry too, is asked for at four times the deadline, and failing calls pause as long as working ones. Without a link nothing changes.

Ruled out: passing on the rows themselves (24 MB/s at the holder).

--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -109,7 +109,10 @@
         holder_state,
         link_sender,
     ));
-    tokio::spawn(feed::follow_config(Arc::clone(gateway)));
+    tokio::spawn(feed::follow_config(
+        Arc::clone(gateway),
+        holder_link.clone(),
+    ));
     let holding = gateway.lease_held.subscribe();
     let servers = feed::follow_servers(Arc::clone(gateway), holding, holder_link.clone());
     tokio::spawn(servers);
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -20,15 +20,24 @@
 /// Poll interval of the server list, as a share of the drain deadline; longer intervals save calls,
 /// each of which costs.
 const POLL_SHARE: f64 = 0.35;
-/// The same share while the lease holder also reports draining endpoints.
+/// The same share while the lease holder tells of changes: least time between two calls for them.
 const LINKED_POLL_SHARE: f64 = 0.6;
+/// Poll interval without a change that the lease holder tells of, as a multiple of the drain
+/// deadline.
+const UNCHANGED_POLL_FACTOR: u32 = 3;
+/// Longest wait of one call for a configuration while the lease holder also sends it, as a multiple
+/// of the time within which it must be in force.
+const LINKED_CONFIG_WAIT_FACTOR: u32 = 4;
 /// Poll interval at the lease holder, which sees the end of a load by a changed row.
 const HOLDER_POLL_INTERVAL: Duration = Duration::from_millis(250);
 /// Longest wait of one call for a change of the server list, which changes several times a second.
 const SERVERS_MAX_WAIT: Duration = Duration::from_secs(1);
-/// Initial and largest pause after a failed call; doubles with each failure.
-const RETRY_BACKOFF: (Duration, Duration) =
-    (Duration::from_millis(100), Duration::from_millis(800));
+/// Initial pause after a failed call; doubles with each failure.
+const MIN_RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// Largest such pause while there is no link to the lease holder.
+const MAX_RETRY_PAUSE: Duration = Duration::from_millis(800);
+/// Most endpoints of one batch that are logged one by one; more are summed up in one line.
+const MAX_ENDPOINT_LINES: usize = 8;
 /// Delay of the removal when more than half of all endpoints disappear at once.
 ///
 /// That is more likely caused by expired entries than by lost endpoints. Stays within the two
@@ -52,12 +61,19 @@
             version: None,
             newest_version: 0,
             lost_since: None,
-            backoff: RETRY_BACKOFF.0,
+            backoff: MIN_RETRY_PAUSE,
         }
     }
 
     /// The next rows, and whether they are a full snapshot; none if the rows cannot be used.
-    async fn next_batch(&mut self, gateway: &Gateway, wait: Duration) -> Option<(RowBatch, bool)> {
+    ///
+    /// Calls that fail in a row are at most `max_pause` apart.
+    async fn next_batch(
+        &mut self,
+        gateway: &Gateway,
+        wait: Duration,
+        max_pause: Duration,
+    ) -> Option<(RowBatch, bool)> {
         let feed = &gateway.platform.feed;
         let (result, is_snapshot) = match self.version {
             Some(version) => (feed.changes_since(self.table, version, wait).await, false),
@@ -68,7 +84,7 @@
             Ok(batch) if batch.version < self.newest_version => {
                 log::warn!(table = self.table, version = batch.version, known = self.newest_version;
                     "store returned an older version than before; retrying");
-                sleep(RETRY_BACKOFF.0).await;
+                sleep(MIN_RETRY_PAUSE).await;
                 None
             }
             Ok(batch) => {
@@ -86,7 +102,7 @@
             Err(FeedError::Table(error)) => {
                 self.record_failure(&error.to_string(), gateway.now());
                 sleep(self.backoff).await;
-                self.backoff = (self.backoff * 2).min(RETRY_BACKOFF.1);
+                self.backoff = (self.backoff * 2).min(max_pause);
                 None
             }
         }
@@ -100,7 +116,7 @@
     }
 
     fn record_success(&mut self, now: Duration) {
-        self.backoff = RETRY_BACKOFF.0;
+        self.backoff = MIN_RETRY_PAUSE;
         if let Some(lost_since) = self.lost_since.take() {
             let outage =
                 u64::try_from(now.saturating_sub(lost_since).as_millis()).unwrap_or(u64::MAX);
@@ -110,14 +126,31 @@
     }
 }
 
+/// Largest pause between failing calls: no shorter than between working ones while linked.
+fn max_retry_pause(gateway: &Gateway, is_linked: bool) -> Duration {
+    if is_linked {
+        gateway.settings.drain_deadline.mul_f64(LINKED_POLL_SHARE)
+    } else {
+        MAX_RETRY_PAUSE
+    }
+}
+
 /// Follows the configuration until the process ends.
-pub async fn follow_config(gateway: Arc<Gateway>) {
+///
+/// The lease holder sends it over the link as well, so that a linked instance need not notice a
+/// dead connection to the store as soon.
+pub async fn follow_config(gateway: Arc<Gateway>, holder_link: watch::Receiver<HolderLink>) {
     let mut follower = TableFollower::new(CONFIG_TABLE);
     loop {
-        let Some((batch, _)) = follower
-            .next_batch(&gateway, gateway.settings.config_deadline)
-            .await
-        else {
+        let is_linked = holder_link.borrow().up;
+        let factor = if is_linked {
+            LINKED_CONFIG_WAIT_FACTOR
+        } else {
+            1
+        };
+        let wait = gateway.settings.config_deadline * factor;
+        let max_pause = max_retry_pause(&gateway, is_linked);
+        let Some((batch, _)) = follower.next_batch(&gateway, wait, max_pause).await else {
             continue;
         };
         for row in batch.rows {
@@ -135,13 +168,16 @@
 pub async fn follow_servers(
     gateway: Arc<Gateway>,
     holding: watch::Receiver<bool>,
-    holder_link: watch::Receiver<HolderLink>,
+    mut holder_link: watch::Receiver<HolderLink>,
 ) {
     let mut follower = TableFollower::new(SERVERS_TABLE);
     let mut relist_until = Duration::ZERO;
     loop {
         let was_lost = follower.lost_since.is_some();
-        let next = follower.next_batch(&gateway, SERVERS_MAX_WAIT).await;
+        let max_pause = max_retry_pause(&gateway, holder_link.borrow().up);
+        let next = follower
+            .next_batch(&gateway, SERVERS_MAX_WAIT, max_pause)
+            .await;
         let now = gateway.now();
         gateway.servers.remove_expired(now);
         let Some((batch, is_snapshot)) = next else {
@@ -150,24 +186,90 @@
         if was_lost {
             relist_until = now + gateway.settings.relist_grace;
         }
-        apply_batch(&gateway, &batch, is_snapshot, relist_until);
+        if apply_batch(&gateway, &batch, is_snapshot, relist_until) {
+            gateway.record_list_change(batch.version);
+        }
         gateway
             .servers_listed
             .send_if_modified(|l| !std::mem::replace(l, true));
-        let drain = gateway.settings.drain_deadline;
-        let interval = if *holding.borrow() {
-            HOLDER_POLL_INTERVAL
-        } else if holder_link.borrow().up {
-            drain.mul_f64(LINKED_POLL_SHARE)
+        if *holding.borrow() {
+            sleep(HOLDER_POLL_INTERVAL).await;
         } else {
-            drain.mul_f64(POLL_SHARE)
-        };
-        sleep(interval).await;
+            wait_for_change(&gateway, &mut holder_link, batch.version).await;
+        }
+    }
+}
+
+/// Waits until the server list is due to be read: `version` was read last.
+async fn wait_for_change(
+    gateway: &Gateway,
+    holder_link: &mut watch::Receiver<HolderLink>,
+    version: u64,
+) {
+    let drain = gateway.settings.drain_deadline;
+    let read_at = gateway.now();
+    let mut list_change = gateway.list_change.subscribe();
+    loop {
+        let is_linked = holder_link.borrow_and_update().up;
+        let has_changed = *list_change.borrow_and_update() > version;
+        let removal = gateway.servers.next_removal();
+        let due = poll_due(read_at, drain, is_linked, has_changed, removal);
+        let now = gateway.now();
+        if now >= due {
+            return;
+        }
+        tokio::select! {
+            () = sleep(due.saturating_sub(now)) => return,
+            changed = holder_link.changed() => if changed.is_err() { return },
+            changed = list_change.changed() => if changed.is_err() { return },
+        }
     }
 }
 
-fn apply_batch(gateway: &Gateway, batch: &RowBatch, is_snapshot: bool, relist_until: Duration) {
+/// When the server list that was read at `read_at` is read again.
+///
+/// Without a link to the lease holder, the list alone tells of draining endpoints. With one, it is
+/// read for the changes that the holder tells of, and seldom otherwise; a scheduled `removal` of an
+/// endpoint is due at its time, unless the list has it again.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+/// use brassrack::gateway::feed::poll_due;
+///
+/// let (read_at, drain) = (Duration::from_secs(100), Duration::from_secs(2));
+/// let changed = poll_due(read_at, drain, true, true, None);
+/// assert!(changed < read_at + drain);
+/// assert!(poll_due(read_at, drain, true, false, None) > changed);
+/// ```
+#[must_use]
+pub fn poll_due(
+    read_at: Duration,
+    drain: Duration,
+    is_linked: bool,
+    has_changed: bool,
+    removal: Option<Duration>,
+) -> Duration {
+    let interval = match (is_linked, has_changed) {
+        (false, _) => drain.mul_f64(POLL_SHARE),
+        (true, true) => drain.mul_f64(LINKED_POLL_SHARE),
+        (true, false) => drain * UNCHANGED_POLL_FACTOR,
+    };
+    let earliest = read_at + drain.mul_f64(POLL_SHARE);
+    let due = read_at + interval;
+    removal.map_or(due, |at| due.min(at.max(earliest)))
+}
+
+/// Applies rows to the known endpoints; returns whether one came, left, restarted or began to drain.
+fn apply_batch(
+    gateway: &Gateway,
+    batch: &RowBatch,
+    is_snapshot: bool,
+    relist_until: Duration,
+) -> bool {
     let now = gateway.now();
+    let mut changed = Vec::new();
     let mut removed = BTreeSet::new();
     if is_snapshot {
         removed.extend(gateway.servers.ids());
@@ -180,7 +282,9 @@
         match gateway.platform.wire.decode_endpoint(&row.key, text) {
             Ok(endpoint) => {
                 removed.remove(&row.key);
-                gateway.servers.upsert(endpoint, now);
+                if gateway.servers.upsert(endpoint, now) {
+                    changed.push(row.key.as_str());
+                }
             }
             Err(error) => {
                 log::warn!(key = row.key.as_str(), version = batch.version, error:% = error;
@@ -197,10 +301,40 @@
     } else {
         None
     };
-    for id in removed {
+    log_changes(gateway, batch.version, &changed, &removed, grace);
+    for id in &removed {
         match grace {
-            Some(at) => gateway.servers.expire_at(&id, at),
-            None => gateway.servers.remove(&id),
+            Some(at) => gateway.servers.expire_at(id, at),
+            None => gateway.servers.remove(id),
         }
     }
+    !changed.is_empty() || !removed.is_empty()
+}
+
+fn log_changes(
+    gateway: &Gateway,
+    version: u64,
+    changed: &[&str],
+    removed: &BTreeSet<String>,
+    grace: Option<Duration>,
+) {
+    let count = changed.len() + removed.len();
+    if count > MAX_ENDPOINT_LINES {
+        log::info!(version = version, listed = changed.len(), removed = removed.len(),
+            known = gateway.servers.ids().len(), delayed = grace.is_some();
+            "many endpoints changed in the server list");
+        return;
+    }
+    for id in changed {
+        let Some(endpoint) = gateway.servers.endpoint(id) else {
+            continue;
+        };
+        log::info!(endpoint = *id, service = endpoint.service.as_str(),
+            address:% = endpoint.address, state:% = endpoint.state, version = version;
+            "endpoint listed");
+    }
+    for id in removed {
+        log::info!(endpoint = id.as_str(), version = version, delayed = grace.is_some();
+            "endpoint no longer listed");
+    }
 }
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -320,6 +320,7 @@
     if !update.holding {
         return;
     }
+    gateway.record_list_change(update.list_change);
     gateway.budgets().resize(update.live_instances);
     gateway.crash_suspects().merge_refused(&update.refused);
     for estimate in update.estimates {
--- a/src/gateway/link/message.rs
+++ b/src/gateway/link/message.rs
@@ -198,4 +198,7 @@
     /// Version of the lease row, if the sender holds the lease.
     #[prost(uint64, tag = "9")]
     pub row_version: u64,
+    /// Version of the server list at its last change of endpoints, if the sender holds the lease.
+    #[prost(uint64, tag = "10")]
+    pub list_change: u64,
 }
--- a/src/gateway/orders/publish.rs
+++ b/src/gateway/orders/publish.rs
@@ -65,6 +65,7 @@
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
             .version();
+        let list_change = *self.gateway.list_change.borrow();
         let refused = self.gateway.crash_suspects().refused();
         let live = u32::try_from(self.peers.len() + 1).unwrap_or(u32::MAX);
         self.gateway.servers.apply_views(&views, now);
@@ -83,6 +84,7 @@
                 row_version: version,
                 clock_ms: u64::try_from(now.as_millis()).unwrap_or(u64::MAX),
                 live_instances: live,
+                list_change,
                 config: link::newer_config(&self.gateway, peer.demand.config_version),
                 engines: self
                     .views
--- a/src/gateway/servers.rs
+++ b/src/gateway/servers.rs
@@ -123,21 +123,30 @@
     }
 
     /// Adds an endpoint or updates its description.
-    pub fn upsert(&self, endpoint: Endpoint, now: Duration) {
-        {
+    ///
+    /// Returns whether it is new, has restarted, or accepts requests no longer or again.
+    #[expect(
+        clippy::must_use_candidate,
+        reason = "only the reader of the list tells others of changes"
+    )]
+    pub fn upsert(&self, endpoint: Endpoint, now: Duration) -> bool {
+        let has_changed = {
             let mut state = self.state();
             let known = state.keys.get(&endpoint.id).copied();
             if let Some(server) = known.and_then(|k| state.servers.get_mut(k)) {
+                let before = (server.endpoint.start_ms, server.endpoint.state);
+                let was_expiring = server.expires_at.is_some();
                 server.update(endpoint, now);
+                was_expiring || before != (server.endpoint.start_ms, server.endpoint.state)
             } else {
                 let id = endpoint.id.clone();
-                log::info!(endpoint = id.as_str(), service = endpoint.service.as_str(),
-                    address:% = endpoint.address; "endpoint listed");
                 let key = state.servers.insert(Server::new(endpoint));
                 state.keys.insert(id, key);
+                true
             }
-        }
+        };
         self.notify_change();
+        has_changed
     }
 
     /// Removes an endpoint.
@@ -145,7 +154,6 @@
         let mut state = self.state();
         if let Some(key) = state.keys.remove(id) {
             state.servers.remove(key);
-            log::info!(endpoint = id; "endpoint no longer listed");
         }
     }
 
@@ -162,6 +170,13 @@
         }
     }
 
+    /// Time of the next scheduled removal.
+    #[must_use]
+    pub fn next_removal(&self) -> Option<Duration> {
+        let state = self.state();
+        state.servers.values().filter_map(|s| s.expires_at).min()
+    }
+
     /// Removes the endpoints whose scheduled removal is due.
     pub fn remove_expired(&self, now: Duration) {
         let expired: Vec<String> = {
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -212,6 +212,8 @@
     pub servers: Servers,
     /// Whether the server list has been read.
     pub servers_listed: watch::Sender<bool>,
+    /// Version of the server list at its last change of endpoints, here or at the lease holder.
+    pub list_change: watch::Sender<u64>,
     /// Connections to endpoints.
     pub outbound: Outbound,
     /// Demand at this instance.
@@ -258,6 +260,7 @@
             active_config: watch::Sender::new(None),
             servers: Servers::default(),
             servers_listed: watch::Sender::new(false),
+            list_change: watch::Sender::new(0),
             outbound,
             demand: Arc::default(),
             stats: Stats::new()?,
@@ -309,6 +312,15 @@
         !*self.closing_connections.borrow() || exit_time.is_none_or(|end| self.now() + time < end)
     }
 
+    /// Records that endpoints came, left or changed at a version of the server list.
+    pub fn record_list_change(&self, version: u64) {
+        self.list_change.send_if_modified(|known| {
+            let is_newer = version > *known;
+            *known = version.max(*known);
+            is_newer
+        });
+    }
+
     /// Waits until shortly before the process exits.
     pub async fn wait_before_exit(&self) {
         let mut exit_time = self.exit_time.subscribe();
