Orders: an engine that cannot be reached holds no replica

Changed: report requests tell a failed connection from a failed answer. Two in a row end a change at once and take the engine's models out of the plan, until it reports. An engine is asked for a report every 500 ms during a load, and 200 ms after a failed connection.

--- a/src/gateway/orders/engine_events.rs
+++ b/src/gateway/orders/engine_events.rs
@@ -8,23 +8,25 @@
 use super::super::planner::{EngineAction, WeightSource};
 use super::super::protocol::Report;
 use super::OrderController;
-use super::port::EnginePort;
+use super::port::{EnginePort, NoReport};
 use super::record::ChangeResult;
-use super::send::{Outcome, report_due};
+use super::send::{MAX_FAILED_CONNECTS, Outcome, report_due};
 use super::sequence::OrderTicket;
 
 /// Interval between report requests to an engine that is not loaded.
 const REPORT_INTERVAL: Duration = Duration::from_millis(900);
 /// Interval for a loaded engine, whose queue length decides which requests are refused.
 const LOADED_REPORT_INTERVAL: Duration = Duration::from_millis(250);
+/// Delay after which an engine that could not be reached is asked again.
+const CONNECT_RETRY_DELAY: Duration = Duration::from_millis(200);
 /// Divisor of an engine's slots; it counts as loaded from a third of them.
 const LOADED_SLOTS_DIVISOR: u32 = 3;
 
-/// An engine's report arrived.
+/// An engine gave its report, or none.
 #[derive(Debug)]
 pub(super) struct ReportReceived {
     engine: String,
-    report: Report,
+    report: Result<Report, NoReport>,
     /// Time of the request for the report.
     requested: Duration,
 }
@@ -52,12 +54,16 @@
             } else {
                 REPORT_INTERVAL
             };
-            if !report_due(
-                record.report_requested,
-                record.change_ended,
-                interval + record.report_jitter,
-                now,
-            ) {
+            let retry_due =
+                record.failed_connects == 1 && now >= record.report_requested + CONNECT_RETRY_DELAY;
+            if !retry_due
+                && !report_due(
+                    record.report_requested,
+                    record.change_ended,
+                    interval + record.report_jitter,
+                    now,
+                )
+            {
                 continue;
             }
             record.report_requested = now;
@@ -70,9 +76,7 @@
             let controller = controller.clone();
             tokio::spawn(async move {
                 let requested = port.now();
-                let Some(report) = port.report().await else {
-                    return;
-                };
+                let report = port.report().await;
                 let received = ReportReceived {
                     engine,
                     report,
@@ -126,8 +130,20 @@
     type Return = ();
 
     async fn handle(&mut self, message: ReportReceived, _ctx: &mut Context<Self>) {
-        if let Some(record) = self.records.get_mut(&message.engine) {
-            record.apply_report(message.report, message.requested);
+        let Some(record) = self.records.get_mut(&message.engine) else {
+            return;
+        };
+        match message.report {
+            Ok(report) => record.apply_report(report, message.requested),
+            Err(NoReport::Unreadable) => {}
+            Err(NoReport::Unreachable) => {
+                record.record_failed_connect();
+                if record.failed_connects == MAX_FAILED_CONNECTS {
+                    log::warn!(engine = message.engine.as_str(), address:% = record.address;
+                        "engine cannot be reached; its models count as absent");
+                    self.dirty = true;
+                }
+            }
         }
     }
 }
--- a/src/gateway/orders/port.rs
+++ b/src/gateway/orders/port.rs
@@ -41,6 +41,16 @@
     Unknown,
 }
 
+/// Why there is no report of an engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum NoReport {
+    /// No connection could be opened: the engine is gone, or the path to it.
+    Unreachable,
+    /// The engine gave no report that can be read.
+    Unreadable,
+}
+
 /// Connection to one engine while this instance holds the lease.
 pub trait EnginePort: Debug + Send + Sync {
     /// Time since an arbitrary start.
@@ -52,8 +62,12 @@
     /// Sends an order once.
     fn send<'a>(&'a self, order: &'a Order) -> BoxFuture<'a, OrderAnswer>;
 
-    /// Requests the engine's report; `None` if there is none that can be read.
-    fn report(&self) -> BoxFuture<'_, Option<Report>>;
+    /// Requests the engine's report.
+    ///
+    /// # Errors
+    ///
+    /// [`NoReport`] where the engine gave none.
+    fn report(&self) -> BoxFuture<'_, Result<Report, NoReport>>;
 
     /// The engine's entry in the server list.
     fn listed(&self) -> Option<Endpoint>;
@@ -82,7 +96,7 @@
         Box::pin(self.send_order(order))
     }
 
-    fn report(&self) -> BoxFuture<'_, Option<Report>> {
+    fn report(&self) -> BoxFuture<'_, Result<Report, NoReport>> {
         Box::pin(self.fetch_report())
     }
 
@@ -128,7 +142,7 @@
         answer
     }
 
-    async fn fetch_report(&self) -> Option<Report> {
+    async fn fetch_report(&self) -> Result<Report, NoReport> {
         let mut request = Request::new(Full::new(Bytes::new()));
         *request.uri_mut() = self.gateway.platform.wire.report_uri();
         let outbound = &self.gateway.outbound;
@@ -144,20 +158,23 @@
             Ok(answer) => {
                 log::debug!(engine = self.engine.as_str(), status = answer.head.status.as_u16();
                     "engine refused the report request");
-                return None;
+                return Err(NoReport::Unreadable);
             }
             Err(error) => {
                 log::debug!(engine = self.engine.as_str(), error:% = error;
                     "engine did not answer the report request");
-                return None;
+                return Err(match error.verdict() {
+                    Verdict::NotRun => NoReport::Unreachable,
+                    _ => NoReport::Unreadable,
+                });
             }
         };
         match self.gateway.platform.wire.decode_report(&answer.body) {
-            Ok(report) => Some(report),
+            Ok(report) => Ok(report),
             Err(error) => {
                 log::warn!(engine = self.engine.as_str(), error:% = error;
                     "cannot decode the engine report; keeping the last one");
-                None
+                Err(NoReport::Unreadable)
             }
         }
     }
--- a/src/gateway/orders/record.rs
+++ b/src/gateway/orders/record.rs
@@ -6,7 +6,7 @@
 
 use super::super::planner::{EngineAction, EngineState, LoadedModel};
 use super::super::protocol::{Endpoint, HeldModels, Report, Target};
-use super::send::{Outcome, is_current};
+use super::send::{MAX_FAILED_CONNECTS, Outcome, is_current};
 use super::sequence::{OrderSequence, OrderTicket};
 
 /// Time constant of the average arrival rate for a model: as long as a few swaps take.
@@ -54,6 +54,8 @@
     pub leaving: bool,
     /// Whether the models that it holds are unknown until its next report.
     pub state_unknown: bool,
+    /// Report requests in a row for which no connection could be opened.
+    pub failed_connects: u32,
     sequence: OrderSequence,
     /// Last reading of the number of accepted orders, for use while an order is being sent.
     last_accepted: u64,
@@ -86,6 +88,7 @@
             swap: None,
             leaving: false,
             state_unknown: true,
+            failed_connects: 0,
             sequence: OrderSequence::default(),
             last_accepted: 0,
             loaded_at: BTreeMap::new(),
@@ -117,6 +120,21 @@
         self.swap.is_none() && self.adapter_loads == 0
     }
 
+    /// Whether no connection to it could be opened for some time.
+    #[must_use]
+    pub const fn is_unreachable(&self) -> bool {
+        self.failed_connects >= MAX_FAILED_CONNECTS
+    }
+
+    /// Records that a report request found no connection.
+    pub fn record_failed_connect(&mut self) {
+        self.failed_connects += 1;
+        if self.is_unreachable() {
+            // It may have restarted by the time that it is reached again.
+            self.state_unknown = true;
+        }
+    }
+
     /// Models that the swap in progress unloads.
     #[must_use]
     pub fn unloading_models(&self) -> BTreeSet<String> {
@@ -162,6 +180,9 @@
         if !self.sequence.issued(ticket) {
             return false;
         }
+        if result.outcome == Outcome::Unreachable {
+            self.failed_connects = MAX_FAILED_CONNECTS;
+        }
         self.change_ended = now;
         match change {
             EngineAction::LoadModel { model, .. } => {
@@ -210,6 +231,7 @@
 
     /// Applies a report that was requested at a given time.
     pub fn apply_report(&mut self, report: Report, requested: Duration) {
+        self.failed_connects = 0;
         if report.draining {
             self.leaving = true;
         }
@@ -278,6 +300,7 @@
             }),
             busy: !self.is_idle() || self.state_unknown,
             draining: self.leaving,
+            unreachable: self.is_unreachable(),
         }
     }
 }
--- a/src/gateway/orders/send.rs
+++ b/src/gateway/orders/send.rs
@@ -10,7 +10,7 @@
 
 use super::super::planner::EngineAction;
 use super::super::protocol::{Action, Order, Report, Target};
-use super::port::{EnginePort, OrderAnswer};
+use super::port::{EnginePort, NoReport, OrderAnswer};
 use super::record::ChangeResult;
 use super::sequence::OrderTicket;
 
@@ -32,6 +32,10 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(40);
 /// Share of a load's expected time after which checks for its end start.
 const POLL_START_SHARE: f64 = 0.9;
+/// Interval between reports before that, by which a crash of the engine is noticed.
+const CRASH_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// Report requests in a row without a connection after which an engine counts as unreachable.
+pub const MAX_FAILED_CONNECTS: u32 = 2;
 /// Checks of the server list for each report that is requested.
 const POLLS_PER_REPORT: u32 = 3;
 /// Timeout of a load as a multiple of its expected time; loads are slower while many run.
@@ -179,7 +183,7 @@
                 }
                 OrderAnswer::Unknown => sleep(REPORT_LAG).await,
             }
-            let Some(report) = self.port.report().await else {
+            let Ok(report) = self.port.report().await else {
                 silent += u32::from(answer == OrderAnswer::Unknown);
                 if silent >= MAX_SILENT_SENDS {
                     return Outcome::Unreachable;
@@ -216,16 +220,21 @@
             return Outcome::Stale;
         };
         let deadline = self.port.now() + MIN_LOAD_TIMEOUT;
-        while self.port.now() < deadline {
+        let mut failed = 0;
+        while self.port.now() < deadline && failed < MAX_FAILED_CONNECTS {
             sleep(POLL_INTERVAL).await;
-            let Some(report) = self.port.report().await else {
-                continue;
-            };
-            if report.accepted_orders >= accepted && !adapter.held_in(&report.models) {
-                return Outcome::Done;
+            match self.report(&mut failed).await {
+                Some(r) if r.accepted_orders >= accepted && !adapter.held_in(&r.models) => {
+                    return Outcome::Done;
+                }
+                _ => {}
             }
         }
-        Outcome::Overrun
+        if failed < MAX_FAILED_CONNECTS {
+            Outcome::Overrun
+        } else {
+            Outcome::Unreachable
+        }
     }
 
     /// Waits until the engine holds a model or adapter, at most for the load's timeout.
@@ -233,9 +242,22 @@
         let Some(accepted) = self.ticket.lock().await.map(|count| *count) else {
             return Outcome::Stale;
         };
-        let deadline = self.port.now() + (load_time * LOAD_TIMEOUT_FACTOR).max(MIN_LOAD_TIMEOUT);
+        let begun = self.port.now();
+        let deadline = begun + (load_time * LOAD_TIMEOUT_FACTOR).max(MIN_LOAD_TIMEOUT);
+        let poll_start = begun + load_time.mul_f64(POLL_START_SHARE);
         let revision = self.port.listed().map_or(0, |e| e.sequence);
-        sleep(load_time.mul_f64(POLL_START_SHARE)).await;
+        let mut failed = 0;
+        loop {
+            let left = poll_start.saturating_sub(self.port.now());
+            sleep(left.min(CRASH_CHECK_INTERVAL)).await;
+            if left <= CRASH_CHECK_INTERVAL {
+                break;
+            }
+            self.report(&mut failed).await;
+            if failed >= MAX_FAILED_CONNECTS {
+                return Outcome::Unreachable;
+            }
+        }
         for poll in 0.. {
             if self.port.now() >= deadline {
                 break;
@@ -247,17 +269,30 @@
                 return Outcome::Done;
             }
             let poll_report = load_time.is_zero() || poll % POLLS_PER_REPORT == 0;
-            if poll_report && let Some(report) = self.port.report().await {
+            if poll_report && let Some(report) = self.report(&mut failed).await {
                 let holds = report.accepted_orders >= accepted && target.held_in(&report.models);
                 if holds && !report.loading_adapters.contains(target) {
                     return Outcome::Done;
                 }
             }
+            if failed >= MAX_FAILED_CONNECTS {
+                return Outcome::Unreachable;
+            }
             sleep(POLL_INTERVAL).await;
         }
         Outcome::Overrun
     }
 
+    /// The engine's report; counts in `failed` the requests in a row without a connection.
+    async fn report(&self, failed: &mut u32) -> Option<Report> {
+        let answer = self.port.report().await;
+        *failed = match answer {
+            Err(NoReport::Unreachable) => *failed + 1,
+            Err(NoReport::Unreadable) | Ok(_) => 0,
+        };
+        answer.ok()
+    }
+
     /// Whether the server list has the target on the engine, in a row newer than `revision`.
     fn is_listed(&self, target: &Target, revision: u64) -> bool {
         let endpoint = self.port.listed();
--- a/src/gateway/planner.rs
+++ b/src/gateway/planner.rs
@@ -53,6 +53,16 @@
     pub busy: bool,
     /// Whether it accepts no new requests.
     pub draining: bool,
+    /// Whether it cannot be reached; its models serve no request.
+    pub unreachable: bool,
+}
+
+impl EngineState {
+    /// Whether requests can be sent to it.
+    #[must_use]
+    pub const fn serves(&self) -> bool {
+        !self.draining && !self.unreachable
+    }
 }
 
 /// Demand for a model or adapter.
--- a/src/gateway/planner/adapters.rs
+++ b/src/gateway/planner/adapters.rs
@@ -24,7 +24,7 @@
 
     fn held_or_loading(&self, target: &Target) -> bool {
         let name = target.adapter_name();
-        self.engines.iter().filter(|e| !e.draining).any(|e| {
+        self.engines.iter().filter(|e| e.serves()).any(|e| {
             let held = |h: &LoadedModel| h.adapters.contains_key(name);
             e.loading_adapters.contains(target) || e.models.get(&target.model).is_some_and(held)
         })
@@ -59,7 +59,8 @@
     /// adapter slots.
     fn adapter_cost(&self, target: &Target, at: usize) -> Option<(usize, u32, Vec<Target>)> {
         let engine = &self.engines[at];
-        if engine.draining || engine.busy || engine.loading_adapters.len() >= MAX_LOADING_ADAPTERS {
+        if !engine.serves() || engine.busy || engine.loading_adapters.len() >= MAX_LOADING_ADAPTERS
+        {
             return None;
         }
         let loaded = engine.models.get(&target.model)?;
--- a/src/gateway/planner/model_loads.rs
+++ b/src/gateway/planner/model_loads.rs
@@ -135,8 +135,7 @@
     /// Such an engine is expected to become available sooner than the store delivers, until the
     /// requests have waited for half the time of a load from the store.
     fn local_copy_expected(&self, model: &str) -> bool {
-        let copied =
-            |e: &EngineState| !e.draining && weight_source(e, model) != WeightSource::Store;
+        let copied = |e: &EngineState| e.serves() && weight_source(e, model) != WeightSource::Store;
         let cold = self
             .spec
             .models
@@ -149,7 +148,7 @@
     /// How an engine would free enough memory for a model; `None` if it cannot at present.
     fn load_option(&self, model: &str, index: usize) -> Option<LoadOption> {
         let engine = &self.engines[index];
-        if engine.busy || engine.draining || engine.models.contains_key(model) {
+        if engine.busy || !engine.serves() || engine.models.contains_key(model) {
             return None;
         }
         let size = self.spec.models.get(model)?.weights_mb;
--- a/src/gateway/planner/model_summary.rs
+++ b/src/gateway/planner/model_summary.rs
@@ -14,7 +14,7 @@
     pub(super) replicas: u32,
     /// Requests running on these engines.
     pub(super) running: u32,
-    /// Whether an engine that is not draining has loaded, loads or stores a copy.
+    /// Whether an engine that serves requests has loaded, loads or stores a copy.
     pub(super) has_copy: bool,
 }
 
@@ -32,7 +32,7 @@
             total.oldest_arrival = total.oldest_arrival.min(demand.oldest_arrival);
         }
     }
-    for engine in fleet.engines.iter().filter(|e| !e.draining) {
+    for engine in fleet.engines.iter().filter(|e| e.serves()) {
         for (model, loaded) in &engine.models {
             let summary = summaries.entry(model.clone()).or_default();
             summary.replicas += 1;
--- a/tests/order_model/holder.rs
+++ b/tests/order_model/holder.rs
@@ -7,7 +7,7 @@
 use brassrack::BoxFuture;
 use brassrack::gateway::catalog::{Engine as Properties, Model};
 use brassrack::gateway::lease::{Lease, LeaseAction, LeaseRow, LeaseTiming};
-use brassrack::gateway::orders::port::{EnginePort, OrderAnswer};
+use brassrack::gateway::orders::port::{EnginePort, NoReport, OrderAnswer};
 use brassrack::gateway::orders::record::ChangeResult;
 use brassrack::gateway::orders::records::EngineRecords;
 use brassrack::gateway::orders::send::OrderSender;
@@ -184,6 +184,7 @@
                 waiting: 1,
                 oldest_arrival: now,
                 request_rate: 0.1,
+                ..TargetDemand::default()
             };
             demand.insert(target, waiting);
         }
@@ -199,7 +200,7 @@
             *last = now;
             let (port, sender) = (self.port(id), self.sender.clone());
             tokio::spawn(async move {
-                if let Some(report) = port.report().await {
+                if let Ok(report) = port.report().await {
                     let event = Event::Reported(id.to_owned(), report, now);
                     sender.send(event).unwrap();
                 }
@@ -309,12 +310,13 @@
         })
     }
 
-    fn report(&self) -> BoxFuture<'_, Option<Report>> {
+    fn report(&self) -> BoxFuture<'_, Result<Report, NoReport>> {
         Box::pin(async move {
             let report = self.world.report(&self.engine);
             // A busy instance reads the answer late.
             sleep(self.world.millis(1, 400)).await;
-            report.filter(|_| !self.world.chance(30))
+            let lost = self.world.chance(30);
+            report.filter(|_| !lost).ok_or(NoReport::Unreachable)
         })
     }
 
--- a/tests/order_terms.rs
+++ b/tests/order_terms.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use brassrack::BoxFuture;
-use brassrack::gateway::orders::port::{EnginePort, OrderAnswer};
+use brassrack::gateway::orders::port::{EnginePort, NoReport, OrderAnswer};
 use brassrack::gateway::orders::record::ChangeResult;
 use brassrack::gateway::orders::records::EngineRecords;
 use brassrack::gateway::orders::send::{OrderSender, Outcome};
@@ -165,11 +165,11 @@
 }
 
 #[derive(Debug)]
-struct ScriptedPort(Arc<Scripted>);
+struct ScriptedPort(Arc<Scripted>, tokio::time::Instant);
 
 impl EnginePort for ScriptedPort {
     fn now(&self) -> Duration {
-        NOW
+        NOW + self.1.elapsed()
     }
 
     fn fencing_token(&self) -> Option<u64> {
@@ -187,14 +187,14 @@
         Box::pin(async move { answer.unwrap_or(OrderAnswer::Conflict) })
     }
 
-    fn report(&self) -> BoxFuture<'_, Option<Report>> {
+    fn report(&self) -> BoxFuture<'_, Result<Report, NoReport>> {
         let mut reports = self.0.reports.lock().unwrap();
         let report = if reports.len() > 1 {
             reports.pop_front()
         } else {
             reports.front().cloned()
         };
-        Box::pin(async move { report })
+        Box::pin(async move { report.ok_or(NoReport::Unreachable) })
     }
 
     fn listed(&self) -> Option<Endpoint> {
@@ -212,7 +212,10 @@
 
 fn sender(engine: &Arc<Scripted>, ticket: OrderTicket) -> OrderSender {
     OrderSender {
-        port: Box::new(ScriptedPort(Arc::clone(engine))),
+        port: Box::new(ScriptedPort(
+            Arc::clone(engine),
+            tokio::time::Instant::now(),
+        )),
         engine: "e".into(),
         holder: "me".into(),
         ticket,
@@ -374,3 +377,30 @@
     assert_eq!(engine.sent.lock().unwrap().len(), 15);
     assert!(begun.elapsed() >= Duration::from_secs(3));
 }
+
+/// Pattern: an engine crashes during a load. Its entry stays listed for seconds, and requests wait
+/// for the model that another engine could load.
+#[tokio::test(start_paused = true)]
+async fn crash_during_a_load() {
+    let engine = engine(&[OrderAnswer::Accepted; 2], &[]);
+    let sequence = OrderSequence::default();
+    let orders = sender(&engine, sequence.ticket());
+    let change = swap();
+    let running = orders.execute(&change, Duration::from_secs(2));
+    let result = tokio::time::timeout(Duration::from_millis(1200), running).await;
+    assert_eq!(result.map(|r| r.outcome), Ok(Outcome::Unreachable));
+}
+
+#[test]
+fn unreachable_until_it_reports() {
+    let mut records = EngineRecords::default();
+    sync(&mut records, &[listed("e", 1)]);
+    let record = records.get_mut("e").unwrap();
+    record.apply_report(report(0, false, &[]), NOW);
+    record.record_failed_connect();
+    assert!(!record.is_unreachable());
+    record.record_failed_connect();
+    assert!(record.is_unreachable() && record.state_unknown);
+    record.apply_report(report(0, false, &[]), NOW);
+    assert!(!record.is_unreachable());
+}
