Planner: requests that can still be in time go first

Changed: an instance tells how long an answer is still in time for the requests that wait for a model. Models whose requests are late go after those that can be in time, until they have waited for two objectives. Requests whose objective is shorter than a swap are never put off.

Tests, by pattern: burst_of_rare_models, longest_wait_first_while_in_time, overdue_goes_first, short_objective_is_not_put_off in load_plans.

--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -84,11 +84,16 @@
         .take_demand()
         .into_iter()
         .map(|((service, target), asked)| {
-            let oldest = asked.waiting.values().min().copied().unwrap_or(now);
+            let waiting = || asked.waiting.values();
+            let oldest = waiting().map(|w| w.arrived_at).min().unwrap_or(now);
+            let objective = waiting().map(|w| w.objective).max();
+            let in_time_until = waiting().map(|w| w.arrived_at + w.objective).max();
             TargetCount {
                 count: u32::try_from(asked.waiting.len()).unwrap_or(u32::MAX),
                 arrivals: asked.arrivals,
                 wait_ms: millis(now.saturating_sub(oldest)),
+                objective_ms: millis(objective.unwrap_or_default()),
+                left_ms: millis(in_time_until.unwrap_or(now).saturating_sub(now)),
                 ..TargetCount::new(&service, &target)
             }
         });
--- a/src/gateway/link/message.rs
+++ b/src/gateway/link/message.rs
@@ -29,6 +29,12 @@
     /// model can serve requests.
     #[prost(uint32, tag = "6")]
     pub wait_ms: u32,
+    /// In demand reports, the longest latency objective of the waiting requests, in milliseconds.
+    #[prost(uint32, tag = "7")]
+    pub objective_ms: u32,
+    /// In demand reports, how long an answer is still in time for one of them, in milliseconds.
+    #[prost(uint32, tag = "8")]
+    pub left_ms: u32,
 }
 
 impl TargetCount {
--- a/src/gateway/orders/fleet.rs
+++ b/src/gateway/orders/fleet.rs
@@ -45,6 +45,10 @@
                     target_demand.oldest_arrival.min(since)
                 };
                 target_demand.waiting += count.count;
+                let objective = Duration::from_millis(count.objective_ms.into());
+                let in_time_until = now + Duration::from_millis(count.left_ms.into());
+                target_demand.objective = target_demand.objective.max(objective);
+                target_demand.in_time_until = target_demand.in_time_until.max(in_time_until);
             }
             for count in &demand.running {
                 let engine = running.entry(&count.scope).or_default();
--- a/src/gateway/planner.rs
+++ b/src/gateway/planner.rs
@@ -74,6 +74,10 @@
     pub oldest_arrival: Duration,
     /// Recent arrival rate, in requests per second.
     pub request_rate: f64,
+    /// Latency objective of the waiting requests, the longest one.
+    pub objective: Duration,
+    /// Time until which an answer is in time for at least one of the waiting requests.
+    pub in_time_until: Duration,
 }
 
 /// Loads that may be started from the weight store now.
--- a/src/gateway/planner/model_loads.rs
+++ b/src/gateway/planner/model_loads.rs
@@ -15,6 +15,11 @@
 /// Time for which a newly loaded model is not evicted, so that its waiting requests reach it.
 const MIN_RESIDENCE: Duration = Duration::from_millis(800);
 
+/// Time that a swap takes beyond the load: orders, the unload, and noticing the end.
+const SWAP_OVERHEAD: Duration = Duration::from_millis(250);
+/// Wait after which late requests go first again, in multiples of their objective.
+const OVERDUE_OBJECTIVES: u32 = 2;
+
 /// An engine that can load a model, and the models that it has to evict first.
 struct LoadOption {
     engine: usize,
@@ -41,22 +46,39 @@
         minimum.max(by_load as u32)
     }
 
-    /// Models that need another replica: those without any first, then by longest wait.
+    /// Whether all requests that wait for a model missed their objective while engines were busy.
+    ///
+    /// Models whose requests can still be in time go first then. Requests with an objective shorter
+    /// than any swap are not held back, nor are those that have waited for very long.
+    fn is_too_late(&self, name: &str, demand: &TargetDemand) -> bool {
+        let Some(model) = self.spec.models.get(name) else {
+            return false;
+        };
+        let swap_time = load_time(model, WeightSource::Disk) + SWAP_OVERHEAD;
+        demand.waiting > 0
+            && demand.objective >= swap_time
+            && self.now + swap_time > demand.in_time_until
+            && self.now < demand.oldest_arrival + demand.objective * OVERDUE_OBJECTIVES
+    }
+
+    /// Models that need another replica: those without any first, then those whose requests can be
+    /// in time, then by longest wait.
     pub(super) fn underreplicated_models(&self) -> Vec<String> {
-        let mut underreplicated: Vec<(bool, Duration, &String)> = Vec::new();
+        let mut underreplicated: Vec<(bool, bool, Duration, &String)> = Vec::new();
         for (name, summary) in &self.summaries {
             let Some(demand) = &summary.demand else {
                 continue;
             };
             let lacking = summary.replicas < self.required_replicas(summary, demand);
             if lacking && self.spec.models.contains_key(name) {
-                underreplicated.push((summary.replicas > 0, demand.oldest_arrival, name));
+                let too_late = self.is_too_late(name, demand);
+                underreplicated.push((summary.replicas > 0, too_late, demand.oldest_arrival, name));
             }
         }
         underreplicated.sort();
         underreplicated
             .into_iter()
-            .map(|(_, _, name)| name.clone())
+            .map(|(_, _, _, name)| name.clone())
             .collect()
     }
 
--- a/src/gateway/planner/model_summary.rs
+++ b/src/gateway/planner/model_summary.rs
@@ -30,6 +30,8 @@
         total.request_rate += demand.request_rate;
         if demand.waiting > 0 {
             total.oldest_arrival = total.oldest_arrival.min(demand.oldest_arrival);
+            total.objective = total.objective.max(demand.objective);
+            total.in_time_until = total.in_time_until.max(demand.in_time_until);
         }
     }
     for engine in fleet.engines.iter().filter(|e| e.serves()) {
--- a/src/gateway/routing.rs
+++ b/src/gateway/routing.rs
@@ -7,6 +7,7 @@
     NO_ENDPOINT_RETRY_DELAY, OVERLOAD_RETRY_DELAY, RoutedRequest, STOPPING_RETRY_DELAY, SendHistory,
 };
 use super::servers::{SelectedEndpoint, SelectionCriteria};
+use super::shared::WaitingRequest;
 use crate::verdict::{Cause, Refusal};
 
 /// Least time before the caller's deadline for sending a request: covers connect and prefill.
@@ -69,7 +70,11 @@
             }
             if waiting.is_none() {
                 let demand_tracker = &self.gateway.demand;
-                waiting = Some(demand_tracker.register_wait(&self.service, target, now));
+                let request = WaitingRequest {
+                    arrived_at: self.arrived_at,
+                    objective: self.route.latency_objective,
+                };
+                waiting = Some(demand_tracker.register_wait(&self.service, target, request));
                 log::info!(id = self.head.id.as_str(), service = self.service.as_str(),
                     model = target.model.as_str(),
                     adapter = target.adapter_name(),
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -108,12 +108,21 @@
 /// Demand for a model or adapter of a service.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct ModelDemand {
-    /// Arrival times of waiting requests, by request number.
-    pub waiting: BTreeMap<u64, Duration>,
+    /// Waiting requests, by request number.
+    pub waiting: BTreeMap<u64, WaitingRequest>,
     /// Requests that arrived since the last report to the lease holder.
     pub arrivals: u32,
 }
 
+/// A request that waits for its model.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct WaitingRequest {
+    /// When it arrived.
+    pub arrived_at: Duration,
+    /// Objective for the time to its answer.
+    pub objective: Duration,
+}
+
 /// Service, and model or adapter.
 pub type DemandKey = (String, Target);
 
@@ -142,7 +151,7 @@
         self: &Arc<Self>,
         service: &str,
         target: &Target,
-        now: Duration,
+        request: WaitingRequest,
     ) -> WaitGuard {
         let number = {
             let mut last_number = self
@@ -158,7 +167,7 @@
             .entry(key.clone())
             .or_default()
             .waiting
-            .insert(number, now);
+            .insert(number, request);
         drop(demand);
         self.changed.notify_one();
         WaitGuard {
--- a/tests/load_plans.rs
+++ b/tests/load_plans.rs
@@ -65,6 +65,7 @@
         waiting: count,
         oldest_arrival: NOW,
         request_rate: 0.1,
+        ..TargetDemand::default()
     }
 }
 
@@ -279,3 +280,75 @@
         began.elapsed()
     );
 }
+
+/// Demand of one request that arrived some time ago and has to be answered within four seconds.
+fn due(waited_ms: u64) -> TargetDemand {
+    let arrival = NOW.saturating_sub(Duration::from_millis(waited_ms));
+    let objective = Duration::from_secs(4);
+    TargetDemand {
+        oldest_arrival: arrival,
+        objective,
+        in_time_until: arrival + objective,
+        ..waiting(1)
+    }
+}
+
+fn first_load(wants: &[(Target, TargetDemand)]) -> String {
+    let spec = spec(&["old", "late", "fresh"]);
+    let mut only = engine("e", &["old"]);
+    only.on_disk = ["late".into(), "fresh".into()].into();
+    let steps = decide(&spec, vec![only], wants);
+    match &steps[0].action {
+        EngineAction::LoadModel { model, .. } => model.clone(),
+        EngineAction::LoadAdapter { .. } => panic!("a swap was expected: {steps:?}"),
+    }
+}
+
+/// Pattern: a burst of requests for rare models, more than the engines can swap in. First come,
+/// first served makes all of them late; those that can still be in time go first.
+#[test]
+fn burst_of_rare_models() {
+    let wants = [(on("late", None), due(3500)), (on("fresh", None), due(500))];
+    assert_eq!(first_load(&wants), "fresh");
+}
+
+#[test]
+fn longest_wait_first_while_in_time() {
+    let wants = [(on("late", None), due(2000)), (on("fresh", None), due(500))];
+    assert_eq!(first_load(&wants), "late");
+}
+
+/// A late request is not put off for good.
+#[test]
+fn overdue_goes_first() {
+    let wants = [(on("late", None), due(8000)), (on("fresh", None), due(500))];
+    assert_eq!(first_load(&wants), "late");
+}
+
+/// Pattern: an urgent kind of request waits for a model and could never be in time with a swap. It
+/// is not put behind a less urgent kind for that.
+#[test]
+fn short_objective_is_not_put_off() {
+    let urgent = TargetDemand {
+        objective: Duration::from_millis(800),
+        in_time_until: NOW.saturating_sub(Duration::from_millis(500)),
+        ..due(1300)
+    };
+    let wants = [(on("late", None), urgent), (on("fresh", None), due(500))];
+    assert_eq!(first_load(&wants), "late");
+}
+
+/// Pattern: an engine crashes with the only replica of a model; its entry is listed for seconds.
+#[test]
+fn replica_out_of_reach() {
+    let spec = spec(&["m"]);
+    let gone = EngineState {
+        unreachable: true,
+        busy: true,
+        ..engine("gone", &["m"])
+    };
+    let mut spare = engine("spare", &[]);
+    spare.on_disk = ["m".into()].into();
+    let steps = decide(&spec, vec![gone, spare], &[(on("m", None), waiting(1))]);
+    assert_eq!(swap(&steps[0]).0, "spare");
+}
