--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -20,9 +20,9 @@
 /// Poll interval of the server list, as a share of the drain deadline; longer intervals save calls,
 /// each of which costs.
 const POLL_SHARE: f64 = 0.35;
-/// The same share while the lease holder tells of changes: least time between two calls for them.
+/// The same share while the lease holder announces changes: least time between two calls for them.
 const LINKED_POLL_SHARE: f64 = 0.6;
-/// Poll interval without a change that the lease holder tells of, as a multiple of the drain
+/// Poll interval without a change that the lease holder announced, as a multiple of the drain
 /// deadline.
 const UNCHANGED_POLL_FACTOR: u32 = 3;
 /// Longest wait of one call for a configuration while the lease holder also sends it, as a multiple
@@ -228,7 +228,7 @@
 
 /// When the server list that was read at `read_at` is read again.
 ///
-/// Without a link to the lease holder, the list alone tells of draining endpoints. With one, it is
+/// Without a link to the lease holder, the list is the only source of draining endpoints. With one, it is
 /// read for the changes that the holder tells of, and seldom otherwise; a scheduled `removal` of an
 /// endpoint is due at its time, unless the list has it again.
 ///
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -216,8 +216,8 @@
 
     /// Takes the reports that arrived on the links since the last plan.
     fn read_inbox(&mut self) {
-        let news = self.inbox.take();
-        for (number, report) in news.reports {
+        let pending = self.inbox.take();
+        for (number, report) in pending.reports {
             self.record_demand(&report.demand);
             if let Some(peer) = self.peers.get_mut(&number) {
                 peer.heard_at = report.heard_at;
@@ -226,7 +226,7 @@
                 self.peers.insert(number, Peer::new(report));
             }
         }
-        for number in news.closed {
+        for number in pending.closed {
             self.peers.remove(&number);
         }
     }
--- a/src/gateway/orders/inbox.rs
+++ b/src/gateway/orders/inbox.rs
@@ -23,9 +23,9 @@
     pub heard_at: Duration,
 }
 
-/// What happened on the links since it was last taken.
+/// What arrived on the links since it was last taken.
 #[derive(Debug, Default)]
-pub struct LinkNews {
+pub struct PendingReports {
     /// Newest report of each link, by the link's number.
     pub reports: BTreeMap<u64, LinkReport>,
     /// Numbers of the links that were closed.
@@ -35,7 +35,7 @@
 /// Collects what arrives on the links of other instances.
 #[derive(Debug, Default)]
 pub struct DemandInbox {
-    news: Mutex<LinkNews>,
+    pending: Mutex<PendingReports>,
     echoes: Mutex<Echoes>,
     /// Notified when requests wait at an instance.
     pub urgent: Notify,
@@ -47,12 +47,12 @@
         let echo = Duration::from_millis(report.demand.clock_echo);
         self.echoes().record(&report.demand.instance, echo);
         let is_urgent = report.demand.requested.iter().any(|c| c.count > 0);
-        let mut news = self.news();
-        if let Some(earlier) = news.reports.remove(&link) {
+        let mut pending = self.pending();
+        if let Some(earlier) = pending.reports.remove(&link) {
             add_events(&mut report.demand, earlier.demand);
         }
-        news.reports.insert(link, report);
-        drop(news);
+        pending.reports.insert(link, report);
+        drop(pending);
         if is_urgent {
             self.urgent.notify_one();
         }
@@ -60,13 +60,13 @@
 
     /// Records that a link was closed.
     pub fn close(&self, link: u64) {
-        self.news().closed.push(link);
+        self.pending().closed.push(link);
     }
 
-    /// Returns what happened since the last call.
+    /// Returns what arrived since the last call.
     #[must_use]
-    pub fn take(&self) -> LinkNews {
-        std::mem::take(&mut self.news())
+    pub fn take(&self) -> PendingReports {
+        std::mem::take(&mut self.pending())
     }
 
     /// Clock readings that the instances echoed.
@@ -74,12 +74,12 @@
         self.echoes.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn news(&self) -> MutexGuard<'_, LinkNews> {
-        self.news.lock().unwrap_or_else(PoisonError::into_inner)
+    fn pending(&self) -> MutexGuard<'_, PendingReports> {
+        self.pending.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
-/// Adds the arrivals and aborted requests of an earlier report, which each report tells only once.
+/// Adds the arrivals and aborted requests of an earlier report, which each report carries only once.
 fn add_events(demand: &mut DemandReport, earlier: DemandReport) {
     for count in earlier.requested.into_iter().filter(|c| c.arrivals > 0) {
         let same = demand.requested.iter_mut().find(|c| {
--- a/src/gateway/orders/record.rs
+++ b/src/gateway/orders/record.rs
@@ -261,7 +261,7 @@
         self.disk = report.disk_models;
     }
 
-    /// State for the planner; `running` tells the requests of all instances on a target here.
+    /// State for the planner; `running` returns the number of requests of all instances on a target.
     pub(super) fn state(
         &self,
         id: &str,
--- a/src/gateway/orders/records.rs
+++ b/src/gateway/orders/records.rs
@@ -31,7 +31,7 @@
 
     /// Ends the term unless it is still `held`; returns whether it ended.
     ///
-    /// A term whose token is only invalid for the moment keeps its records: its changes are still
+    /// A term whose token is temporarily invalid keeps its records: its changes are still
     /// in flight, and no other instance has sent orders.
     pub fn leave_lost_term(&mut self, held: Option<u64>) -> bool {
         let is_lost = self.term.is_some() && held != self.term;
@@ -112,7 +112,7 @@
 
     /// States of the engines of a service for the planner.
     ///
-    /// `running` tells the requests of all instances on a target at an engine.
+    /// `running` returns the number of requests of all instances on a target at an engine.
     #[must_use]
     pub fn states(
         &self,
--- a/tests/holder_inbox.rs
+++ b/tests/holder_inbox.rs
@@ -56,9 +56,9 @@
         report(vec![count("m", 3, 2), count("n", 1, 1)], &[8], 10),
     );
     inbox.report(1, report(vec![count("m", 1, 4)], &[9], 20));
-    let news = inbox.take();
-    assert_eq!(news.reports.len(), 1);
-    let demand = &news.reports[&1].demand;
+    let pending = inbox.take();
+    assert_eq!(pending.reports.len(), 1);
+    let demand = &pending.reports[&1].demand;
     assert_eq!(demand.requested, [count("m", 1, 6), count("n", 0, 1)]);
     assert_eq!(demand.aborted, [9, 8]);
     assert!(inbox.take().reports.is_empty());
