--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -229,7 +229,7 @@
 /// When the server list that was read at `read_at` is read again.
 ///
 /// Without a link to the lease holder, the list is the only source of draining endpoints. With one, it is
-/// read for the changes that the holder tells of, and seldom otherwise; a scheduled `removal` of an
+/// read for the changes that the holder announces, and seldom otherwise; a scheduled `removal` of an
 /// endpoint is due at its time, unless the list has it again.
 ///
 /// # Examples
--- a/src/gateway/servers.rs
+++ b/src/gateway/servers.rs
@@ -127,7 +127,7 @@
     /// Returns whether it is new, has restarted, or accepts requests no longer or again.
     #[expect(
         clippy::must_use_candidate,
-        reason = "only the reader of the list tells others of changes"
+        reason = "only the reader of the list announces changes"
     )]
     pub fn upsert(&self, endpoint: Endpoint, now: Duration) -> bool {
         let has_changed = {
