Server list: a holder that cannot read the list announces nothing

The store turned the lease holder away from 18.5 to 25.5 s, and it alone; its links were up, it announced no change, and linked instances waited for one for up to 12 s.

Changed: updates carry the age of the holder's own list. Beyond a second linked instances read the list themselves, at the pace of before.

Test: holder_without_the_store in list_polls, which fails when the age is left out of poll_due.

--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -25,6 +25,9 @@
 /// Poll interval without a change that the lease holder announced, as a multiple of the drain
 /// deadline.
 const UNCHANGED_POLL_FACTOR: u32 = 3;
+/// Age of the lease holder's own list from which its silence says nothing: some of its poll
+/// intervals. The holder may be the one instance that the store turns away.
+const HOLDER_LIST_TTL: Duration = Duration::from_secs(1);
 /// Longest wait of one call for a configuration while the lease holder also sends it, as a multiple
 /// of the time within which it must be in force.
 const LINKED_CONFIG_WAIT_FACTOR: u32 = 4;
@@ -183,6 +186,7 @@
         let Some((batch, is_snapshot)) = next else {
             continue;
         };
+        gateway.list_read_at.send_replace(now);
         if was_lost {
             relist_until = now + gateway.settings.relist_grace;
         }
@@ -210,10 +214,11 @@
     let read_at = gateway.now();
     let mut list_change = gateway.list_change.subscribe();
     loop {
-        let is_linked = holder_link.borrow_and_update().up;
+        let link = holder_link.borrow_and_update().clone();
+        let holder_read_at = link.up.then_some(link.list_read_at);
         let has_changed = *list_change.borrow_and_update() > version;
         let removal = gateway.servers.next_removal();
-        let due = poll_due(read_at, drain, is_linked, has_changed, removal);
+        let due = poll_due(read_at, drain, holder_read_at, has_changed, removal);
         let now = gateway.now();
         if now >= due {
             return;
@@ -228,8 +233,9 @@
 
 /// When the server list that was read at `read_at` is read again.
 ///
-/// Without a link to the lease holder, the list is the only source of draining endpoints. With one, it is
-/// read for the changes that the holder announces, and seldom otherwise; a scheduled `removal` of an
+/// Without a link to the lease holder, the list is the only source of draining endpoints. With one,
+/// it is read for the changes that the holder announces, and seldom otherwise, as long as the
+/// holder itself reads the list: `holder_read_at` is when it last did. A scheduled `removal` of an
 /// endpoint is due at its time, unless the list has it again.
 ///
 /// # Examples
@@ -239,26 +245,33 @@
 /// use brassrack::gateway::feed::poll_due;
 ///
 /// let (read_at, drain) = (Duration::from_secs(100), Duration::from_secs(2));
-/// let changed = poll_due(read_at, drain, true, true, None);
+/// let holder_read_at = Some(read_at + drain * 2);
+/// let changed = poll_due(read_at, drain, holder_read_at, true, None);
 /// assert!(changed < read_at + drain);
-/// assert!(poll_due(read_at, drain, true, false, None) > changed);
+/// assert!(poll_due(read_at, drain, holder_read_at, false, None) > changed);
 /// ```
 #[must_use]
 pub fn poll_due(
     read_at: Duration,
     drain: Duration,
-    is_linked: bool,
+    holder_read_at: Option<Duration>,
     has_changed: bool,
     removal: Option<Duration>,
 ) -> Duration {
-    let interval = match (is_linked, has_changed) {
-        (false, _) => drain.mul_f64(POLL_SHARE),
-        (true, true) => drain.mul_f64(LINKED_POLL_SHARE),
-        (true, false) => drain * UNCHANGED_POLL_FACTOR,
+    let unlinked_due = read_at + drain.mul_f64(POLL_SHARE);
+    let due = match holder_read_at {
+        None => unlinked_due,
+        Some(at) => {
+            let linked_due = read_at + drain.mul_f64(LINKED_POLL_SHARE);
+            let unchanged_due = read_at + drain * UNCHANGED_POLL_FACTOR;
+            if has_changed {
+                linked_due
+            } else {
+                unchanged_due.min(linked_due.max(at + HOLDER_LIST_TTL))
+            }
+        }
     };
-    let earliest = read_at + drain.mul_f64(POLL_SHARE);
-    let due = read_at + interval;
-    removal.map_or(due, |at| due.min(at.max(earliest)))
+    removal.map_or(due, |at| due.min(at.max(unlinked_due)))
 }
 
 /// Applies rows to the known endpoints; returns whether one came, left, restarted or began to drain.
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -49,6 +49,8 @@
     pub row_version: u64,
     /// When the last update was received.
     pub heard_at: Duration,
+    /// When the holder last read the server list, as of the last update.
+    pub list_read_at: Duration,
 }
 
 impl HolderLink {
@@ -275,15 +277,18 @@
                 let holding = update.holding;
                 let redirect = update.holder.parse().ok();
                 let row_version = update.row_version;
+                let list_age = Duration::from_millis(update.list_age_ms.into());
                 apply_update(gateway, update);
                 if !holding {
                     return redirect.filter(|redirect| *redirect != address);
                 }
+                let heard_at = gateway.now();
                 let next = HolderLink {
                     up: true,
                     address: Some(address),
                     row_version,
-                    heard_at: gateway.now(),
+                    heard_at,
+                    list_read_at: heard_at.saturating_sub(list_age),
                 };
                 if !holder_link.send_replace(next).up {
                     log::info!(dependency = "lease holder", address:% = address;
--- a/src/gateway/link/message.rs
+++ b/src/gateway/link/message.rs
@@ -207,4 +207,7 @@
     /// Version of the server list at its last change of endpoints, if the sender holds the lease.
     #[prost(uint64, tag = "10")]
     pub list_change: u64,
+    /// Time since the sender last read the server list, in milliseconds.
+    #[prost(uint32, tag = "11")]
+    pub list_age_ms: u32,
 }
--- a/src/gateway/orders/publish.rs
+++ b/src/gateway/orders/publish.rs
@@ -66,6 +66,7 @@
             .unwrap_or_else(PoisonError::into_inner)
             .version();
         let list_change = *self.gateway.list_change.borrow();
+        let list_read_at = *self.gateway.list_read_at.borrow();
         let refused = self.gateway.crash_suspects().refused();
         let live = u32::try_from(self.peers.len() + 1).unwrap_or(u32::MAX);
         self.gateway.servers.apply_views(&views, now);
@@ -85,6 +86,7 @@
                 clock_ms: u64::try_from(now.as_millis()).unwrap_or(u64::MAX),
                 live_instances: live,
                 list_change,
+                list_age_ms: link::millis(now.saturating_sub(list_read_at)),
                 config: link::newer_config(&self.gateway, peer.demand.config_version),
                 engines: self
                     .views
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -223,6 +223,8 @@
     pub servers_listed: watch::Sender<bool>,
     /// Version of the server list at its last change of endpoints, here or at the lease holder.
     pub list_change: watch::Sender<u64>,
+    /// When this instance last read the server list.
+    pub list_read_at: watch::Sender<Duration>,
     /// Connections to endpoints.
     pub outbound: Outbound,
     /// Demand at this instance.
@@ -270,6 +272,7 @@
             servers: Servers::default(),
             servers_listed: watch::Sender::new(false),
             list_change: watch::Sender::new(0),
+            list_read_at: watch::Sender::new(Duration::ZERO),
             outbound,
             demand: Arc::default(),
             stats: Stats::new()?,
--- a/tests/list_polls.rs
+++ b/tests/list_polls.rs
@@ -9,8 +9,10 @@
 const READ_AT: Duration = Duration::from_secs(50);
 const DRAIN: Duration = Duration::from_secs(4);
 
+/// Wait until the next read, with or without a link to a holder that reads the list itself.
 fn wait(is_linked: bool, has_changed: bool, removal: Option<Duration>) -> Duration {
-    let due = poll_due(READ_AT, DRAIN, is_linked, has_changed, removal);
+    let holder_read_at = is_linked.then_some(READ_AT + DRAIN * 10);
+    let due = poll_due(READ_AT, DRAIN, holder_read_at, has_changed, removal);
     due.saturating_sub(READ_AT)
 }
 
@@ -30,6 +32,27 @@
     assert!(wait(true, true, None) > DRAIN / 2);
 }
 
+/// Pattern: the store turns away the lease holder alone, whose links are up. An endpoint that drains
+/// then is announced by nobody (large trouble-1, seed 559926344667: a request 4,017 ms after).
+#[test]
+fn holder_without_the_store() {
+    let call = Duration::from_secs(1);
+    let last_read = READ_AT + Duration::from_millis(200);
+    let due = poll_due(READ_AT, DRAIN, Some(last_read), false, None);
+    assert!(due + call < last_read + DRAIN);
+    let long_ago = poll_due(
+        READ_AT,
+        DRAIN,
+        Some(READ_AT.saturating_sub(DRAIN)),
+        false,
+        None,
+    );
+    assert!(long_ago + call < READ_AT + DRAIN);
+    let fresh = READ_AT + DRAIN;
+    let due = poll_due(READ_AT, DRAIN, Some(fresh), false, None);
+    assert!(due > fresh && due + call < fresh + DRAIN);
+}
+
 #[test]
 fn without_a_link_the_list_is_read_more_often() {
     assert!(wait(false, false, None) < wait(true, true, None));
