--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -7,7 +7,7 @@
 use tokio::sync::watch;
 use tokio::time::sleep;
 
-use super::link::HolderLink;
+use super::link::{HolderLink, millis};
 use super::protocol::{FeedError, RowBatch};
 use super::shared::Gateway;
 
@@ -53,7 +53,9 @@
     table: &'static str,
     version: Option<u64>,
     newest_version: u64,
+    answered_at: Option<Duration>,
     lost_since: Option<Duration>,
+    failures: u32,
     backoff: Duration,
 }
 
@@ -63,7 +65,9 @@
             table,
             version: None,
             newest_version: 0,
+            answered_at: None,
             lost_since: None,
+            failures: 0,
             backoff: MIN_RETRY_PAUSE,
         }
     }
@@ -78,6 +82,7 @@
         max_pause: Duration,
     ) -> Option<(RowBatch, bool)> {
         let feed = &gateway.platform.feed;
+        let sent_at = gateway.now();
         let (result, is_snapshot) = match self.version {
             Some(version) => (feed.changes_since(self.table, version, wait).await, false),
             None => (feed.snapshot(self.table).await, true),
@@ -91,7 +96,7 @@
                 None
             }
             Ok(batch) => {
-                self.record_success(gateway.now());
+                self.record_success(gateway);
                 self.version = Some(batch.version);
                 self.newest_version = batch.version;
                 Some((batch, is_snapshot))
@@ -103,7 +108,7 @@
                 None
             }
             Err(FeedError::Table(error)) => {
-                self.record_failure(&error.to_string(), gateway.now());
+                self.record_failure(&error.to_string(), sent_at, wait, gateway.now());
                 sleep(self.backoff).await;
                 self.backoff = (self.backoff * 2).min(max_pause);
                 None
@@ -111,21 +116,29 @@
         }
     }
 
-    fn record_failure(&mut self, error: &str, now: Duration) {
+    fn record_failure(&mut self, error: &str, sent_at: Duration, wait: Duration, now: Duration) {
+        self.failures += 1;
+        log::info!(table = self.table, failures = self.failures, wait_ms = millis(wait),
+            took_ms = millis(now.saturating_sub(sent_at)), retry_ms = millis(self.backoff),
+            error = error; "store call failed");
         if self.lost_since.is_none() {
             self.lost_since = Some(now);
             log::warn!(dependency = "store", table = self.table, error = error; "dependency lost");
         }
     }
 
-    fn record_success(&mut self, now: Duration) {
+    fn record_success(&mut self, gateway: &Gateway) {
+        let now = gateway.now();
         self.backoff = MIN_RETRY_PAUSE;
+        if let Some(answered_at) = self.answered_at.replace(now) {
+            let gap = now.saturating_sub(answered_at);
+            gateway.stats.record_feed_gap(self.table, gap);
+        }
         if let Some(lost_since) = self.lost_since.take() {
-            let outage =
-                u64::try_from(now.saturating_sub(lost_since).as_millis()).unwrap_or(u64::MAX);
-            log::info!(dependency = "store", table = self.table, away_ms = outage;
-                "dependency regained");
+            log::info!(dependency = "store", table = self.table, failures = self.failures,
+                away_ms = millis(now.saturating_sub(lost_since)); "dependency regained");
         }
+        self.failures = 0;
     }
 }
 
--- a/src/gateway/stats.rs
+++ b/src/gateway/stats.rs
@@ -18,6 +18,7 @@
     first_response: Histogram<f64>,
     total: Histogram<f64>,
     plan: Histogram<f64>,
+    feed_gap: Histogram<f64>,
 }
 
 impl Stats {
@@ -49,6 +50,11 @@
                 "brassrack_gateway_plan",
                 "Time that a plan of the lease holder took, orders begun and views told",
             ),
+            feed_gap: crate::metrics::seconds(
+                &meter,
+                "brassrack_gateway_feed_gap",
+                "Time between two answers of the platform's store about a table",
+            ),
             registered,
         })
     }
@@ -94,6 +100,12 @@
         self.store.add(1, &labels);
     }
 
+    /// Records the time between two answers of the platform's store about a table.
+    pub fn record_feed_gap(&self, table: &'static str, gap: Duration) {
+        self.feed_gap
+            .record(gap.as_secs_f64(), &[KeyValue::new("table", table)]);
+    }
+
     /// All metrics in the Prometheus text format.
     ///
     /// # Errors
