Configuration: calls after a failure ask the store for no wait

Cause: a call for the configuration waits at the store for a change. After a failure it asked for the same long wait, 2 s and 8 s on linked instances. Sent while the store was still silent it was never answered, and was given up only 2.9 s or 8.9 s later; nothing asked in between. Ruled out: failing connects (the store counted the calls), answers thrown away (no such line). Change: until an answer comes, calls ask for no wait, so that each is given up after 0.9 s. The wait of a working call is 0.4 of the deadline, so that one that is lost in a short silence is repeated in time too. The same code reads the server list, which gains the first part. Why it works: the time from the store's return to the next answered call is at most 0.9 s and a pause of 0.8 s, below the 2 s that are promised; before it was the wait of the call and a pause.

--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -28,9 +28,11 @@
 /// Age of the lease holder's own list from which its silence says nothing: some of its poll
 /// intervals. The holder may be the one instance that the store turns away.
 const HOLDER_LIST_TTL: Duration = Duration::from_secs(1);
-/// Longest wait of one call for a configuration while the lease holder also sends it, as a multiple
-/// of the time within which it must be in force.
-const LINKED_CONFIG_WAIT_FACTOR: u32 = 4;
+/// Longest wait of one call for a configuration, as a share of the time within which it must be in
+/// force: a call without an answer is given up and repeated in that time.
+const CONFIG_WAIT_SHARE: f64 = 0.4;
+/// The same share while the lease holder also sends the configuration.
+const LINKED_CONFIG_WAIT_SHARE: f64 = 4.0;
 /// Poll interval at the lease holder, which sees the end of a load by a changed row.
 const HOLDER_POLL_INTERVAL: Duration = Duration::from_millis(250);
 /// Longest wait of one call for a change of the server list, which changes several times a second.
@@ -74,7 +76,8 @@
 
     /// The next rows, and whether they are a full snapshot; none if the rows cannot be used.
     ///
-    /// Calls that fail in a row are at most `max_pause` apart.
+    /// Calls that fail in a row are at most `max_pause` apart and ask for no wait: one that the store
+    /// never answers would hide its return until the wait is over.
     async fn next_batch(
         &mut self,
         gateway: &Gateway,
@@ -82,6 +85,11 @@
         max_pause: Duration,
     ) -> Option<(RowBatch, bool)> {
         let feed = &gateway.platform.feed;
+        let wait = if self.lost_since.is_some() {
+            Duration::ZERO
+        } else {
+            wait
+        };
         let sent_at = gateway.now();
         let (result, is_snapshot) = match self.version {
             Some(version) => (feed.changes_since(self.table, version, wait).await, false),
@@ -159,12 +167,12 @@
     let mut follower = TableFollower::new(CONFIG_TABLE);
     loop {
         let is_linked = holder_link.borrow().up;
-        let factor = if is_linked {
-            LINKED_CONFIG_WAIT_FACTOR
+        let share = if is_linked {
+            LINKED_CONFIG_WAIT_SHARE
         } else {
-            1
+            CONFIG_WAIT_SHARE
         };
-        let wait = gateway.settings.config_deadline * factor;
+        let wait = gateway.settings.config_deadline.mul_f64(share);
         let max_pause = max_retry_pause(&gateway, is_linked);
         let Some((batch, _)) = follower.next_batch(&gateway, wait, max_pause).await else {
             continue;
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -45,9 +45,6 @@
     /// Window of the rate limit on model loads.
     pub load_window: Duration,
     /// Time within which a new configuration must be in force.
-    ///
-    /// Also the longest wait of one call for it, so that a dead connection to the store is noticed
-    /// at about that time.
     pub config_deadline: Duration,
     /// Time within which a draining endpoint must stop receiving requests.
     pub drain_deadline: Duration,
