--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -51,6 +51,8 @@
     pub heard_at: Duration,
     /// When the holder last read the server list, as of the last update.
     pub list_read_at: Duration,
+    /// When the holder last read the configuration, as of the last update.
+    pub config_read_at: Duration,
 }
 
 impl HolderLink {
@@ -278,6 +280,7 @@
                 let redirect = update.holder.parse().ok();
                 let row_version = update.row_version;
                 let list_age = Duration::from_millis(update.list_age_ms.into());
+                let config_age = Duration::from_millis(update.config_age_ms.into());
                 apply_update(gateway, update);
                 if !holding {
                     return redirect.filter(|redirect| *redirect != address);
@@ -289,6 +292,7 @@
                     row_version,
                     heard_at,
                     list_read_at: heard_at.saturating_sub(list_age),
+                    config_read_at: heard_at.saturating_sub(config_age),
                 };
                 if !holder_link.send_replace(next).up {
                     log::info!(dependency = "lease holder", address:% = address;
--- a/src/gateway/link/message.rs
+++ b/src/gateway/link/message.rs
@@ -210,4 +210,7 @@
     /// Time since the sender last read the server list, in milliseconds.
     #[prost(uint32, tag = "11")]
     pub list_age_ms: u32,
+    /// Time since the sender last read the configuration, in milliseconds.
+    #[prost(uint32, tag = "12")]
+    pub config_age_ms: u32,
 }
--- a/src/gateway/orders/publish.rs
+++ b/src/gateway/orders/publish.rs
@@ -67,6 +67,7 @@
             .version();
         let list_change = *self.gateway.list_change.borrow();
         let list_read_at = *self.gateway.list_read_at.borrow();
+        let config_read_at = *self.gateway.config_read_at.borrow();
         let refused = self.gateway.crash_suspects().refused();
         let live = u32::try_from(self.peers.len() + 1).unwrap_or(u32::MAX);
         self.gateway.servers.apply_views(&views, now);
@@ -87,6 +88,7 @@
                 live_instances: live,
                 list_change,
                 list_age_ms: link::millis(now.saturating_sub(list_read_at)),
+                config_age_ms: link::millis(now.saturating_sub(config_read_at)),
                 config: link::newer_config(&self.gateway, peer.demand.config_version),
                 engines: self
                     .views
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -222,6 +222,8 @@
     pub list_change: watch::Sender<u64>,
     /// When this instance last read the server list.
     pub list_read_at: watch::Sender<Duration>,
+    /// When this instance last read the configuration.
+    pub config_read_at: watch::Sender<Duration>,
     /// Connections to endpoints.
     pub outbound: Outbound,
     /// Demand at this instance.
@@ -270,6 +272,7 @@
             servers_listed: watch::Sender::new(false),
             list_change: watch::Sender::new(0),
             list_read_at: watch::Sender::new(Duration::ZERO),
+            config_read_at: watch::Sender::new(Duration::ZERO),
             outbound,
             demand: Arc::default(),
             stats: Stats::new()?,
