Endpoints that say in an answer that they leave get no new requests

What callers would see: a request sent to an endpoint that is about to exit, and cut with it (DRAIN). Change: the header is read on every answer of an endpoint (requests, errors, reports, orders) and not passed on. The incarnation is marked: the list does not undo that, even if the entry lapses and is back. Marks travel in demand reports and updates for three seconds (fields 7 and 13), so that the lease holder plans without the endpoint and the others stop too. An answer of 421 marks nothing, since it may come from another endpoint at the address. Evidence: leaving_server_gets_nothing and leaving_engine_is_known_to_all fail on the code before (the header reaches the caller; never known), pass now; leaving_endpoints without network.

--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -23,7 +23,7 @@
 mod message;
 
 use crate::peers::codec::{Frames, frames};
-pub use message::{DemandReport, EngineView, FleetUpdate, ModelView, TargetCount};
+pub use message::{DemandReport, EngineView, FleetUpdate, LeavingEndpoint, ModelView, TargetCount};
 
 /// Timeout for opening a link.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
@@ -119,6 +119,22 @@
         running,
         aborted: gateway.crash_suspects().take_unreported(),
         clock_echo: 0,
+        leaving: recently_leaving(gateway),
+    }
+}
+
+/// Endpoints that were recently found to leave, as a message says it.
+#[must_use]
+pub fn recently_leaving(gateway: &Gateway) -> Vec<LeavingEndpoint> {
+    let marks = gateway.servers.recently_leaving(gateway.now());
+    marks.into_iter().map(LeavingEndpoint::from).collect()
+}
+
+/// Takes over which endpoints another instance found to leave.
+pub fn apply_leaving(gateway: &Gateway, leaving: &[LeavingEndpoint]) {
+    for LeavingEndpoint { id, started_ms } in leaving {
+        let now = gateway.now();
+        gateway.servers.mark_leaving(id, *started_ms, "link", now);
     }
 }
 
@@ -335,6 +351,7 @@
         return;
     }
     gateway.record_list_change(update.list_change);
+    apply_leaving(gateway, &update.leaving);
     gateway.budgets().resize(update.live_instances);
     gateway.crash_suspects().merge_refused(&update.refused);
     for estimate in update.estimates {
--- a/src/gateway/link/message.rs
+++ b/src/gateway/link/message.rs
@@ -3,7 +3,7 @@
 use prost::Message;
 
 use super::super::protocol::{HeldModels, Target};
-use super::super::servers::EndpointView;
+use super::super::servers::{EndpointView, LeavingMark};
 
 /// Request counts and wait time of a model or adapter.
 #[derive(Clone, PartialEq, Message)]
@@ -78,6 +78,27 @@
     /// Holder's clock in milliseconds, from the last update received; 0 before the first one.
     #[prost(uint64, tag = "6")]
     pub clock_echo: u64,
+    /// Endpoints that were recently found to leave.
+    #[prost(message, repeated, tag = "7")]
+    pub leaving: Vec<LeavingEndpoint>,
+}
+
+/// An incarnation of an endpoint that leaves.
+#[derive(Clone, PartialEq, Message)]
+pub struct LeavingEndpoint {
+    /// Id of the endpoint.
+    #[prost(string, tag = "1")]
+    pub id: String,
+    /// Start of the incarnation, in Unix milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub started_ms: u64,
+}
+
+impl From<LeavingMark> for LeavingEndpoint {
+    fn from(mark: LeavingMark) -> Self {
+        let LeavingMark { id, started_ms } = mark;
+        Self { id, started_ms }
+    }
 }
 
 /// Model on an engine as known to the lease holder.
@@ -213,4 +234,7 @@
     /// Time since the sender last read the configuration, in milliseconds.
     #[prost(uint32, tag = "12")]
     pub config_age_ms: u32,
+    /// Endpoints that were recently found to leave, if the sender holds the lease.
+    #[prost(message, repeated, tag = "13")]
+    pub leaving: Vec<LeavingEndpoint>,
 }
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -218,6 +218,7 @@
     fn read_inbox(&mut self) {
         let pending = self.inbox.take();
         for (number, report) in pending.reports {
+            link::apply_leaving(&self.gateway, &report.demand.leaving);
             self.record_demand(&report.demand);
             if let Some(peer) = self.peers.get_mut(&number) {
                 peer.heard_at = report.heard_at;
--- a/src/gateway/orders/port.rs
+++ b/src/gateway/orders/port.rs
@@ -106,6 +106,12 @@
 }
 
 impl PlatformEngine {
+    fn mark_leaving(&self, started_ms: u64) {
+        let now = self.gateway.now();
+        let servers = &self.gateway.servers;
+        servers.mark_leaving(&self.engine, started_ms, "engine", now);
+    }
+
     async fn send_order(&self, order: &Order) -> OrderAnswer {
         let request = self.gateway.platform.wire.order_request(order);
         let outbound = &self.gateway.outbound;
@@ -127,8 +133,18 @@
                 }
             }
             Ok(answer) => {
-                let status = answer.head.status;
-                (classify(status), status.as_u16())
+                let mut head = answer.head;
+                let leaving = self
+                    .gateway
+                    .platform
+                    .wire
+                    .decode_response_head(&mut head)
+                    .leaving;
+                let classified = classify(head.status);
+                if leaving && classified != OrderAnswer::Gone {
+                    self.mark_leaving(self.listed().map_or(0, |e| e.start_ms));
+                }
+                (classified, head.status.as_u16())
             }
         };
         let outcome: &'static str = answer.into();
@@ -169,8 +185,20 @@
                 });
             }
         };
+        let mut head = answer.head;
+        let leaving = self
+            .gateway
+            .platform
+            .wire
+            .decode_response_head(&mut head)
+            .leaving;
         match self.gateway.platform.wire.decode_report(&answer.body) {
-            Ok(report) => Ok(report),
+            Ok(report) => {
+                if leaving {
+                    self.mark_leaving(report.start_ms);
+                }
+                Ok(report)
+            }
             Err(error) => {
                 log::warn!(engine = self.engine.as_str(), error:% = error;
                     "cannot decode the engine report; keeping the last one");
--- a/src/gateway/orders/publish.rs
+++ b/src/gateway/orders/publish.rs
@@ -68,6 +68,7 @@
         let list_change = *self.gateway.list_change.borrow();
         let list_read_at = *self.gateway.list_read_at.borrow();
         let config_read_at = *self.gateway.config_read_at.borrow();
+        let leaving = link::recently_leaving(&self.gateway);
         let refused = self.gateway.crash_suspects().refused();
         let live = u32::try_from(self.peers.len() + 1).unwrap_or(u32::MAX);
         self.gateway.servers.apply_views(&views, now);
@@ -93,6 +94,7 @@
                 engines: self
                     .views
                     .since(if full_due { 0 } else { peer.sent_version }),
+                leaving: leaving.clone(),
                 estimates: peer.relevant_estimates(estimates),
                 refused: if refused.len() == peer.refused_sent {
                     Vec::new()
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -214,6 +214,8 @@
     pub not_run: bool,
     /// Requests running, requests waiting and slots of the endpoint.
     pub load: Option<(u32, u32, u32)>,
+    /// Whether the endpoint leaves and is to get no new requests.
+    pub leaving: bool,
 }
 
 /// An engine's report of its state, some hundred milliseconds old.
@@ -299,8 +301,8 @@
     /// Sets the headers of a request to an endpoint and removes those that callers may not set.
     fn set_dispatch_headers(&self, headers: &mut HeaderMap, dispatch: &DispatchHead);
 
-    /// Decodes the head of an endpoint's response.
-    fn decode_response_head(&self, head: &response::Parts) -> ResponseHead;
+    /// Decodes the head of an endpoint's response, and removes what is not for callers.
+    fn decode_response_head(&self, head: &mut response::Parts) -> ResponseHead;
 
     /// Response of the gateway itself that refuses the request with this id.
     fn refusal_response(&self, refusal: &Refusal, id: &str) -> Response<Body>;
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{Request, Response};
+use hyper::{Request, Response, StatusCode};
 
 use super::protocol::{DispatchHead, ResponseHead};
 use super::serve::{RoutedRequest, SendHistory};
@@ -138,12 +138,18 @@
             }
         };
         let (response, sender) = reply.into_parts();
-        let (head, body) = response.into_parts();
-        let response_head = self.gateway.platform.wire.decode_response_head(&head);
+        let (mut head, body) = response.into_parts();
+        let response_head = self.gateway.platform.wire.decode_response_head(&mut head);
         let encoded = head.headers.contains_key(hyper::header::CONTENT_ENCODING);
         let reply = Reply::new(Response::from_parts(head, body), selected.address, sender);
+        let status = reply.response.status();
+        // Another endpoint at the address answers 421; its leaving says nothing about this one.
+        let is_own = status != StatusCode::MISDIRECTED_REQUEST
+            && (response_head.signed || response_head.not_run);
+        if response_head.leaving && is_own {
+            servers.mark_leaving(&selected.id, selected.started_ms, "answer", now);
+        }
         if response_head.not_run {
-            let status = reply.response.status();
             match &self.head.target {
                 Some(target) => servers.mark_absent(selected.key, target, now),
                 None => history.failed_endpoints.push(selected.id.clone()),
--- a/src/gateway/servers.rs
+++ b/src/gateway/servers.rs
@@ -11,8 +11,10 @@
 use super::protocol::{Endpoint, EndpointState, Target};
 use super::selection::{Candidate, choose};
 
+mod leaving;
 mod server;
 
+pub use leaving::{LeavingMark, LeavingMarks};
 pub use server::{EndpointView, RequestOutcome, Server};
 
 slotmap::new_key_type! {
@@ -42,6 +44,7 @@
     run_time: Option<Duration>,
     servers: SlotMap<ServerKey, Server>,
     keys: BTreeMap<String, ServerKey>,
+    leaving: LeavingMarks,
 }
 
 /// An endpoint selected for a request.
@@ -51,6 +54,8 @@
     pub key: ServerKey,
     /// Id of the incarnation.
     pub id: String,
+    /// Start of the incarnation, in Unix milliseconds.
+    pub started_ms: u64,
     /// Network address.
     pub address: SocketAddr,
     /// Expected time in the endpoint's queue.
@@ -140,7 +145,11 @@
                 was_expiring || before != (server.endpoint.start_ms, server.endpoint.state)
             } else {
                 let id = endpoint.id.clone();
-                let key = state.servers.insert(Server::new(endpoint));
+                let mut server = Server::new(endpoint);
+                if state.leaving.contains(&id, server.endpoint.start_ms) {
+                    server.endpoint.state = EndpointState::Draining;
+                }
+                let key = state.servers.insert(server);
                 state.keys.insert(id, key);
                 true
             }
@@ -170,6 +179,29 @@
         }
     }
 
+    /// Records that an incarnation of an endpoint leaves; it gets no new requests from now on.
+    ///
+    /// `source` is where that was learnt, for the log.
+    pub fn mark_leaving(&self, id: &str, started_ms: u64, source: &'static str, now: Duration) {
+        let mut state = self.state();
+        if !state.leaving.add(id, started_ms, now) {
+            return;
+        }
+        log::info!(endpoint = id, started_ms = started_ms, from = source; "endpoint leaves");
+        let key = state.keys.get(id).copied();
+        if let Some(server) = key.and_then(|k| state.servers.get_mut(k))
+            && server.endpoint.start_ms == started_ms
+        {
+            server.endpoint.state = EndpointState::Draining;
+        }
+    }
+
+    /// Endpoints that were recently found to leave, for other instances.
+    #[must_use]
+    pub fn recently_leaving(&self, now: Duration) -> Vec<LeavingMark> {
+        self.state().leaving.recent(now)
+    }
+
     /// Time of the next scheduled removal.
     #[must_use]
     pub fn next_removal(&self) -> Option<Duration> {
@@ -289,6 +321,7 @@
         Some(SelectedEndpoint {
             key: *key,
             id: server.endpoint.id.clone(),
+            started_ms: server.endpoint.start_ms,
             address: server.endpoint.address,
             expected_wait: server.expected_wait(state.run_time.unwrap_or(DEFAULT_RUN_TIME)),
         })
