Endpoints that ask for a pause get no requests of this instance until it is over

Change: the endpoint is passed over until the time is over; the request is routed anew at once, or refused at once with the time that is left where no other endpoint can run it in time. The lease holder sends no orders and report requests to such an engine and plans none. A pause is no failure and adds to no ejection.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -46,10 +46,11 @@
                 history,
             );
         }
-        let running = request
-            .gateway
-            .servers
-            .begin_request(selected.key, None, None);
+        let running =
+            request
+                .gateway
+                .servers
+                .begin_request(selected.key, None, None, request.now());
         let answer = attempt(request, &selected, history).await;
         drop(running);
         let Some(answer) = answer else {
--- a/src/gateway/orders/fleet.rs
+++ b/src/gateway/orders/fleet.rs
@@ -11,7 +11,7 @@
 impl OrderController {
     pub(super) fn sync_records(&mut self, service: &str, now: Duration) {
         let servers = &self.gateway.servers;
-        let listed = servers.list_service(service);
+        let listed = servers.list_service(service, now);
         let describe = |id: &str| servers.endpoint(id);
         self.records.sync(service, &listed, describe, now);
     }
--- a/src/gateway/orders/port.rs
+++ b/src/gateway/orders/port.rs
@@ -10,6 +10,7 @@
 use hyper::{Request, StatusCode};
 
 use super::super::lease::Lease;
+use super::super::link;
 use super::super::protocol::{Endpoint, Order, Report};
 use super::super::shared::Gateway;
 use crate::BoxFuture;
@@ -106,6 +107,21 @@
 }
 
 impl PlatformEngine {
+    fn is_paused(&self) -> bool {
+        let now = self.gateway.now();
+        self.gateway.servers.is_paused(&self.engine, now)
+    }
+
+    fn begin_pause(&self, pause: Option<Duration>) {
+        let Some(pause) = pause else {
+            return;
+        };
+        let until = self.gateway.now() + pause;
+        self.gateway.servers.begin_pause(&self.engine, until);
+        log::info!(endpoint = self.engine.as_str(), pause_ms = link::millis(pause);
+            "endpoint asked for a pause");
+    }
+
     fn mark_leaving(&self, started_ms: u64) {
         let now = self.gateway.now();
         let servers = &self.gateway.servers;
@@ -113,6 +129,9 @@
     }
 
     async fn send_order(&self, order: &Order) -> OrderAnswer {
+        if self.is_paused() {
+            return OrderAnswer::Refused;
+        }
         let request = self.gateway.platform.wire.order_request(order);
         let outbound = &self.gateway.outbound;
         let call = outbound.call(
@@ -134,14 +153,10 @@
             }
             Ok(answer) => {
                 let mut head = answer.head;
-                let leaving = self
-                    .gateway
-                    .platform
-                    .wire
-                    .decode_response_head(&mut head)
-                    .leaving;
+                let response = self.gateway.platform.wire.decode_response_head(&mut head);
                 let classified = classify(head.status);
-                if leaving && classified != OrderAnswer::Gone {
+                self.begin_pause(response.pause);
+                if response.leaving && classified != OrderAnswer::Gone {
                     self.mark_leaving(self.listed().map_or(0, |e| e.start_ms));
                 }
                 (classified, head.status.as_u16())
@@ -159,6 +174,9 @@
     }
 
     async fn fetch_report(&self) -> Result<Report, NoReport> {
+        if self.is_paused() {
+            return Err(NoReport::Unreadable);
+        }
         let mut request = Request::new(Full::new(Bytes::new()));
         *request.uri_mut() = self.gateway.platform.wire.report_uri();
         let outbound = &self.gateway.outbound;
@@ -171,7 +189,9 @@
         );
         let answer = match call.await {
             Ok(answer) if answer.head.status == StatusCode::OK => answer,
-            Ok(answer) => {
+            Ok(mut answer) => {
+                let wire = &self.gateway.platform.wire;
+                self.begin_pause(wire.decode_response_head(&mut answer.head).pause);
                 log::debug!(engine = self.engine.as_str(), status = answer.head.status.as_u16();
                     "engine refused the report request");
                 return Err(NoReport::Unreadable);
--- a/src/gateway/orders/record.rs
+++ b/src/gateway/orders/record.rs
@@ -52,6 +52,8 @@
     pub swap: Option<ActiveSwap>,
     /// Whether it accepts no new requests.
     pub leaving: bool,
+    /// Whether it asked this instance for a pause.
+    pub paused: bool,
     /// Whether the models that it holds are unknown until its next report.
     pub state_unknown: bool,
     /// Report requests in a row for which no connection could be opened.
@@ -87,6 +89,7 @@
             models: endpoint.models.clone(),
             swap: None,
             leaving: false,
+            paused: false,
             state_unknown: true,
             failed_connects: 0,
             sequence: OrderSequence::default(),
@@ -298,7 +301,7 @@
                 EngineAction::LoadModel { model, .. } => Some(model.clone()),
                 EngineAction::LoadAdapter { .. } => None,
             }),
-            busy: !self.is_idle() || self.state_unknown,
+            busy: !self.is_idle() || self.state_unknown || self.paused,
             draining: self.leaving,
             unreachable: self.is_unreachable(),
         }
--- a/src/gateway/orders/records.rs
+++ b/src/gateway/orders/records.rs
@@ -73,6 +73,7 @@
                     record.started_ms = entry.started_ms;
                 }
                 record.leaving |= !entry.ready;
+                record.paused = entry.paused;
                 record.loaded_at.retain(|_, at| now < *at + RATE_WINDOW);
             }
         }
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -216,6 +216,8 @@
     pub load: Option<(u32, u32, u32)>,
     /// Whether the endpoint leaves and is to get no new requests.
     pub leaving: bool,
+    /// Time for which an endpoint that turned the request away wants nothing from this instance.
+    pub pause: Option<Duration>,
 }
 
 /// An engine's report of its state, some hundred milliseconds old.
--- a/src/gateway/routing.rs
+++ b/src/gateway/routing.rs
@@ -52,20 +52,33 @@
             if *self.gateway.stopping.borrow() {
                 return Err(refusal(Cause::Stopping).retry_after(STOPPING_RETRY_DELAY));
             }
-            let Some(target) = &self.head.target else {
-                return Err(refusal(Cause::NoEndpoint).retry_after(NO_ENDPOINT_RETRY_DELAY));
-            };
             if servers.ready_count(&self.service) == 0 {
                 return Err(refusal(Cause::NoEndpoint).retry_after(NO_ENDPOINT_RETRY_DELAY));
             }
+            let paused_for = servers.pause_left(&self.requirements(history), now);
+            let Some(target) = &self.head.target else {
+                let Some(left) = paused_for else {
+                    return Err(refusal(Cause::NoEndpoint).retry_after(NO_ENDPOINT_RETRY_DELAY));
+                };
+                if left > admission::max_queue_wait(&self.route) || now + left > send_by {
+                    let retry_in = admission::retry_after(left, rand::random());
+                    return Err(refusal(Cause::Overload).retry_after(retry_in));
+                }
+                tokio::time::sleep(left).await;
+                continue;
+            };
             let estimated = self.gateway.ready_estimate(&self.service, target);
+            let ready_in = match (estimated, paused_for) {
+                (Some(loaded_in), Some(left)) => Some(left.min(loaded_in)),
+                (estimated, paused_for) => estimated.or(paused_for),
+            };
             let unknown_limit = admission::max_unknown_wait(&self.route);
-            let too_late = match estimated {
+            let too_late = match ready_in {
                 Some(ready_in) => now + ready_in > send_by,
                 None => now > self.arrived_at + unknown_limit && history.possible_runs == 0,
             };
             if too_late {
-                let retry_in = estimated.unwrap_or(NO_ENDPOINT_RETRY_DELAY);
+                let retry_in = ready_in.unwrap_or(NO_ENDPOINT_RETRY_DELAY);
                 return Err(refusal(Cause::DeadlineTooShort).retry_after(retry_in));
             }
             if waiting.is_none() {
@@ -81,7 +94,8 @@
                     left_ms = super::link::millis(send_by.saturating_sub(now));
                     "no endpoint holds the model; waiting");
             }
-            let pause = send_by.saturating_sub(now).min(RECHECK_INTERVAL);
+            let recheck = paused_for.map_or(RECHECK_INTERVAL, |left| left.min(RECHECK_INTERVAL));
+            let pause = send_by.saturating_sub(now).min(recheck);
             if tokio::time::timeout(pause, changes.changed())
                 .await
                 .is_ok_and(|c| c.is_err())
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -51,9 +51,10 @@
                 .outbound
                 .send(selected.address, request, Freshness::Proved, head_timeout);
         history.in_flight = true;
+        let sent_at = self.now();
         let result = sent.await;
         history.in_flight = false;
-        let outcome = self.classify(selected, history, result);
+        let outcome = self.classify(selected, history, result, sent_at);
         match &outcome {
             SendOutcome::Answered(_) => {}
             SendOutcome::NotRun => history.not_run += 1,
@@ -115,6 +116,7 @@
         selected: &SelectedEndpoint,
         history: &mut SendHistory,
         result: Result<Reply, SendError>,
+        sent_at: Duration,
     ) -> SendOutcome {
         let now = self.now();
         let servers = &self.gateway.servers;
@@ -149,8 +151,15 @@
         if response_head.leaving && is_own {
             servers.mark_leaving(&selected.id, selected.started_ms, "answer", now);
         }
+        if let Some(pause) = response_head.pause {
+            servers.begin_pause(&selected.id, now + pause);
+            log::info!(endpoint = selected.id.as_str(),
+                pause_ms = super::link::millis(pause); "endpoint asked for a pause");
+        }
         if response_head.not_run {
             match &self.head.target {
+                // The pause keeps requests away, and the endpoint can run this one after it.
+                _ if response_head.pause.is_some() => {}
                 Some(target) => servers.mark_absent(selected.key, target, now),
                 None => history.failed_endpoints.push(selected.id.clone()),
             }
@@ -167,6 +176,9 @@
                 "response is unsigned or has a content encoding; rejected");
             return SendOutcome::MayHaveRun;
         }
+        if response_head.pause.is_none() {
+            servers.record_answer(selected.key, sent_at);
+        }
         SendOutcome::Answered(Box::new(CheckedReply {
             reply,
             head: response_head,
--- a/src/gateway/servers.rs
+++ b/src/gateway/servers.rs
@@ -12,9 +12,11 @@
 use super::selection::{Candidate, choose};
 
 mod leaving;
+mod pause;
 mod server;
 
 pub use leaving::{LeavingMark, LeavingMarks};
+pub use pause::Pause;
 pub use server::{EndpointView, RequestOutcome, Server};
 
 slotmap::new_key_type! {
@@ -71,6 +73,8 @@
     pub started_ms: u64,
     /// Whether it accepts new requests.
     pub ready: bool,
+    /// Whether it asked this instance for a pause.
+    pub paused: bool,
 }
 
 /// Requirements and preferences of a request for its endpoint.
@@ -238,13 +242,14 @@
 
     /// The endpoints of a service.
     #[must_use]
-    pub fn list_service(&self, service: &str) -> Vec<ListedEndpoint> {
+    pub fn list_service(&self, service: &str, now: Duration) -> Vec<ListedEndpoint> {
         let state = self.state();
         let matches = |s: &&Server| s.endpoint.service == service;
         let listed = |s: &Server| ListedEndpoint {
             id: s.endpoint.id.clone(),
             started_ms: s.endpoint.start_ms,
             ready: s.accepts_requests(),
+            paused: s.pause.left(now).is_some(),
         };
         state.servers.values().filter(matches).map(listed).collect()
     }
@@ -304,12 +309,7 @@
         now: Duration,
     ) -> Option<SelectedEndpoint> {
         let state = self.state();
-        let matches = |s: &Server| {
-            s.endpoint.service == criteria.service
-                && s.accepts_requests()
-                && !criteria.excluded.contains(&s.endpoint.id)
-                && criteria.target.is_none_or(|t| s.can_run(t, now))
-        };
+        let matches = |s: &Server| s.matches(criteria, now) && s.pause.left(now).is_none();
         let matching: Vec<(ServerKey, &Server)> =
             state.servers.iter().filter(|(_, s)| matches(s)).collect();
         let candidates: Vec<Candidate> = matching
@@ -327,6 +327,38 @@
         })
     }
 
+    /// Time until the first endpoint that could run a request ends its pause; none without a pause.
+    #[must_use]
+    pub fn pause_left(&self, criteria: &SelectionCriteria<'_>, now: Duration) -> Option<Duration> {
+        let state = self.state();
+        let matching = state.servers.values().filter(|s| s.matches(criteria, now));
+        matching.filter_map(|s| s.pause.left(now)).min()
+    }
+
+    /// Records that an endpoint wants no request of this instance until a time.
+    pub fn begin_pause(&self, id: &str, until: Duration) {
+        let mut state = self.state();
+        let key = state.keys.get(id).copied();
+        if let Some(server) = key.and_then(|k| state.servers.get_mut(k)) {
+            server.pause.begin(until);
+        }
+    }
+
+    /// Whether an endpoint wants no request of this instance now.
+    #[must_use]
+    pub fn is_paused(&self, id: &str, now: Duration) -> bool {
+        let state = self.state();
+        let server = state.keys.get(id).and_then(|k| state.servers.get(*k));
+        server.is_some_and(|s| s.pause.left(now).is_some())
+    }
+
+    /// Records that an endpoint answered a request sent at a time, and asked for no pause.
+    pub fn record_answer(&self, key: ServerKey, sent_at: Duration) {
+        if let Some(server) = self.state().servers.get_mut(key) {
+            server.pause.record_answer(sent_at);
+        }
+    }
+
     /// Records the time between two events of an endpoint, measured over several events.
     pub fn record_interval(&self, key: ServerKey, interval: Duration, now: Duration) {
         let mut state = self.state();
@@ -357,9 +389,11 @@
         key: ServerKey,
         target: Option<&Target>,
         prompt_prefix: Option<&str>,
+        now: Duration,
     ) -> RequestGuard {
         let mut state = self.state();
         if let Some(server) = state.servers.get_mut(key) {
+            server.pause.record_send(now);
             server.local_load += 1;
             server.fleet_load += 1;
             server.recent_sends += 1;
--- a/src/gateway/servers/server.rs
+++ b/src/gateway/servers/server.rs
@@ -5,7 +5,7 @@
 
 use super::super::protocol::{Endpoint, EndpointState, HeldModels, Target};
 use super::super::selection::Candidate;
-use super::SelectionCriteria;
+use super::{Pause, SelectionCriteria};
 
 /// Age up to which the lease holder's view of an endpoint takes precedence over the server list.
 const VIEW_TTL: Duration = Duration::from_secs(1);
@@ -70,6 +70,7 @@
     pub(super) event_interval: Option<(Duration, Duration)>,
     pub(super) consecutive_failures: u32,
     pub(super) ejected_until: Duration,
+    pub(super) pause: Pause,
     pub(super) viewed_at: Option<Duration>,
     pub(super) expires_at: Option<Duration>,
     pub(super) seen_prefixes: BTreeMap<String, BTreeSet<String>>,
@@ -92,12 +93,21 @@
             event_interval: None,
             consecutive_failures: 0,
             ejected_until: Duration::ZERO,
+            pause: Pause::default(),
             viewed_at: None,
             expires_at: None,
             seen_prefixes: BTreeMap::new(),
         }
     }
 
+    /// Whether it can run a request, but for a pause that it asked for.
+    pub(super) fn matches(&self, criteria: &SelectionCriteria<'_>, now: Duration) -> bool {
+        self.endpoint.service == criteria.service
+            && self.accepts_requests()
+            && !criteria.excluded.contains(&self.endpoint.id)
+            && criteria.target.is_none_or(|t| self.can_run(t, now))
+    }
+
     /// Whether it accepts new requests.
     #[must_use]
     pub fn accepts_requests(&self) -> bool {
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -126,10 +126,11 @@
 ) -> StreamStart {
     let prefix_id = request.head.prefix_id.as_deref();
     let target = request.head.target.as_ref();
-    let running = request
-        .gateway
-        .servers
-        .begin_request(selected.key, target, prefix_id);
+    let running =
+        request
+            .gateway
+            .servers
+            .begin_request(selected.key, target, prefix_id, request.now());
     let started = request.now();
     let limit = first_event_timeout(request, history, &selected);
     let checked = match request.send(&selected, history, last_event, limit).await {
--- a/tests/order_model/holder.rs
+++ b/tests/order_model/holder.rs
@@ -164,6 +164,7 @@
                     self.world.endpoint(id).start_ms
                 },
                 ready: true,
+                paused: false,
             });
         }
         let describe = |id: &str| Some(self.world.endpoint(id));
--- a/tests/order_terms.rs
+++ b/tests/order_terms.rs
@@ -39,6 +39,7 @@
         id: id.into(),
         started_ms,
         ready: true,
+        paused: false,
     }
 }
 
