The store back from an older copy: revisions that rise over eras

What callers would see after such a return: no new configuration and no change of endpoints until the store's counter has caught up (CONFIG, DRAIN), and two instances giving orders to an engine (ONE). Cause: the store's counter was taken for one that only rises. Batches older than the newest one known were turned away, the fence is a version of the lease row, and a copy's lease row was claimed at once by its former holder, or by anyone where it is missing. A new era, or 410, is followed by a full read at once. Descriptions of endpoints in the copy count only if newer than the last ones, and missing endpoints are kept for the relist grace. The lease row names its era; one of an earlier era waits out term and handover, and the holder writes it again within its term.

--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -81,6 +81,7 @@
         holder: settings.name.clone(),
         address: settings.peers_addr,
         released: false,
+        era: 0,
     };
     let lease = Arc::new(Mutex::new(Lease::new(
         own_row.clone(),
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -10,6 +10,7 @@
 use super::link::{HolderLink, millis};
 use super::protocol::{FeedError, RowBatch};
 use super::shared::Gateway;
+use crate::table;
 
 /// Table that holds the configuration.
 const CONFIG_TABLE: &str = "op";
@@ -52,6 +53,17 @@
 /// seconds in which a draining endpoint must stop receiving requests.
 const MASS_REMOVAL_GRACE: Duration = Duration::from_millis(1200);
 
+/// What the rows of a batch are.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum BatchKind {
+    /// Rows that changed since the last batch.
+    Changes,
+    /// All rows.
+    Snapshot,
+    /// All rows of an older copy that the store came back from.
+    Restored,
+}
+
 /// Reads the changes of one table.
 #[derive(Debug)]
 struct TableFollower {
@@ -77,7 +89,7 @@
         }
     }
 
-    /// The next rows, and whether they are a full snapshot; none if the rows cannot be used.
+    /// The next rows; none if the rows cannot be used.
     ///
     /// Calls that fail in a row are at most `max_pause` apart and ask for no wait: one that the store
     /// never answers would hide its return until the wait is over.
@@ -86,7 +98,7 @@
         gateway: &Gateway,
         wait: Duration,
         max_pause: Duration,
-    ) -> Option<(RowBatch, bool)> {
+    ) -> Option<(RowBatch, BatchKind)> {
         let feed = &gateway.platform.feed;
         let wait = if self.lost_since.is_some() {
             Duration::ZERO
@@ -94,9 +106,9 @@
             wait
         };
         let sent_at = gateway.now();
-        let (result, is_snapshot) = match self.version {
-            Some(version) => (feed.changes_since(self.table, version, wait).await, false),
-            None => (feed.snapshot(self.table).await, true),
+        let result = match self.version {
+            Some(version) => feed.changes_since(self.table, version, wait).await,
+            None => feed.snapshot(self.table).await,
         };
         gateway.stats.record_store_call(self.table, result.is_err());
         match result {
@@ -108,9 +120,15 @@
             }
             Ok(batch) => {
                 self.record_success(gateway);
+                let is_new_era = table::era(batch.version) > table::era(self.newest_version);
+                let kind = match self.version {
+                    Some(_) => BatchKind::Changes,
+                    None if is_new_era && self.newest_version > 0 => BatchKind::Restored,
+                    None => BatchKind::Snapshot,
+                };
                 self.version = Some(batch.version);
                 self.newest_version = batch.version;
-                Some((batch, is_snapshot))
+                Some((batch, kind))
             }
             Err(FeedError::HistoryGone) => {
                 log::info!(table = self.table, version = self.newest_version;
@@ -118,6 +136,13 @@
                 self.version = None;
                 None
             }
+            Err(FeedError::Restored) => {
+                log::warn!(table = self.table, version = self.newest_version;
+                    "store came back from an older copy; reading all rows");
+                gateway.stats.record_restore(self.table);
+                self.version = None;
+                None
+            }
             Err(FeedError::Table(error)) => {
                 self.record_failure(&error.to_string(), sent_at, wait, gateway.now());
                 sleep(self.backoff).await;
@@ -245,14 +270,14 @@
             .await;
         let now = gateway.now();
         gateway.servers.remove_expired(now);
-        let Some((batch, is_snapshot)) = next else {
+        let Some((batch, kind)) = next else {
             continue;
         };
         gateway.list_read_at.send_replace(now);
-        if was_lost {
+        if was_lost || kind == BatchKind::Restored {
             relist_until = now + gateway.settings.relist_grace;
         }
-        if apply_batch(&gateway, &batch, is_snapshot, relist_until) {
+        if apply_batch(&gateway, &batch, kind, relist_until) {
             gateway.record_list_change(batch.version);
         }
         gateway
@@ -340,13 +365,13 @@
 fn apply_batch(
     gateway: &Gateway,
     batch: &RowBatch,
-    is_snapshot: bool,
+    kind: BatchKind,
     relist_until: Duration,
 ) -> bool {
     let now = gateway.now();
     let mut changed = Vec::new();
     let mut removed = BTreeSet::new();
-    if is_snapshot {
+    if kind != BatchKind::Changes {
         removed.extend(gateway.servers.ids());
     }
     for row in &batch.rows {
@@ -357,7 +382,13 @@
         match gateway.platform.wire.decode_endpoint(&row.key, text) {
             Ok(endpoint) => {
                 removed.remove(&row.key);
-                if gateway.servers.upsert(endpoint, now) {
+                let has_changed = match kind {
+                    BatchKind::Restored => gateway.servers.upsert_copy(endpoint, now),
+                    BatchKind::Changes | BatchKind::Snapshot => {
+                        gateway.servers.upsert(endpoint, now)
+                    }
+                };
+                if has_changed {
                     changed.push(row.key.as_str());
                 }
             }
--- a/src/gateway/lease.rs
+++ b/src/gateway/lease.rs
@@ -7,6 +7,10 @@
 //! An instance with a link to the holder starts this wait only once the link is lost. During a
 //! store outage the holder may therefore continue as long as it has heard from every possible
 //! successor within the term.
+//!
+//! A row names the era in which it was written. One from an earlier era than its version is an older
+//! copy that the store came back from: whoever holds the lease may have written since. Such a row is
+//! claimed only after the longest wait, and a holder whose term still runs writes its own over it.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -14,6 +18,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::table;
+
 /// Durations that govern the lease.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LeaseTiming {
@@ -59,6 +65,9 @@
     pub address: SocketAddr,
     /// Whether the holder has released the lease.
     pub released: bool,
+    /// Era of the store in which the row was written.
+    #[serde(default)]
+    pub era: u64,
 }
 
 /// Next action on the lease row.
@@ -77,6 +86,8 @@
     timing: LeaseTiming,
     row: Option<LeaseRow>,
     version: u64,
+    /// Whether the row comes from an older copy of the store.
+    is_restored: bool,
     observed_at: Option<Duration>,
     fencing_token: Option<u64>,
     valid_until: Duration,
@@ -92,6 +103,7 @@
             timing,
             row: None,
             version: 0,
+            is_restored: false,
             observed_at: None,
             fencing_token: None,
             valid_until: Duration::ZERO,
@@ -99,7 +111,8 @@
         }
     }
 
-    /// Records the row as read from the store; version 0 if it does not exist.
+    /// Records the row as read from the store; if it does not exist, the version is number 0 of its
+    /// era.
     ///
     /// A new version ends this instance's own hold and restarts the wait for a takeover.
     pub fn observe(&mut self, row: Option<LeaseRow>, version: u64, now: Duration) {
@@ -107,14 +120,29 @@
             return;
         }
         self.fencing_token = None;
+        self.is_restored = is_restored(row.as_ref(), version);
         self.row = row;
         self.version = version;
         self.observed_at = Some(now);
     }
 
+    /// Records the row as read from the store by the holder; returns whether its term goes on.
+    ///
+    /// A row of an earlier era is no successor's, as each one waits for the holder's term first. The
+    /// holder has to write its own over it in the term that it has.
+    pub fn adopt_restored(&mut self, row: Option<&LeaseRow>, version: u64, now: Duration) -> bool {
+        if self.fencing_token(now).is_none() || !is_restored(row, version) {
+            return false;
+        }
+        self.version = version;
+        self.renewed_at = self.renewed_at.min(now.saturating_sub(self.timing.term));
+        true
+    }
+
     /// Records a successful write by this instance; the term starts when it was requested.
     pub fn record_write(&mut self, version: u64, requested_at: Duration) {
         self.row = Some(self.own_row.clone());
+        self.is_restored = false;
         self.version = version;
         self.observed_at = Some(requested_at);
         self.fencing_token.get_or_insert(version);
@@ -159,11 +187,16 @@
     ///
     /// This restarts the wait for a takeover from that time.
     pub fn confirm_holder(&mut self, row: LeaseRow, version: u64, heard_at: Duration) {
-        if version < self.version || self.fencing_token.is_some() {
+        if self.fencing_token.is_some() {
+            return;
+        }
+        if version >= self.version {
+            self.row = Some(row);
+            self.is_restored = false;
+            self.version = version;
+        } else if !self.is_restored {
             return;
         }
-        self.row = Some(row);
-        self.version = version;
         self.observed_at = self.observed_at.max(Some(heard_at));
     }
 
@@ -214,6 +247,7 @@
             claim_delay,
         } = self.timing;
         match &self.row {
+            _ if self.is_restored => observed_at + term + handover_delay + claim_delay,
             None => observed_at + claim_delay,
             Some(row) if row.holder == self.own_row.holder => observed_at,
             Some(row) if row.released => observed_at + handover_delay + claim_delay,
@@ -235,6 +269,13 @@
     }
 }
 
+/// Whether a row at a version may be an older copy.
+///
+/// A lease row is never deleted, so that a missing one may be older than its first write.
+fn is_restored(row: Option<&LeaseRow>, version: u64) -> bool {
+    row.map_or(0, |row| row.era) < table::era(version)
+}
+
 /// Newest reading of the holder's clock that each instance echoed.
 ///
 /// An echo shows that its instance knew the holder to be alive at that reading. One that has
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -66,6 +66,7 @@
             holder: address.to_string(),
             address,
             released: false,
+            era: 0,
         })
     }
 }
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -30,7 +30,7 @@
 pub struct RowBatch {
     /// The rows, oldest change first.
     pub rows: Vec<FeedRow>,
-    /// Version of the table up to which the rows are complete.
+    /// Revision of the table up to which the rows are complete.
     pub version: u64,
 }
 
@@ -40,6 +40,9 @@
     /// Changes since the version are no longer retained; a new snapshot is needed.
     #[error("changes since the requested version are no longer retained")]
     HistoryGone,
+    /// The service came back from an older copy; a new snapshot is needed.
+    #[error("the table service came back from an older copy")]
+    Restored,
     /// The call to the table service failed.
     #[error(transparent)]
     Table(#[from] TableError),
@@ -58,7 +61,8 @@
     ///
     /// # Errors
     ///
-    /// [`FeedError::HistoryGone`] where changes since the version are no longer retained.
+    /// [`FeedError::HistoryGone`] where changes since the version are no longer retained, and
+    /// [`FeedError::Restored`] where the version is of an earlier era than the answer.
     fn changes_since<'a>(
         &'a self,
         table: &'a str,
--- a/src/gateway/renewal.rs
+++ b/src/gateway/renewal.rs
@@ -9,7 +9,7 @@
 use super::lease::{Lease, LeaseAction, LeaseRow};
 use super::link::{HolderInfo, HolderLink};
 use super::shared::Gateway;
-use crate::table::{Check, Commit, Read, Row, TableError, Txn, Write};
+use crate::table::{self, Check, Commit, Read, Row, TableError, Txn, Write};
 
 /// Key of the lease row.
 pub const LEASE_KEY: &str = "lease/orders";
@@ -103,9 +103,14 @@
             Err(elapsed) => return self.read_failed(&elapsed.to_string()),
         };
         self.gateway.stats.record_store_call("lease-read", false);
-        let version = rows.first().map_or(0, |r| r.revision);
+        let missing = table::revision(self.gateway.platform.table.era(), 0);
+        let version = rows.first().map_or(missing, |r| r.revision);
         let row = rows.first().and_then(parse);
         let mut lease = self.lock();
+        if holding && lease.adopt_restored(row.as_ref(), version, requested_at) {
+            log::warn!(version = version; "lease row is of an earlier era; writing it again");
+            return true;
+        }
         let is_own = row
             .as_ref()
             .is_some_and(|r| r.holder == self.own_row.holder && !r.released);
@@ -127,7 +132,11 @@
 
     /// Writes the row; returns false on a conflict or if it is unknown whether it took effect.
     async fn write(&self, version: u64, row: &LeaseRow) -> bool {
-        let Ok(value) = serde_json::to_string(row) else {
+        let row = LeaseRow {
+            era: table::era(version),
+            ..row.clone()
+        };
+        let Ok(value) = serde_json::to_string(&row) else {
             return true;
         };
         let txn = Txn {
--- a/src/gateway/servers.rs
+++ b/src/gateway/servers.rs
@@ -35,6 +35,8 @@
 /// Weight of a new sample in the moving averages of run time and event interval; spans about
 /// twenty samples.
 const TIMING_WEIGHT: f64 = 0.05;
+/// Most removed endpoints that are remembered.
+const MAX_REMOVED: usize = 4096;
 /// How long a model counts as absent after an endpoint refused it; a restart of the endpoint ends
 /// it earlier.
 const ABSENT_TIME: Duration = Duration::from_millis(400);
@@ -47,6 +49,8 @@
     servers: SlotMap<ServerKey, Server>,
     keys: BTreeMap<String, ServerKey>,
     leaving: LeavingMarks,
+    /// Start and sequence number of the last description of removed endpoints, by id.
+    removed: BTreeMap<String, (u64, u64)>,
 }
 
 /// An endpoint selected for a request.
@@ -162,11 +166,40 @@
         has_changed
     }
 
+    /// Adds or updates an endpoint as an older copy of the list describes it.
+    ///
+    /// Returns as [`Servers::upsert`] does. A description that is no newer than the last one, of a
+    /// known endpoint or a removed one, changes nothing: an endpoint that lives describes itself anew.
+    #[expect(
+        clippy::must_use_candidate,
+        reason = "only the reader of the list announces changes"
+    )]
+    pub fn upsert_copy(&self, endpoint: Endpoint, now: Duration) -> bool {
+        let copied = (endpoint.start_ms, endpoint.sequence);
+        let known = {
+            let state = self.state();
+            let key = state.keys.get(&endpoint.id);
+            let listed = key.and_then(|k| state.servers.get(*k));
+            listed.map_or_else(
+                || state.removed.get(&endpoint.id).copied(),
+                |s| Some((s.endpoint.start_ms, s.endpoint.sequence)),
+            )
+        };
+        known.is_none_or(|known| copied > known) && self.upsert(endpoint, now)
+    }
+
     /// Removes an endpoint.
     pub fn remove(&self, id: &str) {
         let mut state = self.state();
-        if let Some(key) = state.keys.remove(id) {
-            state.servers.remove(key);
+        let Some(key) = state.keys.remove(id) else {
+            return;
+        };
+        if let Some(Server { endpoint, .. }) = state.servers.remove(key) {
+            if state.removed.len() >= MAX_REMOVED {
+                state.removed.pop_first();
+            }
+            let last = (endpoint.start_ms, endpoint.sequence);
+            state.removed.insert(endpoint.id, last);
         }
     }
 
--- a/src/gateway/stats.rs
+++ b/src/gateway/stats.rs
@@ -19,6 +19,7 @@
     total: Histogram<f64>,
     plan: Histogram<f64>,
     feed_gap: Histogram<f64>,
+    restores: Counter<u64>,
 }
 
 impl Stats {
@@ -55,6 +56,9 @@
                 "brassrack_gateway_feed_gap",
                 "Time between two answers of the platform's store about a table",
             ),
+            restores: meter
+                .u64_counter("brassrack_gateway_store_restores")
+                .build(),
             registered,
         })
     }
@@ -106,6 +110,11 @@
             .record(gap.as_secs_f64(), &[KeyValue::new("table", table)]);
     }
 
+    /// Records that the platform's store came back from an older copy of a table.
+    pub fn record_restore(&self, table: &'static str) {
+        self.restores.add(1, &[KeyValue::new("table", table)]);
+    }
+
     /// All metrics in the Prometheus text format.
     ///
     /// # Errors
--- a/src/table.rs
+++ b/src/table.rs
@@ -30,6 +30,40 @@
     pub revision: u64,
 }
 
+/// Bits of a revision that count within an era; the bits above are the era.
+const ERA_SHIFT: u32 = 40;
+
+/// Revision of a number that the service gave out in an era.
+///
+/// An era begins when the service comes back from an older copy of its rows, after which it gives out
+/// the same numbers again. Revisions of a later era are greater than all earlier ones.
+///
+/// # Examples
+///
+/// ```
+/// use brassrack::table::{era, number, revision};
+///
+/// assert!(revision(2, 1) > revision(1, 900));
+/// assert_eq!((era(revision(2, 7)), number(revision(2, 7))), (2, 7));
+/// assert_eq!(revision(0, 7), 7);
+/// ```
+#[must_use]
+pub const fn revision(era: u64, number: u64) -> u64 {
+    era << ERA_SHIFT | number
+}
+
+/// Era of a revision.
+#[must_use]
+pub const fn era(revision: u64) -> u64 {
+    revision >> ERA_SHIFT
+}
+
+/// Number that the service gave out for a revision.
+#[must_use]
+pub const fn number(revision: u64) -> u64 {
+    revision & ((1 << ERA_SHIFT) - 1)
+}
+
 /// A change that a transaction makes.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Write {
@@ -88,6 +122,11 @@
     /// [`TableError::Unknown`] where the transaction may have taken effect.
     fn commit(&self, txn: Txn) -> BoxFuture<'_, Result<Commit, TableError>>;
 
+    /// Era of the newest answer; 0 where the service never came back from an older copy.
+    fn era(&self) -> u64 {
+        0
+    }
+
     /// Reads rows, in key order.
     ///
     /// # Errors
--- a/tests/holder_inbox.rs
+++ b/tests/holder_inbox.rs
@@ -40,6 +40,7 @@
         holder: "me".into(),
         address: ([127, 0, 0, 1], 7).into(),
         released: false,
+        era: 0,
     };
     let mut lease = Lease::new(row, LeaseTiming::default());
     lease.record_write(5, at(10_000));
--- a/tests/order_lease.rs
+++ b/tests/order_lease.rs
@@ -19,6 +19,7 @@
         holder: holder.into(),
         address: ([127, 0, 0, 1], 7).into(),
         released: false,
+        era: 0,
     }
 }
 
@@ -83,6 +84,7 @@
     let mut lease = lease();
     let given_back = LeaseRow {
         released: true,
+        era: 0,
         ..row("other")
     };
     lease.observe(Some(given_back), 4, at(10));
--- a/tests/order_model/holder.rs
+++ b/tests/order_model/holder.rs
@@ -53,6 +53,7 @@
             holder: name.to_owned(),
             address: ([127, 0, 0, 1], 7).into(),
             released: false,
+            era: 0,
         };
         let (sender, events) = mpsc::unbounded_channel();
         Self {
@@ -97,6 +98,7 @@
                 holder: self.name.clone(),
                 address: ([127, 0, 0, 1], 7).into(),
                 released: false,
+                era: 0,
             };
             if let Some(version) = self.world.write_row(expected, own) {
                 lease.record_write(version, now);
--- /dev/null
+++ b/tests/restored_lease.rs
@@ -0,0 +1,205 @@
+//! The lease on orders when the store comes back from an older copy of its rows.
+
+use std::time::Duration;
+
+use brassrack::gateway::lease::{Lease, LeaseAction, LeaseRow, LeaseTiming};
+use brassrack::table::{era, revision};
+
+const TERMS: LeaseTiming = LeaseTiming {
+    term: Duration::from_secs(2),
+    handover_delay: Duration::from_secs(3),
+    claim_delay: Duration::ZERO,
+};
+
+const fn at(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+fn row(holder: &str, era: u64) -> LeaseRow {
+    LeaseRow {
+        holder: holder.into(),
+        address: ([127, 0, 0, 1], 9).into(),
+        released: false,
+        era,
+    }
+}
+
+fn lease(name: &str) -> Lease {
+    Lease::new(row(name, 0), TERMS)
+}
+
+/// Whether a lease that observed a row at 10 s claims it at these seconds.
+fn claims(lease: &Lease) -> [bool; 3] {
+    [10, 14, 15].map(|second| matches!(lease.next_action(at(second)), LeaseAction::Write(_)))
+}
+
+/// Guards against ONE: the copy names an earlier holder, which claims its own row at once.
+#[test]
+fn own_row_of_a_copy() {
+    let mut lease = lease("a");
+    lease.observe(Some(row("a", 0)), revision(1, 4), at(10));
+    assert_eq!(claims(&lease), [false, false, true]);
+}
+
+/// Guards against ONE: the copy is from before the row was first written, and all claim it at once.
+#[test]
+fn missing_row_of_a_copy() {
+    let mut lease = lease("a");
+    lease.observe(None, revision(1, 0), at(10));
+    assert_eq!(claims(&lease), [false, false, true]);
+}
+
+/// Guards against ONE: in the copy the lease is free, and it was taken since.
+#[test]
+fn released_row_of_a_copy() {
+    let released = LeaseRow {
+        released: true,
+        ..row("b", 0)
+    };
+    let mut lease = lease("a");
+    lease.observe(Some(released), revision(1, 4), at(10));
+    assert_eq!(claims(&lease), [false, false, true]);
+}
+
+#[test]
+fn holder_goes_on() {
+    let mut lease = lease("a");
+    lease.record_write(9, at(9));
+    for copy in [None, Some(row("b", 0))] {
+        let version = copy.as_ref().map_or(revision(1, 0), |_| revision(1, 4));
+        let mut lease = lease.clone();
+        assert!(lease.adopt_restored(copy.as_ref(), version, at(10)));
+        assert_eq!(lease.next_action(at(10)), LeaseAction::Write(version));
+        assert_eq!(lease.fencing_token(at(10)), Some(9));
+        assert_eq!(lease.fencing_token(at(11)), None);
+        lease.record_write(revision(1, 5), at(10));
+        assert_eq!(lease.fencing_token(at(11)), Some(9));
+    }
+}
+
+#[test]
+fn holder_yields_to_a_successor() {
+    let mut lease = lease("a");
+    lease.record_write(9, at(9));
+    assert!(!lease.adopt_restored(Some(&row("b", 1)), revision(1, 4), at(10)));
+    assert!(!lease.adopt_restored(Some(&row("a", 0)), revision(1, 4), at(12)));
+}
+
+/// The fence rises, though the store gives out lower numbers again.
+#[test]
+fn fence_rises() {
+    let mut lease = lease("a");
+    lease.observe(Some(row("b", 0)), 900, at(1));
+    lease.observe(Some(row("b", 0)), revision(1, 4), at(2));
+    lease.record_write(revision(1, 5), at(8));
+    assert!(lease.fencing_token(at(8)) > Some(900));
+}
+
+/// A linked instance waits for the holder, also where it has read the copy and the holder has not.
+#[test]
+fn link_outlives_the_copy() {
+    let mut lease = lease("a");
+    lease.observe(Some(row("b", 0)), revision(1, 4), at(1));
+    lease.confirm_holder(row("b", 0), 900, at(10));
+    assert_eq!(claims(&lease), [false, false, true]);
+}
+
+/// A store of one row, with the numbers that it gives out and its copies.
+#[derive(Default)]
+struct Store {
+    row: Option<LeaseRow>,
+    number: u64,
+    era: u64,
+    copies: Vec<(Option<LeaseRow>, u64)>,
+}
+
+impl Store {
+    fn version(&self) -> u64 {
+        let number = self.row.as_ref().map_or(0, |_| self.number);
+        revision(self.era, number)
+    }
+
+    /// Writes a row if its number is the expected one, whatever the era was meant to be.
+    fn write(&mut self, name: &str, expected: u64) -> Option<u64> {
+        let number = brassrack::table::number(expected);
+        let current = self.row.as_ref().map_or(0, |_| self.number);
+        if number != current {
+            return None;
+        }
+        self.copies.push((self.row.clone(), self.number));
+        self.row = Some(row(name, era(expected)));
+        self.number += 1;
+        Some(self.version())
+    }
+
+    fn restore(&mut self, back: usize) {
+        let at = self.copies.len().saturating_sub(back);
+        if let Some((row, number)) = self.copies.get(at).cloned() {
+            (self.row, self.number) = (row, number);
+            self.copies.truncate(at);
+        }
+        self.era += 1;
+    }
+}
+
+/// Over any schedule of drills, outages and pauses, two instances never hold the lease at the same
+/// time, a quiet time lies between them, and fences rise.
+#[test]
+fn one_holder() {
+    arbtest::arbtest(|u| {
+        let names = ["a", "b", "c"];
+        let mut leases: Vec<Lease> = names.iter().map(|n| lease(n)).collect();
+        let mut store = Store::default();
+        let mut last: Option<(usize, Duration, u64)> = None;
+        for tick in 0..300_u64 {
+            let now = Duration::from_millis(tick * 200);
+            if tick > 20 && u.ratio(1, 40)? {
+                let back = u.int_in_range(1..=6)?;
+                store.restore(back);
+            }
+            let which = u.choose_index(leases.len())?;
+            if u.ratio(2, 3)? {
+                let is_blind = u.ratio(1, 2)?;
+                step(&mut leases[which], names[which], &mut store, is_blind, now);
+            }
+            for (holder, lease) in leases.iter().enumerate() {
+                let Some(fence) = lease.fencing_token(now) else {
+                    continue;
+                };
+                if let Some((before, until, earlier)) = last
+                    && before != holder
+                {
+                    let quiet = now >= until + TERMS.handover_delay;
+                    assert!(quiet, "{before} then {holder} at {now:?}");
+                    assert!(fence > earlier, "fence {fence} after {earlier}");
+                }
+                last = Some((holder, now, fence));
+            }
+        }
+        Ok(())
+    });
+}
+
+/// What the renewal task does in one round: reads, and then writes.
+///
+/// A holder that `is_blind` does not know yet that its last write is gone.
+fn step(lease: &mut Lease, name: &str, store: &mut Store, is_blind: bool, now: Duration) {
+    let is_holding = lease.fencing_token(now).is_some();
+    let is_stale = lease.version() != store.version();
+    let goes_on = is_holding
+        && (is_blind
+            || !is_stale
+            || lease.adopt_restored(store.row.as_ref(), store.version(), now));
+    if !goes_on {
+        lease.observe(store.row.clone(), store.version(), now);
+    }
+    let LeaseAction::Write(expected) = lease.next_action(now) else {
+        return;
+    };
+    let Some(written) = store.write(name, expected) else {
+        return;
+    };
+    if era(written) == era(expected) {
+        lease.record_write(written, now);
+    }
+}
