Pauses: a request waits for the answer of a trial; a foreign report marks nothing

Found by reading the change: after a pause, requests that came while the first one was under way were refused with at least 0.3 s, though its answer ends the trial in milliseconds; they wait now, at most for the interval of 0.2 s, and go on with the answer. A report from another endpoint at the address could have kept a later mark from being taken over; only the listed incarnation's own report counts. Tests: endpoint_pauses and the 28 process tests of whole_path pass.

--- a/src/gateway/orders/port.rs
+++ b/src/gateway/orders/port.rs
@@ -214,7 +214,8 @@
             .leaving;
         match self.gateway.platform.wire.decode_report(&answer.body) {
             Ok(report) => {
-                if leaving {
+                let is_own = self.listed().is_some_and(|e| e.start_ms == report.start_ms);
+                if leaving && is_own {
                     self.mark_leaving(report.start_ms);
                 }
                 Ok(report)
--- a/src/gateway/routing.rs
+++ b/src/gateway/routing.rs
@@ -6,7 +6,7 @@
 use super::serve::{
     NO_ENDPOINT_RETRY_DELAY, OVERLOAD_RETRY_DELAY, RoutedRequest, STOPPING_RETRY_DELAY, SendHistory,
 };
-use super::servers::{SelectedEndpoint, SelectionCriteria};
+use super::servers::{SelectedEndpoint, SelectionCriteria, TRIAL_INTERVAL};
 use super::shared::WaitingRequest;
 use crate::verdict::{Cause, Refusal};
 
@@ -60,11 +60,15 @@
                 let Some(left) = paused_for else {
                     return Err(refusal(Cause::NoEndpoint).retry_after(NO_ENDPOINT_RETRY_DELAY));
                 };
-                if left > admission::max_queue_wait(&self.route) || now + left > send_by {
+                // The end of a trial is nearer than any return of the caller.
+                let max_wait = admission::max_queue_wait(&self.route).max(TRIAL_INTERVAL);
+                if left > max_wait || now + left > send_by {
                     let retry_in = admission::retry_after(left, rand::random());
                     return Err(refusal(Cause::Overload).retry_after(retry_in));
                 }
-                tokio::time::sleep(left).await;
+                if let Ok(Err(_closed)) = tokio::time::timeout(left, changes.changed()).await {
+                    return Err(refusal(Cause::Stopping));
+                }
                 continue;
             };
             let estimated = self.gateway.ready_estimate(&self.service, target);
--- a/src/gateway/servers.rs
+++ b/src/gateway/servers.rs
@@ -17,6 +17,7 @@
 
 pub use leaving::{LeavingMark, LeavingMarks};
 pub use pause::Pause;
+pub(crate) use pause::TRIAL_INTERVAL;
 pub use server::{EndpointView, RequestOutcome, Server};
 
 slotmap::new_key_type! {
@@ -387,8 +388,13 @@
 
     /// Records that an endpoint answered a request sent at a time, and asked for no pause.
     pub fn record_answer(&self, key: ServerKey, sent_at: Duration) {
-        if let Some(server) = self.state().servers.get_mut(key) {
-            server.pause.record_answer(sent_at);
+        let ends_trial = {
+            let mut state = self.state();
+            let server = state.servers.get_mut(key);
+            server.is_some_and(|s| s.pause.record_answer(sent_at))
+        };
+        if ends_trial {
+            self.notify_change();
         }
     }
 
--- a/src/gateway/servers/pause.rs
+++ b/src/gateway/servers/pause.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 /// Time between two requests after a pause, until one of them is answered.
-const TRIAL_INTERVAL: Duration = Duration::from_millis(200);
+pub(crate) const TRIAL_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Whether an endpoint wants requests of this instance.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -65,12 +65,14 @@
         };
     }
 
-    /// Records an answer that asks for no pause; one to a request sent before the pause proves nothing.
-    pub fn record_answer(&mut self, sent_at: Duration) {
-        if let Self::Trial { first, .. } = *self
-            && sent_at >= first
-        {
+    /// Records an answer that asks for no pause; returns whether that ends a trial.
+    ///
+    /// An answer to a request sent before the pause proves nothing.
+    pub fn record_answer(&mut self, sent_at: Duration) -> bool {
+        let ends = matches!(*self, Self::Trial { first, .. } if sent_at >= first);
+        if ends {
             *self = Self::Off;
         }
+        ends
     }
 }
