--- a/tests/order_model/holder.rs
+++ b/tests/order_model/holder.rs
@@ -17,6 +17,7 @@
 };
 use brassrack::gateway::protocol::{Endpoint, Order, Report, Target};
 use brassrack::gateway::servers::ListedEndpoint;
+use brassrack::table;
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 
@@ -90,7 +91,14 @@
         self.renewed = now;
         let mut lease = self.lease.lock().unwrap();
         let (row, version) = self.world.read_row();
-        if lease.fencing_token(now).is_none() || version != lease.version() {
+        let is_holding = lease.fencing_token(now).is_some();
+        // A holder that has not read the row yet renews its last write.
+        let is_blind = self.world.has(Fault::Drills) && self.world.chance(500);
+        let goes_on = is_holding
+            && (is_blind
+                || version == lease.version()
+                || lease.adopt_restored(row.as_ref(), version, now));
+        if !goes_on {
             lease.observe(row, version, now);
         }
         if let LeaseAction::Write(expected) = lease.next_action(now) {
@@ -98,7 +106,7 @@
                 holder: self.name.clone(),
                 address: ([127, 0, 0, 1], 7).into(),
                 released: false,
-                era: 0,
+                era: table::era(expected),
             };
             if let Some(version) = self.world.write_row(expected, own) {
                 lease.record_write(version, now);
--- a/tests/order_model/main.rs
+++ b/tests/order_model/main.rs
@@ -13,7 +13,7 @@
 mod world;
 
 use holder::Holder;
-use world::{ALL_FAULTS, Fault, World};
+use world::{ALL_FAULTS, FAULTS_AND_DRILLS, Fault, World};
 
 /// Simulated time of one case.
 const CASE_TIME: Duration = Duration::from_secs(25);
@@ -77,6 +77,12 @@
     check(ALL_FAULTS);
 }
 
+/// The store comes back from older copies: one holder at a time, and fences that rise.
+#[test]
+fn drills() {
+    check(FAULTS_AND_DRILLS);
+}
+
 /// A case without faults loads what is asked for, so that a pass means something.
 #[test]
 fn models_are_loaded() {
--- a/tests/order_model/world.rs
+++ b/tests/order_model/world.rs
@@ -7,6 +7,7 @@
 use brassrack::gateway::lease::LeaseRow;
 use brassrack::gateway::orders::port::OrderAnswer;
 use brassrack::gateway::protocol::{Endpoint, EndpointState, Order, Report, Target};
+use brassrack::table;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use tokio::time::Instant;
@@ -33,6 +34,8 @@
     Restarts,
     /// Entries of the server list come and go, or miss their start time.
     ListGaps,
+    /// The store comes back from an older copy of the row and gives versions out again.
+    Drills,
 }
 
 pub(crate) const ALL_FAULTS: &[Fault] = &[
@@ -43,11 +46,31 @@
     Fault::ListGaps,
 ];
 
+/// All faults, and drills of the store.
+pub(crate) const FAULTS_AND_DRILLS: &[Fault] = &[
+    Fault::LostAnswers,
+    Fault::LateOrders,
+    Fault::Outages,
+    Fault::Restarts,
+    Fault::ListGaps,
+    Fault::Drills,
+];
+
 /// The lease row.
 #[derive(Debug, Default)]
 pub(crate) struct Row {
     pub(crate) value: Option<LeaseRow>,
-    pub(crate) version: u64,
+    /// Number that the store gave out for it; 0 where there is no row.
+    pub(crate) number: u64,
+    pub(crate) era: u64,
+    /// Earlier states.
+    copies: Vec<(Option<LeaseRow>, u64)>,
+}
+
+impl Row {
+    fn version(&self) -> u64 {
+        table::revision(self.era, self.number)
+    }
 }
 
 #[derive(Debug)]
@@ -57,6 +80,8 @@
     engines: BTreeMap<String, Engine>,
     /// Holder and time of the last order sent to each engine.
     senders: BTreeMap<String, (String, Duration)>,
+    /// Holder and fence of the newest order to any engine.
+    fence: (String, u64),
     findings: Vec<String>,
 }
 
@@ -81,6 +106,7 @@
                 row: Row::default(),
                 engines: engines.collect(),
                 senders: BTreeMap::new(),
+                fence: (String::new(), 0),
                 findings: Vec::new(),
             }),
         }
@@ -123,20 +149,35 @@
         self.state().engines.values().map(|e| e.accepted).sum()
     }
 
-    /// Reads the row, and writes it if it has the expected version.
+    /// Writes the row if it has the expected number; none where the era is another one.
     pub(crate) fn write_row(&self, expected: u64, value: LeaseRow) -> Option<u64> {
         let mut state = self.state();
-        if state.row.version != expected {
+        let row = &mut state.row;
+        if row.number != table::number(expected) {
             return None;
         }
-        state.row.version += 1 + u64::from(state.row.version.is_multiple_of(3));
-        state.row.value = Some(value);
-        Some(state.row.version)
+        row.copies.push((row.value.clone(), row.number));
+        row.number += 1 + u64::from(row.number.is_multiple_of(3));
+        row.value = Some(value);
+        (row.era == table::era(expected)).then(|| row.version())
     }
 
     pub(crate) fn read_row(&self) -> (Option<LeaseRow>, u64) {
         let state = self.state();
-        (state.row.value.clone(), state.row.version)
+        (state.row.value.clone(), state.row.version())
+    }
+
+    /// Takes back some of the last writes of the row.
+    fn restore(&self) {
+        let back = usize::try_from(self.pick(9)).unwrap();
+        let mut state = self.state();
+        let row = &mut state.row;
+        let at = row.copies.len().saturating_sub(back);
+        if let Some((value, number)) = row.copies.get(at).cloned() {
+            (row.value, row.number) = (value, number);
+            row.copies.truncate(at);
+        }
+        row.era += 1;
     }
 
     /// Changes that come from nowhere: restarts, and adapters that requests begin or cease to use.
@@ -146,6 +187,9 @@
             let id = ENGINES[usize::try_from(self.pick(3)).unwrap()];
             self.state().engines.get_mut(id).unwrap().restart(now);
         }
+        if self.has(Fault::Drills) && self.chance(3) {
+            self.restore();
+        }
         let flips = self.pick(1000) < 200;
         let id = ENGINES[usize::try_from(self.pick(3)).unwrap()];
         let mut state = self.state();
@@ -177,6 +221,13 @@
             let finding = format!("{now:?}: {holder} after {earlier} at {at:?} to {order:?}");
             state.findings.push(finding);
         }
+        let (before, fence) = state.fence.clone();
+        let token = order.fencing_token;
+        if token < fence || (before != holder && token == fence) {
+            let finding = format!("{now:?}: fence {token} of {holder} after {fence} of {before}");
+            state.findings.push(finding);
+        }
+        state.fence = (holder.to_owned(), token);
     }
 
     pub(crate) fn receive(&self, order: &Order) -> OrderAnswer {
