Lease: an instance that stops ends its term for good

What callers would see: two instances giving orders to an engine (ONE), so requests sent to models that are not there, each time that the lease holder is stopped in a planned way and another one has no link. Cause: on SIGTERM the holder released the row and set its validity to zero, but kept its token. Echoes of linked instances then prolonged the lease as in an outage of the store, and it gave orders until it had exited. Another instance without a link read the released row and claimed it after the handover delay. Change: the token goes with the validity, also where the lease had lapsed at that moment; the others hear that the instance holds nothing once the row is written, and do not wait for its exit.

--- a/src/gateway/lease.rs
+++ b/src/gateway/lease.rs
@@ -171,9 +171,10 @@
         self.version
     }
 
-    /// Ends the term at once, so that no further orders are sent.
-    pub const fn expire(&mut self) {
+    /// Ends the term for good, so that no further orders are sent.
+    pub const fn end_term(&mut self) {
         self.valid_until = Duration::ZERO;
+        self.fencing_token = None;
     }
 
     /// Last known holder, if it is another instance and has not released the lease.
--- a/src/gateway/renewal.rs
+++ b/src/gateway/renewal.rs
@@ -209,17 +209,18 @@
                 lease.version(),
             )
         };
+        self.lock().end_term();
         self.gateway.lease_held.send_replace(false);
-        if !held {
-            return;
+        if held {
+            let row = LeaseRow {
+                released: true,
+                ..self.own_row.clone()
+            };
+            let known = self.write(version, &row).await;
+            log::info!(known = known; "lease on orders released");
         }
-        self.lock().expire();
-        let row = LeaseRow {
-            released: true,
-            ..self.own_row.clone()
-        };
-        let known = self.write(version, &row).await;
-        log::info!(known = known; "lease on orders released");
+        // The others look for a successor once they can read that the lease is free.
+        self.publish();
     }
 }
 
--- a/tests/order_lease.rs
+++ b/tests/order_lease.rs
@@ -192,3 +192,14 @@
     assert_eq!(lease.wait_time(at(9).saturating_sub(soon), most), soon);
     assert_eq!(lease.wait_time(at(9), most), most);
 }
+
+/// Guards against ONE: echoes of linked instances prolonged a lease that its holder had released.
+#[test]
+fn released_lease_is_not_extended() {
+    let mut lease = lease();
+    lease.record_write(7, at(1));
+    lease.end_term();
+    lease.extend(at(2));
+    assert_eq!(lease.fencing_token(at(2)), None);
+    assert_eq!(lease.term(), None);
+}
