Streams: the log says why a broken stream was not resumed

A stream that broke and could not go on elsewhere left 'request ended' with outcome 'cut' and no reason: the refusal of the second endpoint was dropped. The line 'stream not resumed' now carries how the first one ended and the reason, so that a silent endpoint, a used-up retry budget and a refusal can be told apart. No decision is changed.

--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -274,12 +274,17 @@
                 drop(stream);
                 let next =
                     resume_stream(&mut request, &mut history, &mut outlet, &mut last_event).await;
-                let Some(next) = next else {
-                    request.record_end("cut", &history, status, &endpoint);
-                    outlet.abort().await;
-                    return;
+                stream = match next {
+                    Ok(next) => next,
+                    Err(reason) => {
+                        log::info!(id = request.head.id.as_str(), endpoint = endpoint.as_str(),
+                            end:% = end, reason = reason, ran = history.possible_runs;
+                            "stream not resumed");
+                        request.record_end("cut", &history, status, &endpoint);
+                        outlet.abort().await;
+                        return;
+                    }
                 };
-                stream = next;
             }
         }
     }
@@ -339,28 +344,42 @@
     }
 }
 
-/// Resumes the stream at another endpoint; `None` where that is not possible.
+/// Resumes the stream at another endpoint.
+///
+/// # Errors
+///
+/// The reason for the log where that is not possible.
 async fn resume_stream(
     request: &mut RoutedRequest,
     history: &mut SendHistory,
     outlet: &mut CallerStream,
     last_event: &mut Option<u64>,
-) -> Option<EndpointStream> {
-    if !request.may_run_after(history.possible_runs) || request.time_left().is_zero() {
-        return None;
+) -> Result<EndpointStream, &'static str> {
+    if request.time_left().is_zero() {
+        return Err("deadline");
+    }
+    if !request.may_run_after(history.possible_runs) {
+        return Err("no-attempt-left");
     }
     request.first_deadline = request.deadline.min(request.now() + RESUME_TIMEOUT);
     let start = tokio::select! {
         start = open_stream(request, history, *last_event) => start,
-        () = outlet.closed() => return None,
+        () = outlet.closed() => return Err("caller-gone"),
     };
-    let Ok(StreamStart::Streaming(_, stream, events)) = start else {
-        return None;
+    let (stream, events) = match start {
+        Ok(StreamStart::Streaming(_, stream, events)) => (stream, events),
+        Ok(StreamStart::Plain(..)) => return Err("answered-without-stream"),
+        Ok(StreamStart::Failed) => return Err("no-permit"),
+        Err(refusal) => return Err(refusal.cause.into()),
     };
     *last_event = last_event_id(&events).or(*last_event);
     log::info!(id = request.head.id.as_str(), endpoint = stream.selected.id.as_str(),
         after = last_event.unwrap_or_default(), sends = history.sends; "stream resumed");
-    outlet.send(events).await.then_some(*stream)
+    if outlet.send(events).await {
+        Ok(*stream)
+    } else {
+        Err("caller-gone")
+    }
 }
 
 /// Id of the last event with an id, among complete events.
