Streams: a silent stream stays open while another endpoint is asked

What callers saw: a stream that may be resumed ended without its end, though its endpoint was sound and only silent for a second or two (LOST). Cause: after four of its longest gaps without an event the stream was dropped, and only then asked for elsewhere. Where that failed, nothing was left. Evidence: silent_stream_beside_full and silent_streams_beyond_budget failed on the code before: the other endpoint full, or the retry budget used up by other silent streams. Why it works: the silent stream is read on while the other endpoint is asked, and the first of the two that sends an event keeps the caller.

--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -63,7 +63,7 @@
         outcome
     }
 
-    /// Records that an endpoint did not complete its response.
+    /// Records that an endpoint did not complete its response, as a run of the request.
     ///
     /// Where it `closed` the connection, the break counts against the request's fingerprint.
     pub fn record_broken_response(
@@ -72,6 +72,14 @@
         history: &mut SendHistory,
         closed: bool,
     ) {
+        self.record_failure(selected, closed);
+        history.record_possible_run(&selected.id);
+    }
+
+    /// Records that an endpoint did not complete its response, for its health only.
+    ///
+    /// Where it `closed` the connection, the break counts against the request's fingerprint.
+    pub fn record_failure(&self, selected: &SelectedEndpoint, closed: bool) {
         let now = self.now();
         self.gateway
             .servers
@@ -81,7 +89,6 @@
                 .crash_suspects()
                 .record_local(self.fingerprint, now);
         }
-        history.record_possible_run(&selected.id);
     }
 
     fn endpoint_request(
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -43,6 +43,18 @@
     running: RequestGuard,
 }
 
+/// How a silence in a stream ended.
+enum Silence {
+    /// The endpoint sent its next events.
+    Over(Bytes),
+    /// Another endpoint sent them first, and has the stream now.
+    Moved(Box<EndpointStream>, Bytes),
+    /// No other endpoint takes the stream; it stays where it is.
+    Alone,
+    /// The stream ended, or the caller left.
+    Ended(StreamEnd),
+}
+
 /// Result of asking an endpoint for a stream.
 enum StreamStart {
     /// The stream is open; holds the response head, the stream and the first events.
@@ -235,7 +247,7 @@
     }
     loop {
         let end = relay_events(
-            &request,
+            &mut request,
             &mut history,
             &mut stream,
             &mut outlet,
@@ -290,9 +302,9 @@
     }
 }
 
-/// Relays the events of one endpoint until its stream ends or breaks.
+/// Relays events until the stream ends or breaks; a silent stream may move to another endpoint.
 async fn relay_events(
-    request: &RoutedRequest,
+    request: &mut RoutedRequest,
     history: &mut SendHistory,
     stream: &mut EndpointStream,
     outlet: &mut CallerStream,
@@ -324,26 +336,94 @@
             next = stream.feed.next(limit) => next,
             () = outlet.closed() => return StreamEnd::CallerGone,
         };
-        match next {
-            Ok(events) => {
-                let now = request.now();
-                history.longest_gap = history.longest_gap.max(now.saturating_sub(previous));
-                previous = now;
-                *last_event = last_event_id(&events).or(*last_event);
-                if !outlet.send(events).await {
-                    return StreamEnd::CallerGone;
+        let events = match next {
+            Ok(events) => events,
+            Err(StreamEnd::Cut) if stream.feed.ended_cleanly() => return StreamEnd::Whole,
+            Err(StreamEnd::Silent) if !request.time_left().is_zero() => {
+                if !request.has_alternative(history, &stream.selected) {
+                    continue;
+                }
+                match wait_beside(request, history, stream, outlet, *last_event).await {
+                    Silence::Over(events) => events,
+                    Silence::Moved(next, events) => {
+                        *stream = *next;
+                        (sample_start, read_count) = (request.now(), 0);
+                        events
+                    }
+                    Silence::Alone => continue,
+                    Silence::Ended(end) => return end,
                 }
             }
-            Err(StreamEnd::Cut) if stream.feed.ended_cleanly() => return StreamEnd::Whole,
-            // A stalled stream is kept while no other endpoint could resume it.
-            Err(StreamEnd::Silent)
-                if !request.time_left().is_zero()
-                    && !request.has_alternative(history, &stream.selected) => {}
             Err(end) => return end,
+        };
+        let now = request.now();
+        history.longest_gap = history.longest_gap.max(now.saturating_sub(previous));
+        previous = now;
+        *last_event = last_event_id(&events).or(*last_event);
+        if !outlet.send(events).await {
+            return StreamEnd::CallerGone;
         }
     }
 }
 
+/// Asks another endpoint to go on with a silent stream, which stays open meanwhile.
+///
+/// Silence is no proof that an endpoint has failed. Whichever of the two sends the next events keeps
+/// the caller; the other one is dropped.
+async fn wait_beside(
+    request: &mut RoutedRequest,
+    history: &mut SendHistory,
+    stream: &mut EndpointStream,
+    outlet: &CallerStream,
+    last_event: Option<u64>,
+) -> Silence {
+    let runs_before = history.possible_runs;
+    history.record_possible_run(&stream.selected.id);
+    request.first_deadline = request.deadline.min(request.now() + RESUME_TIMEOUT);
+    let (silence, ended) = {
+        let request = &*request;
+        let opening = open_stream(request, history, last_event);
+        tokio::pin!(opening);
+        let mut ended = None;
+        loop {
+            tokio::select! {
+                biased;
+                () = outlet.closed() => break (Silence::Ended(StreamEnd::CallerGone), ended),
+                next = stream.feed.next(request.time_left()), if ended.is_none() => match next {
+                    Ok(events) => break (Silence::Over(events), ended),
+                    Err(StreamEnd::Cut) if stream.feed.ended_cleanly() => {
+                        break (Silence::Ended(StreamEnd::Whole), ended);
+                    }
+                    Err(end) => ended = Some(end),
+                },
+                opened = &mut opening => {
+                    let silence = match (opened, ended) {
+                        (Ok(StreamStart::Streaming(_, next, events)), _) => {
+                            Silence::Moved(next, events)
+                        }
+                        (_, Some(end)) => Silence::Ended(end),
+                        (_, None) => Silence::Alone,
+                    };
+                    break (silence, ended);
+                }
+            }
+        }
+    };
+    let (id, from) = (request.head.id.as_str(), stream.selected.id.as_str());
+    if let Silence::Moved(next, _) = &silence {
+        request.record_failure(&stream.selected, ended == Some(StreamEnd::Cut));
+        log::info!(id = id, endpoint = next.selected.id.as_str(), from = from,
+            after = last_event.unwrap_or_default(), sends = history.sends; "silent stream moved");
+        return silence;
+    }
+    log::info!(id = id, endpoint = from, sends = history.sends; "silent stream kept");
+    // The stream still runs here, so only the sends made beside it count as earlier runs.
+    let beside = history.possible_runs - runs_before - 1 + u32::from(history.in_flight);
+    history.possible_runs = runs_before + beside;
+    history.in_flight = false;
+    silence
+}
+
 /// Resumes the stream at another endpoint.
 ///
 /// # Errors
