Requests: a silent endpoint may still answer while another one is asked

What callers saw: a request refused (502) though its endpoint was sound and answered a second later, well within the caller's time. An attempt without an answer, or first event, for twice the objective was dropped before another one had succeeded; no retry budget, a full or silent second endpoint then ended the request. It counts as a possible run, so that attempts and the verdict stay true. A denied retry leaves a log line now, in place of the reason 'no-permit'.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -25,5 +25,6 @@
 pub mod serve;
 pub mod servers;
 pub mod shared;
+pub mod silence;
 pub mod stats;
 pub mod stream;
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -9,95 +9,134 @@
 use super::send::{CheckedReply, SendOutcome};
 use super::serve::{RoutedRequest, SendHistory};
 use super::servers::{RequestOutcome, SelectedEndpoint};
+use super::silence::{Success, first_success};
+use crate::BoxFuture;
 use crate::http::{Body, full};
 use crate::outbound::Answer;
 use crate::verdict::{Cause, Refusal};
 
 /// Largest response that is buffered.
 const MAX_BUFFERED_BYTES: usize = 8 << 20;
-/// Time for a repeatable call before it is sent to another endpoint, in multiples of the objective:
+/// Time for a repeatable call before another endpoint is asked too, in multiples of the objective:
 /// a call that takes twice its objective is more likely lost than slow.
-const CALL_TIMEOUT_OBJECTIVES: u32 = 2;
+const CALL_PATIENCE_OBJECTIVES: u32 = 2;
+
+/// An answer, and the id of the endpoint that gave it.
+type Found = (Answer, String);
+
+/// No endpoint succeeded; holds the last error answer, if any, and the refusal without one.
+type NotFound = (Option<Found>, Refusal);
 
 /// Responds to a call.
 pub async fn run(request: RoutedRequest) -> Response<Body> {
     let mut history = SendHistory::default();
-    tokio::select! {
-        answer = try_endpoints(&request, &mut history) => return answer,
-        () = request.gateway.wait_before_exit() => {}
+    let found = tokio::select! {
+        found = find_answer(&request, &mut history) => found,
+        () = request.gateway.wait_before_exit() => {
+            return request.refuse(&request.stopping_refusal(&history), &history);
+        }
+    };
+    match found {
+        Ok((answer, endpoint)) => respond(&request, answer, &history, &endpoint),
+        Err((answer, refusal)) => respond_without_success(&request, answer, &refusal, &history),
     }
-    request.refuse(&request.stopping_refusal(&history), &history)
 }
 
-async fn try_endpoints(request: &RoutedRequest, history: &mut SendHistory) -> Response<Body> {
-    let mut failed_answer: Option<(Answer, String)> = None;
-    loop {
-        let selected = match request.choose_endpoint(history).await {
-            Ok(selected) => selected,
-            Err(refusal) => {
-                return respond_without_success(request, failed_answer, &refusal, history);
+/// Tries endpoints until one answers or no retry is left.
+///
+/// An endpoint that is silent may still answer while others are tried.
+fn find_answer<'a>(
+    request: &'a RoutedRequest,
+    history: &'a mut SendHistory,
+) -> BoxFuture<'a, Result<Found, NotFound>> {
+    Box::pin(async move {
+        let mut failed = None;
+        loop {
+            let selected = match request.choose_endpoint(history).await {
+                Ok(selected) => selected,
+                Err(refusal) => return Err((failed, refusal)),
+            };
+            if !request.take_send_permit(history) {
+                return Err((failed, request.final_refusal(history)));
             }
-        };
-        if !request.take_send_permit(history) {
-            return respond_without_success(
-                request,
-                failed_answer,
-                &request.final_refusal(history),
-                history,
-            );
-        }
-        let running =
-            request
-                .gateway
-                .servers
-                .begin_request(selected.key, None, None, request.now());
-        let answer = attempt(request, &selected, history).await;
-        drop(running);
-        let Some(answer) = answer else {
-            if request.time_left().is_zero() {
-                return respond_without_success(
-                    request,
-                    failed_answer,
-                    &request.final_refusal(history),
-                    history,
-                );
+            let patience = patience(request, history);
+            let attempt = attempt(request, selected.clone(), history.begin_attempt());
+            tokio::pin!(attempt);
+            let finished = match patience {
+                Some(patience) => timeout(patience, &mut attempt).await.ok(),
+                None => Some((&mut attempt).await),
+            };
+            let Some((answer, after)) = finished else {
+                request.log_silence(&selected);
+                history.record_silence(&selected.id);
+                let silent = async { attempt.await.0 };
+                let later = find_answer(request, history);
+                return match first_success(silent, later).await {
+                    Ok(Success::Silent(found)) => Ok(found),
+                    Ok(Success::Later(found)) => {
+                        request.record_failure(&selected, false);
+                        Ok(found)
+                    }
+                    Err((silent, (later, refusal))) => Err((later.or(silent).or(failed), refusal)),
+                };
+            };
+            *history = after;
+            match answer {
+                Ok(found) => return Ok(found),
+                // An error status counts as a run. The caller gets this response if no other
+                // endpoint returns a better one.
+                Err(Some(found)) => {
+                    history.record_possible_run(&selected.id);
+                    failed = Some(found);
+                }
+                Err(None) if request.time_left().is_zero() => {
+                    return Err((failed, request.final_refusal(history)));
+                }
+                Err(None) => {}
             }
-            continue;
-        };
-        let status = answer.head.status.as_u16();
-        if !request.replaceable(status) {
-            return respond(request, answer, history, &selected.id);
         }
-        // An error status counts as a run. The caller gets this response if no other endpoint
-        // returns a better one.
-        history.record_possible_run(&selected.id);
-        failed_answer = Some((answer, selected.id));
-    }
+    })
+}
+
+/// Time for the answer after which another endpoint is asked too; none where none may be.
+fn patience(request: &RoutedRequest, history: &SendHistory) -> Option<Duration> {
+    let patience = request.route.latency_objective * CALL_PATIENCE_OBJECTIVES;
+    (patience < request.time_left() && request.may_run_again(history)).then_some(patience)
 }
 
+/// Asks an endpoint; an error holds its answer where another endpoint's may replace it.
+///
+/// Also returns the record of the sends with this one.
 async fn attempt(
+    request: &RoutedRequest,
+    selected: SelectedEndpoint,
+    mut history: SendHistory,
+) -> (Result<Found, Option<Found>>, SendHistory) {
+    let servers = &request.gateway.servers;
+    let _running = servers.begin_request(selected.key, None, None, request.now());
+    let found = match read_answer(request, &selected, &mut history).await {
+        None => Err(None),
+        Some(answer) if request.replaceable(answer.head.status.as_u16()) => {
+            Err(Some((answer, selected.id)))
+        }
+        Some(answer) => Ok((answer, selected.id)),
+    };
+    (found, history)
+}
+
+async fn read_answer(
     request: &RoutedRequest,
     selected: &SelectedEndpoint,
     history: &mut SendHistory,
 ) -> Option<Answer> {
-    let left = request.time_left();
-    let limit = if request.may_run_again(history) {
-        left.min(request.route.latency_objective * CALL_TIMEOUT_OBJECTIVES)
-    } else {
-        left
-    };
-    let started = request.now();
+    let limit = request.time_left();
     let checked = match request.send(selected, history, None, limit).await {
         SendOutcome::Answered(checked) => checked,
         SendOutcome::NotRun | SendOutcome::MayHaveRun => return None,
     };
     let CheckedReply { reply, .. } = *checked;
-    let remaining = left.saturating_sub(request.now().saturating_sub(started));
     let read = reply.read(&request.gateway.outbound, MAX_BUFFERED_BYTES);
-    history.in_flight = true;
-    let read = timeout(remaining, read).await;
-    history.in_flight = false;
-    let answer = match read {
+    let answer = match timeout(request.time_left(), read).await {
         Ok(Ok(answer)) => answer,
         Ok(Err(error)) => return record_break(request, selected, history, &error.to_string()),
         Err(late) => return record_break(request, selected, history, &late.to_string()),
@@ -129,7 +168,7 @@
 /// Final response where no endpoint succeeded: the last error response, else a refusal.
 fn respond_without_success(
     request: &RoutedRequest,
-    failed_answer: Option<(Answer, String)>,
+    failed_answer: Option<Found>,
     refusal: &Refusal,
     history: &SendHistory,
 ) -> Response<Body> {
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -91,6 +91,13 @@
         }
     }
 
+    /// Logs that an endpoint is silent and another one is asked beside it.
+    pub fn log_silence(&self, selected: &SelectedEndpoint) {
+        log::info!(id = self.head.id.as_str(), endpoint = selected.id.as_str(),
+            left_ms = super::link::millis(self.time_left());
+            "endpoint is silent; asking another one too");
+    }
+
     fn endpoint_request(
         &self,
         selected: &SelectedEndpoint,
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -68,7 +68,7 @@
 }
 
 /// Record of the sends of one request to endpoints.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct SendHistory {
     /// Ids of the endpoints that failed, which are not tried again.
     pub failed_endpoints: Vec<String>,
@@ -85,6 +85,21 @@
 }
 
 impl SendHistory {
+    /// Marks a send as in flight, and returns the record for that attempt alone.
+    #[must_use]
+    pub fn begin_attempt(&mut self) -> Self {
+        let attempt = self.clone();
+        self.in_flight = true;
+        attempt
+    }
+
+    /// Counts the attempt in flight, whose endpoint is silent, as a run; other attempts follow.
+    pub fn record_silence(&mut self, endpoint: &str) {
+        self.in_flight = false;
+        self.sends += 1;
+        self.record_possible_run(endpoint);
+    }
+
     /// Counts a send that ran, or may have run, without a usable response.
     pub fn record_possible_run(&mut self, endpoint: &str) {
         self.possible_runs += 1;
@@ -258,7 +273,12 @@
         if history.not_run >= MAX_NOT_RUN_SENDS {
             return false;
         }
-        self.gateway.budgets().try_spend(&self.service, self.now())
+        let granted = self.gateway.budgets().try_spend(&self.service, self.now());
+        if !granted {
+            log::info!(id = self.head.id.as_str(), service = self.service.as_str(),
+                sends = history.sends; "no retry budget left");
+        }
+        granted
     }
 
     /// Records the refusal and builds the response for it.
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -75,7 +75,6 @@
             request.record_end("answered", &history, response.status().as_u16(), &endpoint);
             response
         }
-        Ok(StreamStart::Failed) => request.refuse(&request.final_refusal(&history), &history),
         Err(refusal) => request.refuse(&refusal, &history),
     }
 }
@@ -300,7 +299,6 @@
     let (stream, events) = match start {
         Ok(StreamStart::Streaming(_, stream, events)) => (stream, events),
         Ok(StreamStart::Plain(..)) => return Err("answered-without-stream"),
-        Ok(StreamStart::Failed) => return Err("no-permit"),
         Err(refusal) => return Err(refusal.cause.into()),
     };
     *last_event = last_event_id(&events).or(*last_event);
