Streams: a silent attempt loses only to a stream that has begun elsewhere

The race is now decided by the response head, which comes when an endpoint begins to answer; the first events are read after it by the same code that reads the later ones.

--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -100,6 +100,15 @@
         self.record_possible_run(endpoint);
     }
 
+    /// Counts the sends made beside a silent attempt that still goes on, but not that attempt.
+    ///
+    /// `runs_before` is the number of possible runs before its silence was recorded.
+    pub fn settle_silence(&mut self, runs_before: u32) {
+        let beside = self.possible_runs.saturating_sub(runs_before + 1);
+        self.possible_runs = runs_before + beside + u32::from(self.in_flight);
+        self.in_flight = false;
+    }
+
     /// Counts a send that ran, or may have run, without a usable response.
     pub fn record_possible_run(&mut self, endpoint: &str) {
         self.possible_runs += 1;
--- a/src/gateway/stream/start.rs
+++ b/src/gateway/stream/start.rs
@@ -12,6 +12,7 @@
 use super::super::serve::{RoutedRequest, SendHistory};
 use super::super::servers::{RequestGuard, SelectedEndpoint};
 use super::super::silence::{Success, first_success};
+use super::events::next_events;
 use crate::BoxFuture;
 use crate::http::{Body, full};
 use crate::outbound::{Reply, Sender};
@@ -25,87 +26,144 @@
 /// Lower bound of that time: a shorter one would ask beside an engine whose batch is merely full.
 const MIN_FIRST_EVENT_PATIENCE: Duration = Duration::from_secs(1);
 
-/// An open stream from one endpoint.
+/// A stream that an endpoint has begun to answer.
+#[derive(Debug)]
 pub(super) struct EndpointStream {
+    pub(super) head: Box<Parts>,
     pub(super) selected: SelectedEndpoint,
     pub(super) feed: EventReader,
     pub(super) sender: Sender,
     pub(super) running: RequestGuard,
 }
 
-/// Result of asking an endpoint for a stream.
-pub(super) enum StreamStart {
-    /// The stream is open; holds the response head, the stream and the first events.
-    Streaming(Box<Parts>, Box<EndpointStream>, Bytes),
-    /// The status is not a success; holds the response and the endpoint's id.
-    Plain(Response<Body>, String),
+impl EndpointStream {
+    /// Reads the next complete events within the limit.
+    pub(super) async fn next(&mut self, limit: Duration) -> Result<Bytes, StreamEnd> {
+        match self.feed.next(limit).await {
+            Err(StreamEnd::Cut) if self.feed.ended_cleanly() => Err(StreamEnd::Whole),
+            next => next,
+        }
+    }
+}
+
+/// Why there is no stream.
+pub(super) enum Unopened {
+    /// An endpoint answered without success; holds its response and its id.
+    Answered(Response<Body>, String),
+    /// No endpoint answered.
+    Refused(Refusal),
+}
+
+impl From<Refusal> for Unopened {
+    fn from(refusal: Refusal) -> Self {
+        Self::Refused(refusal)
+    }
 }
 
-/// Tries endpoints until one opens the stream or responds.
+/// Opens a stream and reads its first events; tries other endpoints where it breaks before those.
+pub(super) async fn begin_stream(
+    request: &mut RoutedRequest,
+    history: &mut SendHistory,
+    last_event: Option<u64>,
+) -> Result<(EndpointStream, Bytes), Unopened> {
+    let patience = first_event_patience(request);
+    loop {
+        let mut stream = open_stream(request, history, last_event).await?;
+        history.in_flight = true;
+        let first = next_events(request, history, &mut stream, patience, None, last_event).await;
+        history.in_flight = false;
+        let end = match first {
+            Ok(events) => return Ok((stream, events)),
+            Err(StreamEnd::Whole) => StreamEnd::Cut,
+            Err(end) => end,
+        };
+        record_break(request, &stream.selected, history, end);
+        check_retry(request, history)?;
+    }
+}
+
+/// Tries endpoints until one begins to answer with a stream.
 ///
-/// An endpoint that is silent may still open the stream while others are tried.
+/// An endpoint that is silent may still do so while others are tried.
 ///
 /// # Errors
 ///
-/// The [`Refusal`] for the caller where none does and no retry is left.
+/// What the caller gets where none does and no retry is left.
 pub(super) fn open_stream<'a>(
     request: &'a RoutedRequest,
     history: &'a mut SendHistory,
     last_event: Option<u64>,
-) -> BoxFuture<'a, Result<StreamStart, Refusal>> {
+) -> BoxFuture<'a, Result<EndpointStream, Unopened>> {
     Box::pin(async move {
         loop {
             let selected = request.choose_endpoint(history).await?;
             if !request.take_send_permit(history) {
-                return Err(request.final_refusal(history));
+                return Err(request.final_refusal(history).into());
             }
-            let patience = first_event_patience(request, history, &selected);
-            let (key, before) = (selected.clone(), history.begin_attempt());
-            let attempt = start_stream(request, key, before, last_event);
-            tokio::pin!(attempt);
-            let finished = match patience {
-                Some(patience) => timeout(patience, &mut attempt).await.ok(),
-                None => Some((&mut attempt).await),
+            let patience = first_event_patience(request);
+            let may_ask_beside = patience < request.time_left()
+                && request.may_run_again(history)
+                // A request in an engine's queue would lose its position.
+                && selected.expected_wait.is_zero()
+                && request.has_alternative(history, &selected);
+            let runs_before = history.possible_runs;
+            let (chosen, before) = (selected.clone(), history.begin_attempt());
+            let attempt = start_stream(request, chosen, before, last_event);
+            let mut attempt = Box::pin(attempt);
+            let finished = if may_ask_beside {
+                timeout(patience, &mut attempt).await.ok()
+            } else {
+                Some((&mut attempt).await)
             };
-            let Some((start, after)) = finished else {
+            let Some((opened, after)) = finished else {
                 request.log_silence(&selected);
                 history.record_silence(&selected.id);
-                let silent = async { attempt.await.0.ok_or(()) };
+                let silent = async { attempt.await.0 };
                 let later = open_stream(request, history, last_event);
                 return match first_success(silent, later).await {
-                    Ok(Success::Silent(start)) => Ok(start),
-                    Ok(Success::Later(start)) => {
+                    Ok(Success::Silent(stream)) => {
+                        history.settle_silence(runs_before);
+                        Ok(stream)
+                    }
+                    Ok(Success::Later(stream)) => {
                         request.record_failure(&selected, false);
-                        Ok(start)
+                        Ok(stream)
                     }
-                    Err(((), refusal)) => Err(refusal),
+                    Err((Some(answered), Unopened::Refused(_))) => Err(answered),
+                    Err((_, unopened)) => Err(unopened),
                 };
             };
             *history = after;
-            match start {
-                Some(start) => return Ok(start),
-                None if request.time_left().is_zero() => {
-                    let verdict = history.verdict();
-                    return Err(Refusal::new(verdict, Cause::DeadlinePassed));
-                }
-                None if history.possible_runs > 0 && !request.route.kind.is_repeatable() => {
-                    return Err(Refusal::new(Verdict::MayHaveRun, Cause::EndpointFailed));
-                }
-                None => {}
+            match opened {
+                Ok(stream) => return Ok(stream),
+                Err(Some(answered)) => return Err(answered),
+                Err(None) => check_retry(request, history)?,
             }
         }
     })
 }
 
-/// Asks an endpoint for the stream; none where it gives no complete response.
+/// Refuses the request where no other endpoint may be tried after a failure.
+fn check_retry(request: &RoutedRequest, history: &SendHistory) -> Result<(), Refusal> {
+    if request.time_left().is_zero() {
+        return Err(Refusal::new(history.verdict(), Cause::DeadlinePassed));
+    }
+    if history.possible_runs > 0 && !request.route.kind.is_repeatable() {
+        return Err(Refusal::new(Verdict::MayHaveRun, Cause::EndpointFailed));
+    }
+    Ok(())
+}
+
+/// Asks an endpoint for the stream, up to the head of its response.
 ///
-/// Also returns the record of the sends with this one.
+/// An error holds its response where the caller may get it. Also returns the record of the sends
+/// with this one.
 async fn start_stream(
     request: &RoutedRequest,
     selected: SelectedEndpoint,
     mut history: SendHistory,
     last_event: Option<u64>,
-) -> (Option<StreamStart>, SendHistory) {
+) -> (Result<EndpointStream, Option<Unopened>>, SendHistory) {
     let prefix_id = request.head.prefix_id.as_deref();
     let target = request.head.target.as_ref();
     let running =
@@ -117,71 +175,53 @@
     let sent = request.send(&selected, &mut history, last_event, limit);
     let checked = match sent.await {
         SendOutcome::Answered(checked) => checked,
-        SendOutcome::NotRun | SendOutcome::MayHaveRun => return (None, history),
+        SendOutcome::NotRun | SendOutcome::MayHaveRun => return (Err(None), history),
     };
     let CheckedReply { reply, .. } = *checked;
     let status = reply.response.status();
     if !status.is_success() {
         if request.replaceable(status.as_u16()) && request.may_run_again(&history) {
             history.record_possible_run(&selected.id);
-            return (None, history);
+            return (Err(None), history);
         }
-        let start = read_plain_response(request, selected, &mut history, reply).await;
-        return (start, history);
+        let answered = read_plain_response(request, &selected, &mut history, reply).await;
+        return (Err(answered), history);
     }
     let (response, sender) = reply.into_parts();
     let (head, body) = response.into_parts();
-    let mut feed = EventReader::new(body);
-    match feed.next(request.time_left()).await {
-        Ok(events) => {
-            let stream = EndpointStream {
-                selected,
-                feed,
-                sender,
-                running,
-            };
-            let start = StreamStart::Streaming(Box::new(head), Box::new(stream), events);
-            (Some(start), history)
-        }
-        Err(end) => {
-            record_break(request, &selected, &mut history, end);
-            (None, history)
-        }
-    }
+    let stream = EndpointStream {
+        head: Box::new(head),
+        selected,
+        feed: EventReader::new(body),
+        sender,
+        running,
+    };
+    (Ok(stream), history)
 }
 
-/// Time for the first event after which another endpoint is asked too; none where none is free.
-///
-/// A request that waits in an engine's queue is not moved: it would lose its position.
-fn first_event_patience(
-    request: &RoutedRequest,
-    history: &SendHistory,
-    selected: &SelectedEndpoint,
-) -> Option<Duration> {
+/// Time for the head, and then for the first event, after which another endpoint is asked too.
+fn first_event_patience(request: &RoutedRequest) -> Duration {
     let objectives = request.route.latency_objective * FIRST_EVENT_OBJECTIVES;
-    let patience = objectives.max(MIN_FIRST_EVENT_PATIENCE);
-    let elsewhere =
-        || selected.expected_wait.is_zero() && request.has_alternative(history, selected);
-    (patience < request.time_left() && request.may_run_again(history) && elsewhere())
-        .then_some(patience)
+    objectives.max(MIN_FIRST_EVENT_PATIENCE)
 }
 
-/// Reads a response that is not a stream to its end.
+/// Reads a response that is not a stream to its end; none where it breaks off.
 async fn read_plain_response(
     request: &RoutedRequest,
-    selected: SelectedEndpoint,
+    selected: &SelectedEndpoint,
     history: &mut SendHistory,
     reply: Reply,
-) -> Option<StreamStart> {
+) -> Option<Unopened> {
     let read = reply.read(&request.gateway.outbound, MAX_BUFFERED_BYTES);
     let Ok(Ok(answer)) = timeout(request.time_left(), read).await else {
-        record_break(request, &selected, history, StreamEnd::Cut);
+        record_break(request, selected, history, StreamEnd::Cut);
         return None;
     };
     let mut head = answer.head;
     strip_connection_headers(&mut head.headers);
     let response = Response::from_parts(head, full(answer.body));
-    Some(StreamStart::Plain(response, selected.id))
+    history.record_possible_run(&selected.id);
+    Some(Unopened::Answered(response, selected.id.clone()))
 }
 
 pub(super) fn record_break(
