Streams: a caller's stream is complete only when it is finished

What callers could see: a stream that looks complete without its last events. Cause: the response ended as complete whenever its sender was dropped: after a caller that did not read for 30 s, or a panic of the relaying task. Found by the review of the incident, by reading. Why it works: only finish() ends the response as complete; any other end of the sender is an error of the body, which closes the connection.

--- a/src/completions/stream.rs
+++ b/src/completions/stream.rs
@@ -120,6 +120,7 @@
                 .send(format!("event: error\ndata: {error}\n\n").into())
                 .await;
         }
+        caller.finish();
         self.suspicion.finish_trial(refusal.is_none()).await;
         self.record_end(StatusCode::OK, refusal.as_ref());
     }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -117,6 +117,7 @@
                 );
                 request.gateway.outbound.put(selected.address, sender);
                 request.record_end("answered", &history, status, &selected.id);
+                outlet.finish();
                 return;
             }
             StreamEnd::CallerGone => {
@@ -135,7 +136,6 @@
                             end:% = end, reason = reason, ran = history.possible_runs;
                             "stream not resumed");
                         request.record_end("cut", &history, status, &endpoint);
-                        outlet.abort().await;
                         return;
                     }
                 };
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -4,6 +4,8 @@
 //! with the next event. [`CallerStream::relay`] takes a stream for complete only after its end
 //! marker.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -87,9 +89,13 @@
 }
 
 /// The caller's side of a stream.
+///
+/// The response is complete only after [`CallerStream::finish`]. A stream that is dropped before, in
+/// whatever way, ends the response with an error.
 #[derive(Debug)]
 pub struct CallerStream {
     frames: mpsc::Sender<Result<Frame<Bytes>, std::io::Error>>,
+    finished: Arc<AtomicBool>,
     sent_events: u64,
     done: bool,
 }
@@ -99,18 +105,27 @@
     #[must_use]
     pub fn new() -> (Self, Body) {
         let (frames, queue) = mpsc::channel(MAX_QUEUED_FRAMES);
-        let stream = futures_util::stream::unfold(queue, |mut queue| async move {
-            queue.recv().await.map(|frame| (frame, queue))
+        let finished = Arc::new(AtomicBool::new(false));
+        let open = Some((queue, Arc::clone(&finished)));
+        let stream = futures_util::stream::unfold(open, |open| async move {
+            let (mut queue, finished) = open?;
+            match queue.recv().await {
+                Some(frame) => Some((frame, Some((queue, finished)))),
+                None if finished.load(Ordering::Acquire) => None,
+                None => {
+                    let broken = std::io::Error::from(std::io::ErrorKind::UnexpectedEof);
+                    Some((Err(broken), None))
+                }
+            }
         });
         let body = StreamBody::new(stream).boxed_unsync();
-        (
-            Self {
-                frames,
-                sent_events: 0,
-                done: false,
-            },
-            body,
-        )
+        let caller = Self {
+            frames,
+            finished,
+            sent_events: 0,
+            done: false,
+        };
+        (caller, body)
     }
 
     /// Number of events sent so far.
@@ -124,12 +139,9 @@
         self.frames.closed().await;
     }
 
-    /// Ends the response with an error, so that the caller does not take it for a complete one.
-    pub async fn abort(self) {
-        let broken = std::io::Error::from(std::io::ErrorKind::UnexpectedEof);
-        if self.frames.send(Err(broken)).await.is_err() {
-            log::debug!("the caller disconnected before its stream was aborted");
-        }
+    /// Ends the response as complete.
+    pub fn finish(self) {
+        self.finished.store(true, Ordering::Release);
     }
 
     /// Sends complete events; false where the caller has disconnected or stalls for too long.
