Feed: calls that fail follow one another within a second, linked or not

Cause: a linked instance paused up to 0.6 of the drain bound after a failed call, on top of the call's own 0.9 s; that pause fits calls that work. Now the next call is due 0.8 s after the last one began, or 0.1 s after it was given up.

--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -41,10 +41,10 @@
 const HOLDER_POLL_INTERVAL: Duration = Duration::from_millis(250);
 /// Longest wait of one call for a change of the server list, which changes several times a second.
 const SERVERS_MAX_WAIT: Duration = Duration::from_secs(1);
-/// Initial pause after a failed call; doubles with each failure.
+/// Least pause after a failed call.
 const MIN_RETRY_PAUSE: Duration = Duration::from_millis(100);
-/// Largest such pause while there is no link to the lease holder.
-const MAX_RETRY_PAUSE: Duration = Duration::from_millis(800);
+/// Longest time from one failed call's start to the next call, unless the first takes longer.
+const MAX_RETRY_INTERVAL: Duration = Duration::from_millis(800);
 /// Most endpoints of one batch that are logged one by one; more are summed up in one line.
 const MAX_ENDPOINT_LINES: usize = 8;
 /// Delay of the removal when more than half of all endpoints disappear at once.
@@ -73,7 +73,8 @@
     answered_at: Option<Duration>,
     lost_since: Option<Duration>,
     failures: u32,
-    backoff: Duration,
+    /// Time from the start of the next failed call to the call after it; doubles with each failure.
+    retry_interval: Duration,
 }
 
 impl TableFollower {
@@ -85,19 +86,18 @@
             answered_at: None,
             lost_since: None,
             failures: 0,
-            backoff: MIN_RETRY_PAUSE,
+            retry_interval: MIN_RETRY_PAUSE,
         }
     }
 
     /// The next rows; none if the rows cannot be used.
     ///
-    /// Calls that fail in a row are at most `max_pause` apart and ask for no wait: one that the store
-    /// never answers would hide its return until the wait is over.
+    /// Calls that fail in a row ask for no wait, and begin soon after one another however long each
+    /// takes: the time from the last one's start to an answer bounds how long the store has been back.
     async fn next_batch(
         &mut self,
         gateway: &Gateway,
         wait: Duration,
-        max_pause: Duration,
     ) -> Option<(RowBatch, BatchKind)> {
         let feed = &gateway.platform.feed;
         let wait = if self.lost_since.is_some() {
@@ -144,28 +144,30 @@
                 None
             }
             Err(FeedError::Table(error)) => {
-                self.record_failure(&error.to_string(), sent_at, wait, gateway.now());
-                sleep(self.backoff).await;
-                self.backoff = (self.backoff * 2).min(max_pause);
+                let now = gateway.now();
+                let due = sent_at + self.retry_interval;
+                let pause = due.saturating_sub(now).max(MIN_RETRY_PAUSE);
+                self.record_failure(&error.to_string(), wait, now.saturating_sub(sent_at), pause);
+                self.lost_since.get_or_insert(now);
+                sleep(pause).await;
+                self.retry_interval = (self.retry_interval * 2).min(MAX_RETRY_INTERVAL);
                 None
             }
         }
     }
 
-    fn record_failure(&mut self, error: &str, sent_at: Duration, wait: Duration, now: Duration) {
+    fn record_failure(&mut self, error: &str, wait: Duration, took: Duration, pause: Duration) {
         self.failures += 1;
         log::info!(table = self.table, failures = self.failures, wait_ms = millis(wait),
-            took_ms = millis(now.saturating_sub(sent_at)), retry_ms = millis(self.backoff),
-            error = error; "store call failed");
+            took_ms = millis(took), retry_ms = millis(pause), error = error; "store call failed");
         if self.lost_since.is_none() {
-            self.lost_since = Some(now);
             log::warn!(dependency = "store", table = self.table, error = error; "dependency lost");
         }
     }
 
     fn record_success(&mut self, gateway: &Gateway) {
         let now = gateway.now();
-        self.backoff = MIN_RETRY_PAUSE;
+        self.retry_interval = MIN_RETRY_PAUSE;
         if let Some(answered_at) = self.answered_at.replace(now) {
             let gap = now.saturating_sub(answered_at);
             gateway.stats.record_feed_gap(self.table, gap);
@@ -178,15 +180,6 @@
     }
 }
 
-/// Largest pause between failing calls: no shorter than between working ones while linked.
-fn max_retry_pause(gateway: &Gateway, is_linked: bool) -> Duration {
-    if is_linked {
-        gateway.settings.drain_deadline.mul_f64(LINKED_POLL_SHARE)
-    } else {
-        MAX_RETRY_PAUSE
-    }
-}
-
 /// Follows the configuration until the process ends.
 ///
 /// The lease holder sends it over the link as well, so that a linked instance need not notice a
@@ -203,9 +196,8 @@
         } else {
             CONFIG_WAIT_SHARE
         };
-        let max_pause = max_retry_pause(&gateway, is_covered);
         let next = tokio::select! {
-            next = follower.next_batch(&gateway, deadline.mul_f64(share), max_pause) => next,
+            next = follower.next_batch(&gateway, deadline.mul_f64(share)) => next,
             () = holder_lost(&gateway, &mut holder_link), if is_covered => {
                 log::info!(table = CONFIG_TABLE;
                     "lease holder does not send the configuration; reading it");
@@ -264,10 +256,7 @@
     let mut relist_until = Duration::ZERO;
     loop {
         let was_lost = follower.lost_since.is_some();
-        let max_pause = max_retry_pause(&gateway, holder_link.borrow().up);
-        let next = follower
-            .next_batch(&gateway, SERVERS_MAX_WAIT, max_pause)
-            .await;
+        let next = follower.next_batch(&gateway, SERVERS_MAX_WAIT).await;
         let now = gateway.now();
         gateway.servers.remove_expired(now);
         let Some((batch, kind)) = next else {
