Feed: a table that is read again ends the other reader's pause

Now the first read after failures ends the pause of a reader whose last call began before it; once each, so that a table that stays away is not asked more.

--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -149,7 +149,7 @@
                 let pause = due.saturating_sub(now).max(MIN_RETRY_PAUSE);
                 self.record_failure(&error.to_string(), wait, now.saturating_sub(sent_at), pause);
                 self.lost_since.get_or_insert(now);
-                sleep(pause).await;
+                retry_pause(gateway, sent_at, pause).await;
                 self.retry_interval = (self.retry_interval * 2).min(MAX_RETRY_INTERVAL);
                 None
             }
@@ -175,11 +175,21 @@
         if let Some(lost_since) = self.lost_since.take() {
             log::info!(dependency = "store", table = self.table, failures = self.failures,
                 away_ms = millis(now.saturating_sub(lost_since)); "dependency regained");
+            gateway.store_regained_at.send_replace(now);
         }
         self.failures = 0;
     }
 }
 
+/// Pauses after a failed call, no longer than until another table is read again.
+async fn retry_pause(gateway: &Gateway, sent_at: Duration, pause: Duration) {
+    let mut regained_at = gateway.store_regained_at.subscribe();
+    tokio::select! {
+        () = sleep(pause) => {}
+        _ = regained_at.wait_for(|at| *at > sent_at) => {}
+    }
+}
+
 /// Follows the configuration until the process ends.
 ///
 /// The lease holder sends it over the link as well, so that a linked instance need not notice a
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -224,6 +224,8 @@
     pub list_read_at: watch::Sender<Duration>,
     /// When this instance last read the configuration.
     pub config_read_at: watch::Sender<Duration>,
+    /// When a table of the store was last read after calls that failed.
+    pub store_regained_at: watch::Sender<Duration>,
     /// Connections to endpoints.
     pub outbound: Outbound,
     /// Demand at this instance.
@@ -273,6 +275,7 @@
             list_change: watch::Sender::new(0),
             list_read_at: watch::Sender::new(Duration::ZERO),
             config_read_at: watch::Sender::new(Duration::ZERO),
+            store_regained_at: watch::Sender::new(Duration::ZERO),
             outbound,
             demand: Arc::default(),
             stats: Stats::new()?,
