Feed: a read of the server list asks for no wait

Cause: a call that waited up to a second for a change was given up after 1.9 s where the store had fallen silent, so that its return was known to two seconds only: too coarse for both a grace of two seconds and a bound of three. Heartbeats change the list several times a second, so the wait saves no calls; polls are paced by their intervals.

--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -39,8 +39,6 @@
 const HOLDER_CONFIG_TTL_SHARE: f64 = 0.85;
 /// Poll interval at the lease holder, which sees the end of a load by a changed row.
 const HOLDER_POLL_INTERVAL: Duration = Duration::from_millis(250);
-/// Longest wait of one call for a change of the server list, which changes several times a second.
-const SERVERS_MAX_WAIT: Duration = Duration::from_secs(1);
 /// Least pause after a failed call.
 const MIN_RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// Longest time from one failed call's start to the next call, unless the first takes longer.
@@ -266,7 +264,8 @@
     let mut relist_until = Duration::ZERO;
     loop {
         let was_lost = follower.lost_since.is_some();
-        let next = follower.next_batch(&gateway, SERVERS_MAX_WAIT).await;
+        // Heartbeats change the list several times a second; a wait would only hide a silent store.
+        let next = follower.next_batch(&gateway, Duration::ZERO).await;
         let now = gateway.now();
         gateway.servers.remove_expired(now);
         let Some((batch, kind)) = next else {
