Feed: a scheduled removal does not wait for a call

Cause: endpoints whose removal was due were dropped after the next call, so up to a poll interval late, or until a call without an answer was given up. Now they are dropped 100 ms after they are due, which leaves time for a last read; a row of that read still counts, as it is applied first.

--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -1,6 +1,7 @@
 //! Polls the platform's store for changes of the configuration and the server list.
 
 use std::collections::BTreeSet;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -46,6 +47,8 @@
 /// Time before the end of a bound at which a missing entry is dropped: requests that were routed
 /// before that are on their way.
 const REMOVAL_MARGIN: Duration = Duration::from_millis(150);
+/// Time for a last read of the list before a removal that is due.
+const LAST_READ_TIME: Duration = Duration::from_millis(100);
 /// Most endpoints of one batch that are logged one by one; more are summed up in one line.
 const MAX_ENDPOINT_LINES: usize = 8;
 /// Delay of the removal when more than half of all endpoints disappear at once.
@@ -273,12 +276,11 @@
     loop {
         let failed_call = follower.failed_call;
         // Heartbeats change the list several times a second; a wait would only hide a silent store.
-        let next = follower.next_batch(&gateway, Duration::ZERO).await;
-        let now = gateway.now();
-        gateway.servers.remove_expired(now);
-        let Some((batch, kind)) = next else {
+        let call = follower.next_batch(&gateway, Duration::ZERO);
+        let Some((batch, kind)) = removing_expired(&gateway, call).await else {
             continue;
         };
+        let now = gateway.now();
         gateway.list_read_at.send_replace(now);
         if failed_call.is_some() || kind == BatchKind::Restored {
             let is_restored = kind == BatchKind::Restored;
@@ -289,13 +291,34 @@
         if apply_batch(&gateway, &batch, kind, relist_until) {
             gateway.record_list_change(batch.version);
         }
+        gateway.servers.remove_expired(now);
         gateway
             .servers_listed
             .send_if_modified(|l| !std::mem::replace(l, true));
         if *holding.borrow() {
-            sleep(HOLDER_POLL_INTERVAL).await;
+            removing_expired(&gateway, sleep(HOLDER_POLL_INTERVAL)).await;
         } else {
-            wait_for_change(&gateway, &mut holder_link, batch.version).await;
+            let wait = wait_for_change(&gateway, &mut holder_link, batch.version);
+            removing_expired(&gateway, wait).await;
+        }
+    }
+}
+
+/// Does the work, and removes endpoints meanwhile whose scheduled removal is due.
+///
+/// The removal leaves time for a last read of the list, and does not wait for one that has no answer.
+async fn removing_expired<T>(gateway: &Gateway, work: impl Future<Output = T>) -> T {
+    let mut work = pin!(work);
+    loop {
+        let removal = gateway.servers.next_removal();
+        let due = removal.map(|at| at + LAST_READ_TIME);
+        let left = due.map_or(Duration::MAX, |at| at.saturating_sub(gateway.now()));
+        tokio::select! {
+            biased;
+            done = &mut work => return done,
+            () = sleep(left), if due.is_some() => {
+                gateway.servers.remove_expired(gateway.now());
+            }
         }
     }
 }
