Feed: the grace for many removals at once ends with the drain bound

Now the grace ends a margin before the bound, which counts from the time when the list was last known to be unchanged: by the own read, or by the holder's, which now publishes its reading after the change that it found.

Test many_entries_gone_at_once fails before (phase 0, linked, with heartbeats) and passes now; many_entries_soon_back passes before and after.

--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -53,8 +53,8 @@
 const MAX_ENDPOINT_LINES: usize = 8;
 /// Delay of the removal when more than half of all endpoints disappear at once.
 ///
-/// That is more likely caused by expired entries than by lost endpoints. Stays within the two
-/// seconds in which a draining endpoint must stop receiving requests.
+/// That is more likely caused by expired entries than by lost endpoints. It ends earlier where the
+/// time in which a draining endpoint must stop receiving requests does.
 const MASS_REMOVAL_GRACE: Duration = Duration::from_millis(1200);
 
 /// What the rows of a batch are.
@@ -273,6 +273,7 @@
 ) {
     let mut follower = TableFollower::new(SERVERS_TABLE);
     let mut relist_until = Duration::ZERO;
+    let mut unchanged_at = Duration::ZERO;
     loop {
         let failed_call = follower.failed_call;
         // Heartbeats change the list several times a second; a wait would only hide a silent store.
@@ -281,17 +282,23 @@
             continue;
         };
         let now = gateway.now();
-        gateway.list_read_at.send_replace(now);
         if failed_call.is_some() || kind == BatchKind::Restored {
             let is_restored = kind == BatchKind::Restored;
             let reading_since = holder_link.borrow().reading_since(now);
             let reading_since = reading_since.filter(|_| !is_restored);
             relist_until = relist_end(&gateway.settings, now, failed_call, reading_since);
         }
-        if apply_batch(&gateway, &batch, kind, relist_until) {
+        let bounds = RemovalBounds {
+            relist_until,
+            mass_until: mass_removal_end(&gateway.settings, now, failed_call, unchanged_at),
+        };
+        if apply_batch(&gateway, &batch, kind, bounds) {
             gateway.record_list_change(batch.version);
         }
         gateway.servers.remove_expired(now);
+        // After the change, so that no update to other instances has the time without the change.
+        gateway.list_read_at.send_replace(now);
+        unchanged_at = now;
         gateway
             .servers_listed
             .send_if_modified(|l| !std::mem::replace(l, true));
@@ -299,7 +306,7 @@
             removing_expired(&gateway, sleep(HOLDER_POLL_INTERVAL)).await;
         } else {
             let wait = wait_for_change(&gateway, &mut holder_link, batch.version);
-            removing_expired(&gateway, wait).await;
+            unchanged_at = removing_expired(&gateway, wait).await;
         }
     }
 }
@@ -358,29 +365,52 @@
     failed_call.map_or(relisted, |at| relisted.min(at + window))
 }
 
+/// Until when endpoints are kept of which more than half disappear at once; read at `now`.
+///
+/// The list had all of them when it was last known to be `unchanged_at` a time, or after the start of
+/// the `failed_call`.
+fn mass_removal_end(
+    settings: &GatewaySettings,
+    now: Duration,
+    failed_call: Option<Duration>,
+    unchanged_at: Duration,
+) -> Duration {
+    let bound = match failed_call {
+        Some(at) => at + settings.stable_window,
+        None => unchanged_at + settings.drain_deadline,
+    };
+    (now + MASS_REMOVAL_GRACE).min(bound.saturating_sub(REMOVAL_MARGIN))
+}
+
 /// Waits until the server list is due to be read: `version` was read last.
+///
+/// Returns when the list was last known to have no change of endpoints, here or at the lease holder.
 async fn wait_for_change(
     gateway: &Gateway,
     holder_link: &mut watch::Receiver<HolderLink>,
     version: u64,
-) {
+) -> Duration {
     let drain = gateway.settings.drain_deadline;
     let read_at = gateway.now();
+    let mut unchanged_at = read_at;
     let mut list_change = gateway.list_change.subscribe();
     loop {
         let link = holder_link.borrow_and_update().clone();
         let holder_read_at = link.up.then_some(link.list_read_at);
         let has_changed = *list_change.borrow_and_update() > version;
+        if let (Some(at), false) = (holder_read_at, has_changed) {
+            unchanged_at = unchanged_at.max(at);
+        }
         let removal = gateway.servers.next_removal();
         let due = poll_due(read_at, drain, holder_read_at, has_changed, removal);
         let now = gateway.now();
         if now >= due {
-            return;
+            return unchanged_at;
         }
         tokio::select! {
-            () = sleep(due.saturating_sub(now)) => return,
-            changed = holder_link.changed() => if changed.is_err() { return },
-            changed = list_change.changed() => if changed.is_err() { return },
+            () = sleep(due.saturating_sub(now)) => return unchanged_at,
+            changed = holder_link.changed() => if changed.is_err() { return unchanged_at },
+            changed = list_change.changed() => if changed.is_err() { return unchanged_at },
         }
     }
 }
@@ -428,12 +458,21 @@
     removal.map_or(due, |at| due.min(at.max(unlinked_due)))
 }
 
+/// Until when endpoints are kept that a batch no longer has.
+#[derive(Debug, Clone, Copy)]
+struct RemovalBounds {
+    /// Each of them, after an outage of the store; past otherwise.
+    relist_until: Duration,
+    /// All of them, where more than half disappear at once.
+    mass_until: Duration,
+}
+
 /// Applies rows to the known endpoints; returns whether one came, left, restarted or began to drain.
 fn apply_batch(
     gateway: &Gateway,
     batch: &RowBatch,
     kind: BatchKind,
-    relist_until: Duration,
+    bounds: RemovalBounds,
 ) -> bool {
     let now = gateway.now();
     let mut changed = Vec::new();
@@ -467,13 +506,14 @@
         }
     }
     let total = gateway.servers.ids().len();
-    let grace = if now < relist_until {
-        Some(relist_until)
+    let until = if now < bounds.relist_until {
+        bounds.relist_until
     } else if removed.len() * 2 > total {
-        Some(now + MASS_REMOVAL_GRACE)
+        bounds.mass_until
     } else {
-        None
+        now
     };
+    let grace = (now < until).then_some(until);
     log_changes(gateway, batch.version, &changed, &removed, grace);
     for id in &removed {
         match grace {
