--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -287,6 +287,8 @@
             let reading_since = holder_link.borrow().reading_since(now);
             let reading_since = reading_since.filter(|_| !is_restored);
             relist_until = relist_end(&gateway.settings, now, failed_call, reading_since);
+            log::info!(keep_ms = millis(relist_until.saturating_sub(now)),
+                holder_reads = reading_since.is_some(); "server list read after an outage");
         }
         let bounds = RemovalBounds {
             relist_until,
--- a/tests/list_grace.rs
+++ b/tests/list_grace.rs
@@ -13,7 +13,7 @@
 /// Start of its last failed call.
 const FAILED_CALL: Duration = Duration::from_millis(59_200);
 /// Its first read after the outage.
-const BACK: Duration = Duration::from_secs(60);
+const BACK: Duration = Duration::from_mins(1);
 
 fn holder(last_octet: u8) -> SocketAddr {
     ([10, 0, 0, last_octet], 7).into()
