Event splitter: search each byte once

An endpoint that sent an event in many small pieces without an end held up a processor: each piece was searched again from the start of the event, up to 1 MiB.

EventSplitter now remembers how far it has searched.

--- a/src/relay.rs
+++ b/src/relay.rs
@@ -22,6 +22,8 @@
 const MAX_QUEUED_FRAMES: usize = 32;
 /// Maximum time without a read by the caller while the frame buffer is full.
 const CALLER_STALL_TIMEOUT: Duration = Duration::from_secs(30);
+/// Size of the longest end of an event: a line end and a blank line.
+const MAX_EVENT_END_BYTES: usize = 3;
 /// Maximum size of an incomplete event.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
@@ -43,6 +45,8 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     buffer: BytesMut,
+    /// Number of buffered bytes in which no event ends.
+    searched: usize,
 }
 
 impl EventSplitter {
@@ -57,10 +61,13 @@
     /// ```
     pub fn push(&mut self, part: &[u8]) -> Bytes {
         self.buffer.extend_from_slice(part);
-        match event_ends(&self.buffer).last() {
-            Some(end) => self.buffer.split_to(end).freeze(),
+        let unsearched = self.buffer.get(self.searched..).unwrap_or_default();
+        let events = match event_ends(unsearched).last() {
+            Some(end) => self.buffer.split_to(self.searched + end).freeze(),
             None => Bytes::new(),
-        }
+        };
+        self.searched = self.buffer.len().saturating_sub(MAX_EVENT_END_BYTES - 1);
+        events
     }
 
     /// Number of buffered bytes of an incomplete event.
