Outbound: give up an answer without end

An endpoint that sent bytes without end kept a request, a processor and memory busy. Interim answers (1xx) and endless chunk sizes or blanks were read at full speed until the request's deadline; a head was taken up to 422 kB; a body in chunks of one byte was kept as a list of frames.

A connection is now given up after 256 KiB without a part of an answer, and after a head of 64 KiB; each read takes 64 KiB at most. A body is read into one buffer. Two faults tell such an endpoint from one that closed the connection: garbled (no head) and unended (a body that is too large, too slow or none); an event without end ends a stream as invalid, no longer as cut.

--- a/src/completions.rs
+++ b/src/completions.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use dispatch::EndpointReply;
-use hyper::body::Incoming;
+
 use hyper::header::CONTENT_TYPE;
 use hyper::{HeaderMap, Response, StatusCode};
 use tokio::time::timeout;
@@ -17,6 +17,7 @@
 use crate::balancer::Prefix;
 use crate::chooser;
 use crate::http::{self, Body};
+use crate::outbound::AnswerBody;
 use crate::records::Record;
 use crate::request::{CallerRequest, CompletionRequest};
 use crate::request_context::RequestContext;
@@ -167,7 +168,7 @@
 }
 
 /// Whether an answer is an event stream.
-fn is_stream(response: &Response<Incoming>) -> bool {
+fn is_stream(response: &Response<AnswerBody>) -> bool {
     let content_type = http::text(response.headers(), CONTENT_TYPE.as_str()).unwrap_or_default();
     response.status().is_success() && content_type.starts_with("text/event-stream")
 }
--- a/src/completions/dispatch.rs
+++ b/src/completions/dispatch.rs
@@ -117,7 +117,11 @@
                 self.context.report_unreachable(&name).await;
                 self.tried_endpoints.insert(name);
             }
-            SendFault::Silent | SendFault::Crossed | SendFault::Body => {
+            SendFault::Garbled => {
+                self.suspicion.finish_trial(false).await;
+                self.tried_endpoints.insert(name);
+            }
+            SendFault::Silent | SendFault::Crossed | SendFault::Body | SendFault::Unended => {
                 self.suspicion.finish_trial(false).await;
             }
         }
--- a/src/completions/stream.rs
+++ b/src/completions/stream.rs
@@ -98,7 +98,7 @@
                     self.suspicion.finish_trial(false).await;
                     return self.record_end(StatusCode::OK, None);
                 }
-                end @ (StreamEnd::Cut | StreamEnd::Silent) => {
+                end @ (StreamEnd::Cut | StreamEnd::Invalid | StreamEnd::Silent) => {
                     let detail = format!("{end} at {from} after {} events", caller.sent_events());
                     if let Err(refusal) = self
                         .record_broken_reply(&endpoint, Verdict::Ran, detail)
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -268,7 +268,7 @@
                 request.record_end("caller-gone", &history, status, &stream.selected.id);
                 return;
             }
-            StreamEnd::Cut | StreamEnd::Silent => {
+            StreamEnd::Cut | StreamEnd::Invalid | StreamEnd::Silent => {
                 record_break(&request, &stream.selected, &mut history, end);
                 let endpoint = stream.selected.id.clone();
                 drop(stream);
--- a/src/outbound.rs
+++ b/src/outbound.rs
@@ -8,10 +8,9 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
-use hyper::client::conn::http1::{SendRequest, handshake};
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
@@ -20,6 +19,12 @@
 
 use crate::verdict::Verdict;
 
+mod meter;
+
+pub use meter::AnswerBody;
+pub(crate) use meter::is_garbled;
+use meter::{MAX_HEAD_BYTES, Meter, MeteredStream};
+
 /// Shortest time between two keep-alive probes that the operating system takes.
 const PROBE_LEAST: Duration = Duration::from_secs(1);
 
@@ -71,10 +76,14 @@
     Closed,
     /// The head of the answer did not come in time.
     Silent,
+    /// Bytes came that are no head of an answer.
+    Garbled,
     /// The answer belongs to another request.
     Crossed,
-    /// The body of the answer ended early or was too large.
+    /// The body of the answer ended early.
     Body,
+    /// The body of the answer was too large, too slow or no body, on a connection still open.
+    Unended,
 }
 
 /// A request that has no whole answer.
@@ -103,14 +112,20 @@
     pub const fn verdict(&self) -> Verdict {
         match self.fault {
             SendFault::Connect | SendFault::NotSent => Verdict::NotRun,
-            SendFault::Closed | SendFault::Silent | SendFault::Crossed => Verdict::MayHaveRun,
-            SendFault::Body => Verdict::Ran,
+            SendFault::Closed | SendFault::Silent | SendFault::Garbled | SendFault::Crossed => {
+                Verdict::MayHaveRun
+            }
+            SendFault::Body | SendFault::Unended => Verdict::Ran,
         }
     }
 }
 
 /// The sending side of a connection.
-pub type Sender = SendRequest<Full<Bytes>>;
+#[derive(Debug)]
+pub struct Sender {
+    requests: SendRequest<Full<Bytes>>,
+    meter: Meter,
+}
 
 #[derive(Debug)]
 struct Idle {
@@ -138,7 +153,7 @@
 #[derive(Debug)]
 pub struct Reply {
     /// Head and body.
-    pub response: Response<Incoming>,
+    pub response: Response<AnswerBody>,
     /// The other end.
     pub from: SocketAddr,
     sender: Sender,
@@ -219,14 +234,14 @@
         let read = reply.read(self, most);
         tokio::time::timeout_at(end, read)
             .await
-            .map_err(|late| SendError::new(SendFault::Body, to, &late))?
+            .map_err(|late| SendError::new(SendFault::Unended, to, &late))?
     }
 
     /// Puts a connection back whose answer was read to its end.
     pub fn put(&self, to: SocketAddr, sender: Sender) {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let list = idle.entry(to).or_default();
-        list.retain(|i| !i.sender.is_closed() && i.since.elapsed() < self.settings.idle);
+        list.retain(|i| !i.sender.requests.is_closed() && i.since.elapsed() < self.settings.idle);
         if list.len() < self.settings.kept {
             list.push(Idle {
                 sender,
@@ -239,7 +254,7 @@
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let list = idle.get_mut(&to)?;
         while let Some(last) = list.pop() {
-            if last.since.elapsed() < self.settings.idle && last.sender.is_ready() {
+            if last.since.elapsed() < self.settings.idle && last.sender.requests.is_ready() {
                 return Some(last.sender);
             }
         }
@@ -253,7 +268,14 @@
             .map_err(|late| failed(late.to_string()))?
             .map_err(|e| failed(e.to_string()))?;
         self.tune(&stream).map_err(|e| failed(e.to_string()))?;
-        let (sender, connection) = handshake(TokioIo::new(stream))
+        let meter = Meter::default();
+        let stream = MeteredStream {
+            stream,
+            meter: meter.clone(),
+        };
+        let (requests, connection) = Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(|e| failed(e.to_string()))?;
         tokio::spawn(async move {
@@ -261,7 +283,7 @@
                 log::debug!(to:% = to, error:% = error; "connection ended");
             }
         });
-        Ok(sender)
+        Ok(Sender { requests, meter })
     }
 
     fn tune(&self, stream: &TcpStream) -> std::io::Result<()> {
@@ -279,7 +301,7 @@
 impl Reply {
     /// An answer that was taken apart before.
     #[must_use]
-    pub const fn new(response: Response<Incoming>, from: SocketAddr, sender: Sender) -> Self {
+    pub const fn new(response: Response<AnswerBody>, from: SocketAddr, sender: Sender) -> Self {
         Self {
             response,
             from,
@@ -289,7 +311,7 @@
 
     /// Takes the answer apart; the sender keeps the connection open.
     #[must_use]
-    pub fn into_parts(self) -> (Response<Incoming>, Sender) {
+    pub fn into_parts(self) -> (Response<AnswerBody>, Sender) {
         (self.response, self.sender)
     }
 
@@ -297,16 +319,31 @@
     ///
     /// # Errors
     ///
-    /// [`SendFault::Body`] where the body ends early or is larger than `most` bytes.
+    /// [`SendFault::Body`] where the body ends early, [`SendFault::Unended`] where it is larger than
+    /// `most` bytes or is no body.
     pub async fn read(self, pool: &Outbound, most: usize) -> Result<Answer, SendError> {
         let from = self.from;
-        let (head, body) = self.response.into_parts();
-        let body = Limited::new(body, most)
-            .collect()
-            .await
-            .map_err(|e| SendError::new(SendFault::Body, from, &e))?
-            .to_bytes();
+        let (head, mut body) = self.response.into_parts();
+        // One buffer: a body in chunks of one byte takes many times its size as a list of frames.
+        let mut bytes = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|error| {
+                let fault = if is_garbled(&error) {
+                    SendFault::Unended
+                } else {
+                    SendFault::Body
+                };
+                SendError::new(fault, from, &error)
+            })?;
+            let part = frame.into_data().unwrap_or_default();
+            if bytes.len() + part.len() > most {
+                let detail = format!("the body is larger than {most} bytes");
+                return Err(SendError::new(SendFault::Unended, from, &detail));
+            }
+            bytes.extend_from_slice(&part);
+        }
         pool.put(from, self.sender);
+        let body = bytes.freeze();
         Ok(Answer { head, body })
     }
 }
@@ -339,19 +376,23 @@
         crate::http::set_host(request.headers_mut(), to);
         let echo = self.echo.as_str();
         let asked = request.headers().get(echo).cloned();
-        let response = self
-            .sender
-            .try_send_request(request)
-            .await
-            .map_err(|mut e| {
-                let unsent = e.take_message().is_some();
-                let fault = if unsent {
-                    SendFault::NotSent
-                } else {
-                    SendFault::Closed
-                };
-                SendError::new(fault, to, &e.into_error())
-            })?;
+        let meter = self.sender.meter.clone();
+        meter.reset();
+        let sent = self.sender.requests.try_send_request(request).await;
+        meter.reset();
+        let response = sent.map_err(|mut e| {
+            let unsent = e.take_message().is_some();
+            let error = e.into_error();
+            let fault = if unsent {
+                SendFault::NotSent
+            } else if is_garbled(&error) {
+                SendFault::Garbled
+            } else {
+                SendFault::Closed
+            };
+            SendError::new(fault, to, &error)
+        })?;
+        let response = response.map(|body| AnswerBody::new(body, meter));
         let echoed = response.headers().get(echo);
         if asked.is_some() && asked.as_ref() != echoed {
             let detail = format!("the answer carries the request id {echoed:?}");
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -8,11 +8,12 @@
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, StreamBody};
-use hyper::body::{Frame, Incoming};
+use hyper::body::Frame;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
 use crate::http::Body;
+use crate::outbound::{AnswerBody, is_garbled};
 
 /// Header that asks an engine to resume a stream after this number of events.
 pub const RESUME_HEADER: &str = "brassrack-resume";
@@ -37,6 +38,8 @@
     CallerGone,
     /// The response body ended early.
     Cut,
+    /// Bytes came that are no event or no body, on a connection still open.
+    Invalid,
     /// No complete event arrived within the limit.
     Silent,
 }
@@ -181,7 +184,7 @@
 /// The endpoint's side of a stream.
 #[derive(Debug)]
 pub struct EventReader {
-    body: Incoming,
+    body: AnswerBody,
     events: EventSplitter,
     ended_cleanly: bool,
 }
@@ -189,7 +192,7 @@
 impl EventReader {
     /// Creates a reader for an unread response body.
     #[must_use]
-    pub fn new(body: Incoming) -> Self {
+    pub fn new(body: AnswerBody) -> Self {
         Self {
             body,
             events: EventSplitter::default(),
@@ -207,8 +210,8 @@
     ///
     /// # Errors
     ///
-    /// [`StreamEnd::Cut`] at the end of the body or where an event is too large,
-    /// [`StreamEnd::Silent`] where no event is complete within the limit.
+    /// [`StreamEnd::Cut`] at the end of the body, [`StreamEnd::Invalid`] where an event is too
+    /// large, [`StreamEnd::Silent`] where no event is complete within the limit.
     pub async fn next(&mut self, limit: Duration) -> Result<Bytes, StreamEnd> {
         timeout(limit, self.read_events())
             .await
@@ -221,7 +224,11 @@
                 Some(Ok(frame)) => frame,
                 Some(Err(error)) => {
                     log::debug!(error:% = error; "cannot read a response stream to its end");
-                    return Err(StreamEnd::Cut);
+                    return Err(if is_garbled(&error) {
+                        StreamEnd::Invalid
+                    } else {
+                        StreamEnd::Cut
+                    });
                 }
                 None => {
                     self.ended_cleanly = self.events.pending_bytes() == 0;
@@ -233,7 +240,7 @@
                 return Ok(events);
             }
             if self.events.pending_bytes() > MAX_EVENT_BYTES {
-                return Err(StreamEnd::Cut);
+                return Err(StreamEnd::Invalid);
             }
         }
     }
--- a/src/service_calls.rs
+++ b/src/service_calls.rs
@@ -199,7 +199,7 @@
         tokio::time::timeout_at(end, read)
             .await
             .map_err(|elapsed| SendError {
-                fault: SendFault::Body,
+                fault: SendFault::Unended,
                 to: from,
                 detail: elapsed.to_string(),
             })?
