--- a/src/outbound/meter.rs
+++ b/src/outbound/meter.rs
@@ -42,15 +42,15 @@
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
+        buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         if self.meter.0.load(Ordering::Relaxed) >= MAX_IDLE_BYTES {
             let error = "bytes without end that are no answer";
             return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, error)));
         }
-        let before = buffer.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(cx, buffer))?;
-        let count = buffer.filled().len() - before;
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        let count = buf.filled().len() - before;
         self.meter.0.fetch_add(count, Ordering::Relaxed);
         Poll::Ready(Ok(()))
     }
@@ -60,9 +60,9 @@
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-        bytes: &[u8],
+        buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, bytes)
+        Pin::new(&mut self.stream).poll_write(cx, buf)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -80,9 +80,9 @@
     fn poll_write_vectored(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-        parts: &[io::IoSlice<'_>],
+        bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, parts)
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
     }
 }
 
