Outbound: an answer in HTTP/1.0 is passed on in HTTP/1.1

The version of the endpoint's answer was kept, and in HTTP/1.0 the end of a body is the end of its connection, so that an abort looked like its end. The version concerns one connection and is now set anew.

--- a/src/outbound.rs
+++ b/src/outbound.rs
@@ -11,7 +11,7 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1::{Builder, SendRequest};
-use hyper::{Request, Response};
+use hyper::{Request, Response, Version};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
@@ -392,7 +392,9 @@
             };
             SendError::new(fault, to, &error)
         })?;
-        let response = response.map(|body| AnswerBody::new(body, meter));
+        let mut response = response.map(|body| AnswerBody::new(body, meter));
+        // Passed on in an older version, a body would end with the caller's connection.
+        *response.version_mut() = Version::HTTP_11;
         let echoed = response.headers().get(echo);
         if asked.is_some() && asked.as_ref() != echoed {
             let detail = format!("the answer carries the request id {echoed:?}");
