Answers that are too large or too late are no crashes

After three, the request was refused at all instances, though no endpoint had ended.

Only an answer whose connection closed early counts now, for calls and for answers to a stream's request that are no stream.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -10,7 +10,7 @@
 use super::serve::{RoutedRequest, SendHistory};
 use super::servers::{RequestOutcome, SelectedEndpoint};
 use crate::http::{Body, full};
-use crate::outbound::Answer;
+use crate::outbound::{Answer, SendFault};
 use crate::verdict::{Cause, Refusal};
 
 /// Largest response that is buffered.
@@ -99,8 +99,11 @@
     history.in_flight = false;
     let answer = match read {
         Ok(Ok(answer)) => answer,
-        Ok(Err(error)) => return record_break(request, selected, history, &error.to_string()),
-        Err(late) => return record_break(request, selected, history, &late.to_string()),
+        Ok(Err(error)) => {
+            let closed = error.fault == SendFault::Body;
+            return record_break(request, selected, history, closed, &error.to_string());
+        }
+        Err(late) => return record_break(request, selected, history, false, &late.to_string()),
     };
     let health = if answer.head.status.is_server_error() {
         RequestOutcome::Failure
@@ -118,9 +121,10 @@
     request: &RoutedRequest,
     selected: &SelectedEndpoint,
     history: &mut SendHistory,
+    closed: bool,
     error: &str,
 ) -> Option<Answer> {
-    request.record_broken_response(selected, history, true);
+    request.record_broken_response(selected, history, closed);
     log::info!(id = request.head.id.as_str(), endpoint = selected.id.as_str(), error = error;
         "answer broke off");
     None
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -15,7 +15,7 @@
 use super::serve::{RoutedRequest, SendHistory};
 use super::servers::{RequestGuard, RequestOutcome, SelectedEndpoint};
 use crate::http::{Body, full};
-use crate::outbound::Sender;
+use crate::outbound::{SendFault, Sender};
 use crate::relay::{CallerStream, EventReader, StreamEnd};
 use crate::verdict::{Cause, Refusal, Verdict};
 
@@ -196,9 +196,18 @@
     reply: crate::outbound::Reply,
 ) -> StreamStart {
     let read = reply.read(&request.gateway.outbound, MAX_BUFFERED_BYTES);
-    let Ok(Ok(answer)) = tokio::time::timeout(request.time_left(), read).await else {
-        record_break(request, &selected, history, StreamEnd::Cut);
-        return StreamStart::Failed;
+    let answer = match tokio::time::timeout(request.time_left(), read).await {
+        Ok(Ok(answer)) => answer,
+        broken => {
+            let closed = matches!(&broken, Ok(Err(error)) if error.fault == SendFault::Body);
+            let end = if closed {
+                StreamEnd::Cut
+            } else {
+                StreamEnd::Invalid
+            };
+            record_break(request, &selected, history, end);
+            return StreamStart::Failed;
+        }
     };
     let mut head = answer.head;
     strip_connection_headers(&mut head.headers);
