Outbound: an order takes no late answer to a call

Orders and reports name no request, and on a connection that had carried a call the late answer to an earlier one was taken for theirs: a 200 as "the engine holds the model".

An answer that names a request is now another's where none was named, as it is already where another one was.

answer_to_a_call_is_none_to_an_order: a whole answer before, crossed (may have run) now.

--- a/src/outbound.rs
+++ b/src/outbound.rs
@@ -11,7 +11,7 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1::{Builder, SendRequest};
-use hyper::{Request, Response, Version};
+use hyper::{HeaderMap, Request, Response, Version};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
@@ -375,7 +375,8 @@
         let to = self.to;
         crate::http::set_host(request.headers_mut(), to);
         let echo = self.echo.as_str();
-        let asked = request.headers().get(echo).cloned();
+        let named = |headers: &HeaderMap| headers.get(echo).filter(|id| !id.is_empty()).cloned();
+        let asked = named(request.headers());
         let meter = self.sender.meter.clone();
         meter.reset();
         let sent = self.sender.requests.try_send_request(request).await;
@@ -395,8 +396,9 @@
         let mut response = response.map(|body| AnswerBody::new(body, meter));
         // Passed on in an older version, a body would end with the caller's connection.
         *response.version_mut() = Version::HTTP_11;
-        let echoed = response.headers().get(echo);
-        if asked.is_some() && asked.as_ref() != echoed {
+        // A request without an id has no answer with one: that is another's, late.
+        let echoed = named(response.headers());
+        if asked != echoed {
             let detail = format!("the answer carries the request id {echoed:?}");
             return Err(SendError::new(SendFault::Crossed, to, &detail));
         }
