--- a/src/outbound.rs
+++ b/src/outbound.rs
@@ -17,10 +17,10 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout};
 
-use crate::verdict::Verdict;
-
+mod fault;
 mod meter;
 
+pub use fault::{SendError, SendFault};
 pub use meter::AnswerBody;
 pub(crate) use meter::is_garbled;
 use meter::{MAX_HEAD_BYTES, Meter, MeteredStream};
@@ -64,62 +64,6 @@
     Fresh,
 }
 
-/// Why a request has no answer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
-#[strum(serialize_all = "kebab-case")]
-pub enum SendFault {
-    /// No connection could be opened.
-    Connect,
-    /// The connection closed before the request was sent.
-    NotSent,
-    /// The connection closed after the request was sent.
-    Closed,
-    /// The head of the answer did not come in time.
-    Silent,
-    /// Bytes came that are no head of an answer.
-    Garbled,
-    /// The answer belongs to another request.
-    Crossed,
-    /// The body of the answer ended early.
-    Body,
-    /// The body of the answer was too large, too slow or no body, on a connection still open.
-    Unended,
-}
-
-/// A request that has no whole answer.
-#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
-#[error("{fault} at {to}: {detail}")]
-pub struct SendError {
-    /// What happened.
-    pub fault: SendFault,
-    /// The other end.
-    pub to: SocketAddr,
-    /// Text of the underlying error.
-    pub detail: String,
-}
-
-impl SendError {
-    fn new(fault: SendFault, to: SocketAddr, detail: &dyn ToString) -> Self {
-        Self {
-            fault,
-            to,
-            detail: detail.to_string(),
-        }
-    }
-
-    /// Whether the request may have run.
-    #[must_use]
-    pub const fn verdict(&self) -> Verdict {
-        match self.fault {
-            SendFault::Connect | SendFault::NotSent => Verdict::NotRun,
-            SendFault::Closed | SendFault::Silent | SendFault::Garbled | SendFault::Crossed => {
-                Verdict::MayHaveRun
-            }
-            SendFault::Body | SendFault::Unended => Verdict::Ran,
-        }
-    }
-}
-
 /// The sending side of a connection.
 #[derive(Debug)]
 pub struct Sender {
--- a/tests/event_ends.rs
+++ b/tests/event_ends.rs
@@ -34,12 +34,12 @@
         let mut buffer = Vec::new();
         for part in parts {
             buffer.extend_from_slice(part);
-            let ends = (0..buffer.len()).filter_map(|at| match &buffer[at..] {
+            let mut ends = (0..buffer.len()).filter_map(|at| match &buffer[at..] {
                 [b'\n', b'\n', ..] => Some(at + 2),
                 [b'\n', b'\r', b'\n', ..] => Some(at + 3),
                 _ => None,
             });
-            let rest = buffer.split_off(ends.last().unwrap_or(0));
+            let rest = buffer.split_off(ends.next_back().unwrap_or(0));
             assert_eq!(events.push(part), buffer, "{text:?}");
             buffer = rest;
             assert_eq!(events.pending_bytes(), buffer.len());
