--- a/tests/answer_endings.rs
+++ b/tests/answer_endings.rs
@@ -32,7 +32,7 @@
     tokio::spawn(async move {
         while let Ok((mut stream, _)) = listener.accept().await {
             let mut request = [0; 4096];
-            stream.read(&mut request).await.unwrap();
+            assert!(stream.read(&mut request).await.unwrap() > 0);
             stream.write_all(answer.as_bytes()).await.unwrap();
             sleep(Duration::from_millis(20)).await;
             if matches!(end, End::Reset) {
