--- a/src/gateway/stream/start.rs
+++ b/src/gateway/stream/start.rs
@@ -15,7 +15,7 @@
 use super::events::next_events;
 use crate::BoxFuture;
 use crate::http::{Body, full};
-use crate::outbound::{Reply, Sender};
+use crate::outbound::{Reply, SendFault, Sender};
 use crate::relay::{EventReader, StreamEnd};
 use crate::verdict::{Cause, Refusal, Verdict};
 
@@ -213,9 +213,18 @@
     reply: Reply,
 ) -> Option<Unopened> {
     let read = reply.read(&request.gateway.outbound, MAX_BUFFERED_BYTES);
-    let Ok(Ok(answer)) = timeout(request.time_left(), read).await else {
-        record_break(request, selected, history, StreamEnd::Cut);
-        return None;
+    let answer = match timeout(request.time_left(), read).await {
+        Ok(Ok(answer)) => answer,
+        broken => {
+            let closed = matches!(&broken, Ok(Err(error)) if error.fault == SendFault::Body);
+            let end = if closed {
+                StreamEnd::Cut
+            } else {
+                StreamEnd::Invalid
+            };
+            record_break(request, selected, history, end);
+            return None;
+        }
     };
     let mut head = answer.head;
     strip_connection_headers(&mut head.headers);
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -10,11 +10,12 @@
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, StreamBody};
-use hyper::body::{Frame, Incoming};
+use hyper::body::Frame;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
 use crate::http::Body;
+use crate::outbound::{AnswerBody, is_garbled};
 
 /// Header that asks an engine to resume a stream after this number of events.
 pub const RESUME_HEADER: &str = "brassrack-resume";
@@ -24,6 +25,8 @@
 const MAX_QUEUED_FRAMES: usize = 32;
 /// Maximum time without a read by the caller while the frame buffer is full.
 const CALLER_STALL_TIMEOUT: Duration = Duration::from_secs(30);
+/// Size of the longest end of an event: a line end and a blank line.
+const MAX_EVENT_END_BYTES: usize = 3;
 /// Maximum size of an incomplete event.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
@@ -37,6 +40,8 @@
     CallerGone,
     /// The response body ended early.
     Cut,
+    /// Bytes came that are no event or no body, on a connection still open.
+    Invalid,
     /// No complete event arrived within the limit.
     Silent,
 }
@@ -45,6 +50,8 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     buffer: BytesMut,
+    /// Number of buffered bytes in which no event ends.
+    searched: usize,
 }
 
 impl EventSplitter {
@@ -59,10 +66,13 @@
     /// ```
     pub fn push(&mut self, part: &[u8]) -> Bytes {
         self.buffer.extend_from_slice(part);
-        match event_ends(&self.buffer).last() {
-            Some(end) => self.buffer.split_to(end).freeze(),
+        let unsearched = self.buffer.get(self.searched..).unwrap_or_default();
+        let events = match event_ends(unsearched).last() {
+            Some(end) => self.buffer.split_to(self.searched + end).freeze(),
             None => Bytes::new(),
-        }
+        };
+        self.searched = self.buffer.len().saturating_sub(MAX_EVENT_END_BYTES - 1);
+        events
     }
 
     /// Number of buffered bytes of an incomplete event.
@@ -186,7 +196,7 @@
 /// The endpoint's side of a stream.
 #[derive(Debug)]
 pub struct EventReader {
-    body: Incoming,
+    body: AnswerBody,
     events: EventSplitter,
     ended_cleanly: bool,
 }
@@ -194,7 +204,7 @@
 impl EventReader {
     /// Creates a reader for an unread response body.
     #[must_use]
-    pub fn new(body: Incoming) -> Self {
+    pub fn new(body: AnswerBody) -> Self {
         Self {
             body,
             events: EventSplitter::default(),
@@ -212,8 +222,8 @@
     ///
     /// # Errors
     ///
-    /// [`StreamEnd::Cut`] at the end of the body or where an event is too large,
-    /// [`StreamEnd::Silent`] where no event is complete within the limit.
+    /// [`StreamEnd::Cut`] at the end of the body, [`StreamEnd::Invalid`] where an event is too
+    /// large, [`StreamEnd::Silent`] where no event is complete within the limit.
     pub async fn next(&mut self, limit: Duration) -> Result<Bytes, StreamEnd> {
         timeout(limit, self.read_events())
             .await
@@ -226,7 +236,11 @@
                 Some(Ok(frame)) => frame,
                 Some(Err(error)) => {
                     log::debug!(error:% = error; "cannot read a response stream to its end");
-                    return Err(StreamEnd::Cut);
+                    return Err(if is_garbled(&error) {
+                        StreamEnd::Invalid
+                    } else {
+                        StreamEnd::Cut
+                    });
                 }
                 None => {
                     self.ended_cleanly = self.events.pending_bytes() == 0;
@@ -238,7 +252,7 @@
                 return Ok(events);
             }
             if self.events.pending_bytes() > MAX_EVENT_BYTES {
-                return Err(StreamEnd::Cut);
+                return Err(StreamEnd::Invalid);
             }
         }
     }
