Log which prompt parts a broken request carried, and whether its answer had begun

The lines of broken sends named the endpoint and the request only, so one could not tell whether broken requests share a part, nor which of those on an endpoint that ended had got their first event there. They now carry the parts without the last, the fingerprint, the endpoint's incarnation, and whether the answer had begun.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -121,8 +121,9 @@
     error: &str,
 ) -> Option<Answer> {
     request.record_broken_response(selected, history, true);
-    log::info!(id = request.head.id.as_str(), endpoint = selected.id.as_str(), error = error;
-        "answer broke off");
+    log::info!(id = request.head.id.as_str(), endpoint = selected.id.as_str(),
+        started_ms = selected.started_ms, parts = request.parts_text(),
+        fingerprint = request.fingerprint, error = error; "answer broke off");
     None
 }
 
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -190,6 +190,8 @@
     pub max_tokens: u32,
     /// Id of the prompt prefix, which several requests may share.
     pub prefix_id: Option<String>,
+    /// Ids of the prompt's parts in order, without the last one, which is the request's own.
+    pub shared_parts: Vec<String>,
     /// Id of the last event that the caller has received.
     pub last_event: Option<u64>,
 }
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -42,6 +42,7 @@
         head_timeout: Duration,
     ) -> SendOutcome {
         history.sends += 1;
+        history.begun = false;
         self.gateway
             .stats
             .record_send(&self.service, history.sends > 1);
@@ -131,7 +132,9 @@
                         .record_local(self.fingerprint, now);
                 }
                 log::info!(id = self.head.id.as_str(), endpoint = selected.id.as_str(),
-                    fault:% = error.fault, verdict:% = error.verdict(),
+                    started_ms = selected.started_ms, fault:% = error.fault,
+                    verdict:% = error.verdict(), parts = self.parts_text(),
+                    fingerprint = self.fingerprint,
                     left_ms = super::link::millis(self.time_left()); "send failed");
                 return match error.verdict() {
                     Verdict::NotRun => SendOutcome::NotRun,
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -80,6 +80,8 @@
     pub not_run: u32,
     /// Whether a send is in flight.
     pub in_flight: bool,
+    /// Whether the answer of the last endpoint has begun: its first event or its whole body came.
+    pub begun: bool,
     /// Longest gap between two reads of a stream's events.
     pub longest_gap: Duration,
 }
@@ -217,6 +219,11 @@
         }
     }
 
+    /// Ids of the prompt's shared parts as a log field.
+    pub(super) fn parts_text(&self) -> String {
+        self.head.shared_parts.join(",")
+    }
+
     /// Current time of the instance's clock.
     #[must_use]
     pub fn now(&self) -> Duration {
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -154,6 +154,7 @@
     match feed.next(remaining).await {
         Ok(events) => {
             history.in_flight = false;
+            history.begun = true;
             let stream = EndpointStream {
                 selected,
                 feed,
@@ -213,8 +214,9 @@
 ) {
     request.record_broken_response(selected, history, end == StreamEnd::Cut);
     log::info!(id = request.head.id.as_str(), endpoint = selected.id.as_str(), end:% = end,
-        ran = history.possible_runs, left_ms = super::link::millis(request.time_left());
-        "stream broke off");
+        started_ms = selected.started_ms, begun = history.begun, parts = request.parts_text(),
+        fingerprint = request.fingerprint, ran = history.possible_runs,
+        left_ms = super::link::millis(request.time_left()); "stream broke off");
 }
 
 /// Relays a stream to the caller until it ends, resuming it at other endpoints where it breaks.
