Refuse requests whose prompt holds a part under which endpoints end

Callers saw 502s on routes whose engines ended one after the other. Breaks were counted by a digest of path and body, and the requests that crash engines have only one part of their prompts in common, so no count ever reached its limit.

Class: what fails is counted by the identity of the carrier, here the request, and not by the property that carriers share.

Evidence is now the end of an incarnation of an endpoint, counted once, with the requests on it whose answer had not begun. A part other than the first is blamed after three ends at different times, in requests that differ, without an answer that began with it since, at any instance. What it explains no longer speaks against other parts. The lease holder joins the evidence and publishes what is blamed; reports repeat it, so that lost messages and a new holder cost nothing. A request that broke off is not sent again while one of its parts has two ends.

--- /dev/null
+++ b/src/gateway/crash_parts.rs
@@ -0,0 +1,320 @@
+//! Finds the part of prompts under which endpoints end.
+//!
+//! Evidence is the end of an incarnation of an endpoint together with the requests that were on it
+//! and whose answer had not begun. A part is blamed after several such ends at different times
+//! without an answer that began in between, at any instance. The lease holder joins the evidence
+//! of all instances and publishes what is blamed; an instance without a holder uses its own.
+//! Reasons and bounds: `docs/design/crash-suspects.md`.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use super::crash_suspects::Fingerprint;
+use super::link::{BlamedPart, BrokenRequest, CrashEvidence, EndpointDeath, SoundAnswer, millis};
+
+mod sound;
+mod verdict;
+
+use sound::SoundTimes;
+use verdict::Death;
+
+/// Time after which an endpoint's end no longer counts.
+const DEATH_TTL: Duration = Duration::from_mins(5);
+/// Time for which an instance repeats an end of an endpoint in its reports.
+const REPORT_TIME: Duration = Duration::from_secs(10);
+/// Time without word of the lease holder after which an instance judges by itself.
+const ALONE_TIME: Duration = Duration::from_millis(1500);
+/// Interval between two verdicts of an instance without a lease holder.
+const VERDICT_INTERVAL: Duration = Duration::from_millis(100);
+/// Time for which requests with a blamed part are refused at first.
+const BLAME_TIME: Duration = Duration::from_mins(10);
+/// Longest time for which they are refused, after the part was blamed again and again.
+const MAX_BLAME_TIME: Duration = Duration::from_hours(2);
+/// Most ends of endpoints that are kept.
+const MAX_DEATHS: usize = 64;
+/// Most requests kept of one end of an endpoint.
+const MAX_BROKEN_REQUESTS: usize = 64;
+/// Most parts kept of one prompt.
+const MAX_PARTS: usize = 8;
+/// Most ends of endpoints in one report.
+const MAX_REPORTED_DEATHS: usize = 8;
+/// Most parts that are blamed at a time.
+const MAX_BLAMED: usize = 256;
+/// Most digests that the lease holder asks about.
+const MAX_WATCHED: usize = 128;
+/// Deaths at different times from which a request with a part is not sent a second time.
+const SUSPECT_DEATHS: usize = 2;
+
+/// Digest of the id of a prompt's part.
+pub type PartId = u64;
+/// Digest of an incarnation of an endpoint.
+pub type IncarnationId = u64;
+
+fn digest(text: &str, number: u64) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(text.as_bytes());
+    hasher.update(&number.to_le_bytes());
+    let mut first = [0; 8];
+    first.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+    u64::from_le_bytes(first)
+}
+
+/// Digests of the ids of a prompt's parts.
+///
+/// # Examples
+///
+/// ```
+/// use brassrack::gateway::crash_parts::part_ids;
+///
+/// let ids = part_ids(&["91bd".into(), "e440".into()]);
+/// assert_eq!(ids.len(), 2);
+/// assert_ne!(ids[0], ids[1]);
+/// ```
+#[must_use]
+pub fn part_ids(parts: &[String]) -> Vec<PartId> {
+    let known = parts.iter().take(MAX_PARTS);
+    known.map(|part| digest(part, 0)).collect()
+}
+
+/// Digest of an incarnation of an endpoint, from its id and its start in Unix milliseconds.
+///
+/// # Examples
+///
+/// ```
+/// use brassrack::gateway::crash_parts::incarnation_id;
+///
+/// assert_ne!(incarnation_id("i-1", 5), incarnation_id("i-1", 6));
+/// ```
+#[must_use]
+pub fn incarnation_id(endpoint: &str, started_ms: u64) -> IncarnationId {
+    digest(endpoint, started_ms.wrapping_add(1))
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Blame {
+    at: Duration,
+    until: Duration,
+    rounds: u32,
+}
+
+/// What an instance knows about parts of prompts under which endpoints end.
+#[derive(Debug, Default)]
+pub struct CrashParts {
+    deaths: BTreeMap<IncarnationId, Death>,
+    sound: SoundTimes,
+    blamed: BTreeMap<PartId, Blame>,
+    /// Digests that the lease holder asks about, and those of which this instance tells others.
+    watched: BTreeSet<u64>,
+    cleared: BTreeSet<PartId>,
+    heard_at: Duration,
+    judged_at: Duration,
+}
+
+impl CrashParts {
+    /// Records that an endpoint closed the connection of a request whose answer had not begun.
+    pub fn record_break(
+        &mut self,
+        endpoint: IncarnationId,
+        request: Fingerprint,
+        parts: &[PartId],
+        now: Duration,
+    ) {
+        if parts.is_empty() {
+            return;
+        }
+        let parts = parts.to_vec();
+        self.add_death(endpoint, now, now, vec![BrokenRequest { request, parts }]);
+        if let Some(death) = self.deaths.get_mut(&endpoint) {
+            death.local = true;
+        }
+    }
+
+    /// Records that the answer to a request with these parts began at an endpoint.
+    pub fn record_begun(&mut self, endpoint: IncarnationId, parts: &[PartId], now: Duration) {
+        if parts.is_empty() {
+            return;
+        }
+        self.record_sound(endpoint, now);
+        for part in parts {
+            self.record_sound(*part, now);
+        }
+    }
+
+    /// Time for which a request with these parts is refused, and the index of the blamed part.
+    pub fn refusal(&mut self, parts: &[PartId], now: Duration) -> Option<(usize, Duration)> {
+        if now > self.heard_at + ALONE_TIME && now > self.judged_at + VERDICT_INTERVAL {
+            self.judge(now);
+        }
+        parts.iter().enumerate().find_map(|(index, part)| {
+            let blame = self.blamed.get(part).filter(|b| now < b.until)?;
+            Some((index, blame.until.saturating_sub(now)))
+        })
+    }
+
+    /// Whether one of the parts is close to being blamed, so that its requests are sent once only.
+    ///
+    /// The first part is left out, as nearly all requests share it.
+    #[must_use]
+    pub fn is_suspect(&self, parts: &[PartId], now: Duration) -> bool {
+        let own = self.tallies(now, Duration::ZERO);
+        parts.iter().skip(1).any(|part| {
+            self.watched.contains(part)
+                || own.get(part).is_some_and(|t| t.moments() >= SUSPECT_DEATHS)
+        })
+    }
+
+    /// What this instance reports to the lease holder; `all` adds ends of endpoints that it
+    /// reported before, for a holder that may not know them.
+    #[must_use]
+    pub fn report(&self, all: bool, now: Duration) -> CrashEvidence {
+        let mut local: Vec<(&IncarnationId, &Death)> = self
+            .deaths
+            .iter()
+            .filter(|(_, d)| d.local && (all || now < d.at + REPORT_TIME))
+            .collect();
+        local.sort_by_key(|(_, death)| std::cmp::Reverse(death.at));
+        let deaths = local.into_iter().take(MAX_REPORTED_DEATHS);
+        CrashEvidence {
+            deaths: deaths
+                .map(|(endpoint, death)| EndpointDeath {
+                    endpoint: *endpoint,
+                    age_ms: millis(now.saturating_sub(death.at)),
+                    requests: death.requests.clone(),
+                })
+                .collect(),
+            sound: self.sound_answers(now),
+            blamed: self.blamed_parts(now),
+            watched: Vec::new(),
+        }
+    }
+
+    /// What the lease holder publishes to all instances.
+    #[must_use]
+    pub fn notice(&mut self, now: Duration) -> CrashEvidence {
+        let mut watched = BTreeSet::new();
+        let tallies = self.tallies(now, Duration::ZERO);
+        let suspects = tallies
+            .iter()
+            .filter(|(_, t)| t.moments() >= SUSPECT_DEATHS);
+        for (part, tally) in suspects {
+            watched.insert(*part);
+            watched.extend(&tally.endpoints);
+        }
+        self.watched = watched.into_iter().take(MAX_WATCHED).collect();
+        CrashEvidence {
+            deaths: Vec::new(),
+            sound: self.sound_answers(now),
+            blamed: self.blamed_parts(now),
+            watched: self.watched.iter().copied().collect(),
+        }
+    }
+
+    /// Takes over what another instance knows, as of `now`.
+    pub fn merge(&mut self, evidence: &CrashEvidence, heard_at: Duration, now: Duration) {
+        let ago = |age_ms: u32| heard_at.saturating_sub(Duration::from_millis(age_ms.into()));
+        for SoundAnswer { id, age_ms } in &evidence.sound {
+            self.record_sound(*id, ago(*age_ms));
+        }
+        for death in &evidence.deaths {
+            let requests = death.requests.clone();
+            self.add_death(death.endpoint, ago(death.age_ms), now, requests);
+        }
+        for blamed in &evidence.blamed {
+            let at = ago(blamed.age_ms);
+            let until = heard_at + Duration::from_millis(blamed.left_ms.into());
+            let known = self.blamed.get(&blamed.part);
+            if self.sound.last(blamed.part).is_some_and(|sound| sound > at)
+                || known.is_some_and(|b| b.rounds >= blamed.rounds)
+            {
+                continue;
+            }
+            let rounds = blamed.rounds;
+            self.insert_blame(blamed.part, Blame { at, until, rounds });
+        }
+    }
+
+    /// Takes over what the lease holder publishes.
+    pub fn apply_notice(&mut self, notice: &CrashEvidence, now: Duration) {
+        self.merge(notice, now, now);
+        self.watched = notice.watched.iter().take(MAX_WATCHED).copied().collect();
+        self.heard_at = now;
+    }
+
+    fn add_death(
+        &mut self,
+        endpoint: IncarnationId,
+        at: Duration,
+        now: Duration,
+        requests: Vec<BrokenRequest>,
+    ) {
+        self.deaths.retain(|_, d| now < d.at + DEATH_TTL);
+        if now >= at + DEATH_TTL {
+            return;
+        }
+        let death = self.deaths.entry(endpoint).or_insert(Death {
+            at,
+            heard_at: now,
+            local: false,
+            requests: Vec::new(),
+        });
+        death.at = death.at.min(at);
+        for mut request in requests {
+            request.parts.truncate(MAX_PARTS);
+            if death.requests.len() < MAX_BROKEN_REQUESTS && !death.requests.contains(&request) {
+                death.requests.push(request);
+            }
+        }
+        if self.deaths.len() > MAX_DEATHS {
+            let oldest = self.deaths.iter().min_by_key(|(_, d)| d.at);
+            if let Some(oldest) = oldest.map(|(endpoint, _)| *endpoint) {
+                self.deaths.remove(&oldest);
+            }
+        }
+    }
+
+    fn record_sound(&mut self, id: u64, at: Duration) {
+        self.sound.record(id, at);
+        if self.blamed.get(&id).is_some_and(|blame| at > blame.at) {
+            self.blamed.remove(&id);
+            self.cleared.insert(id);
+            while self.cleared.len() > MAX_BLAMED {
+                self.cleared.pop_first();
+            }
+            log::info!(part = id; "prompt part no longer refused: an answer with it has begun");
+        }
+    }
+
+    /// Last sound answers with what the lease holder asks about or what was cleared.
+    fn sound_answers(&self, now: Duration) -> Vec<SoundAnswer> {
+        let ids = self.watched.union(&self.cleared);
+        ids.filter_map(|id| {
+            let age_ms = millis(now.saturating_sub(self.sound.last(*id)?));
+            Some(SoundAnswer { id: *id, age_ms })
+        })
+        .collect()
+    }
+
+    fn blamed_parts(&self, now: Duration) -> Vec<BlamedPart> {
+        let blamed = self.blamed.iter();
+        blamed
+            .map(|(part, blame)| BlamedPart {
+                part: *part,
+                age_ms: millis(now.saturating_sub(blame.at)),
+                left_ms: millis(blame.until.saturating_sub(now)),
+                rounds: blame.rounds,
+            })
+            .collect()
+    }
+
+    fn insert_blame(&mut self, part: PartId, blame: Blame) {
+        self.cleared.remove(&part);
+        self.blamed.insert(part, blame);
+        while self.blamed.len() > MAX_BLAMED {
+            let oldest = self.blamed.iter().min_by_key(|(_, b)| b.at);
+            let Some(oldest) = oldest.map(|(part, _)| *part) else {
+                return;
+            };
+            self.blamed.remove(&oldest);
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/crash_parts/verdict.rs
@@ -0,0 +1,159 @@
+//! Decides which part the ends of endpoints have in common.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use super::super::link::BrokenRequest;
+use super::{BLAME_TIME, Blame, CrashParts, IncarnationId, MAX_BLAME_TIME, PartId};
+
+/// Deaths at different times after which a part is blamed.
+const BLAME_DEATHS: usize = 3;
+/// The same for the first part of a prompt, which nearly all requests of a service share.
+const FIRST_PART_DEATHS: usize = 5;
+/// Least time from the first to the last of the deaths for which the first part is blamed.
+const FIRST_PART_SPAN: Duration = Duration::from_secs(3);
+/// Time within which deaths count as one event, such as the end of a host.
+const MOMENT: Duration = Duration::from_millis(100);
+/// Time in which the other instances report sound answers, before a death counts.
+const SETTLE_TIME: Duration = Duration::from_millis(700);
+/// Time after its end from which an answer shows that an endpoint had not ended.
+const ALIVE_MARGIN: Duration = Duration::from_millis(500);
+
+/// The end of an incarnation of an endpoint.
+#[derive(Debug)]
+pub(super) struct Death {
+    pub(super) at: Duration,
+    /// When it became known here.
+    pub(super) heard_at: Duration,
+    /// Whether a request of this instance was on it.
+    pub(super) local: bool,
+    pub(super) requests: Vec<BrokenRequest>,
+}
+
+/// What speaks against a part.
+#[derive(Debug, Default)]
+pub(super) struct Tally {
+    times: BTreeSet<Duration>,
+    requests: BTreeSet<u64>,
+    /// Largest index of the part in a prompt.
+    depth: usize,
+    is_first: bool,
+    pub(super) endpoints: BTreeSet<IncarnationId>,
+}
+
+impl Tally {
+    /// Number of deaths at different times.
+    pub(super) fn moments(&self) -> usize {
+        let mut last = None;
+        let apart = self.times.iter().filter(|at| {
+            let apart = last.is_none_or(|last| **at >= last + MOMENT);
+            if apart {
+                last = Some(**at);
+            }
+            apart
+        });
+        apart.count()
+    }
+
+    fn span(&self) -> Duration {
+        let (first, last) = (self.times.first(), self.times.last());
+        let span = first
+            .zip(last)
+            .map(|(first, last)| last.saturating_sub(*first));
+        span.unwrap_or_default()
+    }
+
+    /// Whether the part is to be blamed; one request that is sent again and again proves nothing.
+    fn is_proved(&self, was_blamed: bool) -> bool {
+        let moments = self.moments();
+        match (self.is_first, was_blamed) {
+            (_, true) => moments > 0,
+            (true, false) => {
+                moments >= FIRST_PART_DEATHS
+                    && self.span() >= FIRST_PART_SPAN
+                    && self.requests.len() > 1
+            }
+            (false, false) => moments >= BLAME_DEATHS && self.requests.len() > 1,
+        }
+    }
+}
+
+impl CrashParts {
+    /// Blames the parts that the evidence proves.
+    ///
+    /// What a blamed part explains no longer speaks against others, so that requests that only
+    /// shared its endpoints are served.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use brassrack::gateway::crash_parts::{CrashParts, incarnation_id, part_ids};
+    ///
+    /// let parts = part_ids(&["shared".into(), "bad".into()]);
+    /// let mut known = CrashParts::default();
+    /// for n in 1..=3 {
+    ///     known.record_break(incarnation_id("i-1", n), n, &parts, Duration::from_secs(n));
+    /// }
+    /// let now = Duration::from_secs(5);
+    /// known.judge(now);
+    /// let refused = known.refusal(&parts, now);
+    /// assert_eq!(refused.map(|(index, _)| index), Some(1));
+    /// ```
+    pub fn judge(&mut self, now: Duration) {
+        self.judged_at = now;
+        let blame_kept = |b: &Blame| now < b.until + BLAME_TIME;
+        self.blamed.retain(|_, blame| blame_kept(blame));
+        while let Some((part, tally)) = self.most_suspect(now) {
+            let rounds = self.blamed.get(&part).map_or(0, |b| b.rounds) + 1;
+            let time = BLAME_TIME * 2_u32.pow(rounds.min(8) - 1);
+            let until = now + time.min(MAX_BLAME_TIME);
+            log::warn!(part = part, deaths = tally.moments(), requests = tally.requests.len(),
+                rounds = rounds, refused_ms = super::millis(until.saturating_sub(now));
+                "prompt part refused from now on: endpoints end before they answer it");
+            let at = now;
+            self.insert_blame(part, Blame { at, until, rounds });
+        }
+    }
+
+    /// The part with most deaths among those that are proved; the first part of prompts comes last.
+    fn most_suspect(&self, now: Duration) -> Option<(PartId, Tally)> {
+        let proved = self
+            .tallies(now, SETTLE_TIME)
+            .into_iter()
+            .filter(|(part, tally)| tally.is_proved(self.blamed.contains_key(part)));
+        proved.max_by_key(|(_, t)| (!t.is_first, t.moments(), t.depth))
+    }
+
+    /// What speaks against each part, by deaths that have been known for `settled`.
+    pub(super) fn tallies(&self, now: Duration, settled: Duration) -> BTreeMap<PartId, Tally> {
+        let mut tallies: BTreeMap<PartId, Tally> = BTreeMap::new();
+        let known = self.deaths.iter();
+        for (endpoint, death) in known.filter(|(_, d)| now >= d.heard_at + settled) {
+            let answered = self.sound.last(*endpoint);
+            if answered.is_some_and(|at| at > death.at + ALIVE_MARGIN) || self.explains(death) {
+                continue;
+            }
+            for request in &death.requests {
+                for (depth, part) in request.parts.iter().enumerate() {
+                    if self.sound.last(*part).is_some_and(|at| at >= death.at) {
+                        continue;
+                    }
+                    let tally = tallies.entry(*part).or_default();
+                    tally.times.insert(death.at);
+                    tally.requests.insert(request.request);
+                    tally.endpoints.insert(*endpoint);
+                    tally.depth = tally.depth.max(depth);
+                    tally.is_first |= depth == 0;
+                }
+            }
+        }
+        tallies
+    }
+
+    /// Whether a blamed part was on the endpoint while it was refused or before.
+    fn explains(&self, death: &Death) -> bool {
+        let mut parts = death.requests.iter().flat_map(|r| &r.parts);
+        parts.any(|part| self.blamed.get(part).is_some_and(|b| death.at < b.until))
+    }
+}
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -102,6 +102,9 @@
         Ok(Err(error)) => return record_break(request, selected, history, &error.to_string()),
         Err(late) => return record_break(request, selected, history, &late.to_string()),
     };
+    if answer.head.status.is_success() {
+        request.record_begun(selected, history);
+    }
     let health = if answer.head.status.is_server_error() {
         RequestOutcome::Failure
     } else {
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -20,9 +20,11 @@
 use super::servers::EndpointView;
 use super::shared::Gateway;
 
+mod evidence;
 mod message;
 
 use crate::peers::codec::{Frames, frames};
+pub use evidence::{BlamedPart, BrokenRequest, CrashEvidence, EndpointDeath, SoundAnswer};
 pub use message::{DemandReport, EngineView, FleetUpdate, LeavingEndpoint, ModelView, TargetCount};
 
 /// Timeout for opening a link.
@@ -121,9 +123,16 @@
         aborted: gateway.crash_suspects().take_unreported(),
         clock_echo: 0,
         leaving: recently_leaving(gateway),
+        crashes: crash_report(gateway, false),
     }
 }
 
+/// What this instance knows about parts of prompts under which endpoints end, if anything.
+fn crash_report(gateway: &Gateway, all: bool) -> Option<CrashEvidence> {
+    let report = gateway.crash_parts().report(all, gateway.now());
+    (report != CrashEvidence::default()).then_some(report)
+}
+
 /// Endpoints that were recently found to leave, as a message says it.
 #[must_use]
 pub fn recently_leaving(gateway: &Gateway) -> Vec<LeavingEndpoint> {
@@ -284,7 +293,11 @@
     let mut last_report = Instant::now();
     let mut last_update = Instant::now();
     let mut clock_echo = 0;
-    send(&mut link, &demand_report(gateway)).await?;
+    let first = DemandReport {
+        crashes: crash_report(gateway, true),
+        ..demand_report(gateway)
+    };
+    send(&mut link, &first).await?;
     loop {
         let next_report = last_report + REPORT_INTERVAL;
         let mut report_due = false;
@@ -355,6 +368,9 @@
     apply_leaving(gateway, &update.leaving);
     gateway.budgets().resize(update.live_instances);
     gateway.crash_suspects().merge_refused(&update.refused);
+    if let Some(notice) = &update.crashes {
+        gateway.crash_parts().apply_notice(notice, gateway.now());
+    }
     for estimate in update.estimates {
         let ready_in = Duration::from_millis(estimate.wait_ms.into());
         gateway.set_estimate((estimate.scope.clone(), estimate.target()), ready_in);
--- a/src/gateway/link/message.rs
+++ b/src/gateway/link/message.rs
@@ -4,6 +4,7 @@
 
 use super::super::protocol::{HeldModels, Target};
 use super::super::servers::{EndpointView, LeavingMark};
+use super::evidence::CrashEvidence;
 
 /// Request counts and wait time of a model or adapter.
 #[derive(Clone, PartialEq, Message)]
@@ -81,6 +82,9 @@
     /// Endpoints that were recently found to leave.
     #[prost(message, repeated, tag = "7")]
     pub leaving: Vec<LeavingEndpoint>,
+    /// Parts of prompts under which endpoints end, as far as the instance knows.
+    #[prost(message, optional, tag = "8")]
+    pub crashes: Option<CrashEvidence>,
 }
 
 /// An incarnation of an endpoint that leaves.
@@ -237,4 +241,7 @@
     /// Endpoints that were recently found to leave, if the sender holds the lease.
     #[prost(message, repeated, tag = "13")]
     pub leaving: Vec<LeavingEndpoint>,
+    /// Parts of prompts under which endpoints end; none if unchanged.
+    #[prost(message, optional, tag = "14")]
+    pub crashes: Option<CrashEvidence>,
 }
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -219,6 +219,11 @@
         let pending = self.inbox.take();
         for (number, report) in pending.reports {
             link::apply_leaving(&self.gateway, &report.demand.leaving);
+            if let Some(crashes) = &report.demand.crashes {
+                let now = self.gateway.now();
+                let mut parts = self.gateway.crash_parts();
+                parts.merge(crashes, report.heard_at, now);
+            }
             self.record_demand(&report.demand);
             if let Some(peer) = self.peers.get_mut(&number) {
                 peer.heard_at = report.heard_at;
--- a/src/gateway/orders/inbox.rs
+++ b/src/gateway/orders/inbox.rs
@@ -10,7 +10,7 @@
 use tokio::sync::{Notify, mpsc};
 
 use super::super::lease::Echoes;
-use super::super::link::{DemandReport, FleetUpdate, TargetCount};
+use super::super::link::{DemandReport, EndpointDeath, FleetUpdate, TargetCount};
 
 /// Newest report of a link.
 #[derive(Debug, Clone)]
@@ -95,4 +95,10 @@
         }
     }
     demand.aborted.extend(earlier.aborted);
+    if let Some(earlier) = earlier.crashes {
+        let deaths = &mut demand.crashes.get_or_insert_default().deaths;
+        let is_new = |d: &EndpointDeath| deaths.iter().all(|known| known.endpoint != d.endpoint);
+        let missing: Vec<EndpointDeath> = earlier.deaths.into_iter().filter(is_new).collect();
+        deaths.extend(missing);
+    }
 }
--- a/src/gateway/orders/publish.rs
+++ b/src/gateway/orders/publish.rs
@@ -1,6 +1,6 @@
 //! Publishes engine views and estimated waits to all instances.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::PoisonError;
 use std::time::Duration;
 
@@ -30,6 +30,8 @@
     pub(super) full_sent: Duration,
     pub(super) last_sent: Duration,
     pub(super) refused_sent: usize,
+    /// Digests in the evidence that it was sent last; none where it has to be sent.
+    sent_crashes: Option<BTreeSet<u64>>,
 }
 
 impl OrderController {
@@ -70,6 +72,12 @@
         let config_read_at = *self.gateway.config_read_at.borrow();
         let leaving = link::recently_leaving(&self.gateway);
         let refused = self.gateway.crash_suspects().refused();
+        let crashes = {
+            let mut parts = self.gateway.crash_parts();
+            parts.judge(now);
+            parts.notice(now)
+        };
+        let crash_ids = crashes.ids();
         let live = u32::try_from(self.peers.len() + 1).unwrap_or(u32::MAX);
         self.gateway.servers.apply_views(&views, now);
         self.gateway.budgets().resize(live);
@@ -101,6 +109,8 @@
                 } else {
                     refused.clone()
                 },
+                crashes: (full_due || peer.sent_crashes.as_ref() != Some(&crash_ids))
+                    .then(|| crashes.clone()),
                 ..FleetUpdate::default()
             };
             let update_due = now >= peer.last_sent + MAX_UPDATE_INTERVAL;
@@ -113,6 +123,7 @@
                 }
                 let sent = peer.updates.try_send(update).is_ok();
                 peer.sent_version = if sent { self.views.version() } else { 0 };
+                peer.sent_crashes = sent.then(|| crash_ids.clone());
             }
         }
     }
@@ -172,6 +183,7 @@
             full_sent: Duration::ZERO,
             last_sent: Duration::ZERO,
             refused_sent: 0,
+            sent_crashes: None,
         }
     }
 
@@ -187,5 +199,8 @@
 }
 
 fn has_updates(update: &FleetUpdate) -> bool {
-    !update.engines.is_empty() || !update.config.is_empty() || !update.refused.is_empty()
+    !update.engines.is_empty()
+        || !update.config.is_empty()
+        || !update.refused.is_empty()
+        || update.crashes.is_some()
 }
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -81,6 +81,9 @@
             self.gateway
                 .crash_suspects()
                 .record_local(self.fingerprint, now);
+            if !history.begun {
+                self.record_not_begun(selected);
+            }
         }
         history.record_possible_run(&selected.id);
     }
@@ -130,6 +133,7 @@
                     self.gateway
                         .crash_suspects()
                         .record_local(self.fingerprint, now);
+                    self.record_not_begun(selected);
                 }
                 log::info!(id = self.head.id.as_str(), endpoint = selected.id.as_str(),
                     started_ms = selected.started_ms, fault:% = error.fault,
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -9,6 +9,7 @@
 
 use super::budget::{RetryAllowance, RetryBudgets};
 use super::catalog::Catalog;
+use super::crash_parts::CrashParts;
 use super::crash_suspects::CrashSuspects;
 use super::lease::LeaseTiming;
 use super::protocol::{TableFeed, Target, WireProtocol};
@@ -242,6 +243,7 @@
     pub ready_estimates: Mutex<BTreeMap<DemandKey, (Duration, Duration)>>,
     budgets: Mutex<RetryBudgets>,
     crash_suspects: Mutex<CrashSuspects>,
+    crash_parts: Mutex<CrashParts>,
 }
 
 /// Assumed number of live instances until the lease holder has reported it.
@@ -286,6 +288,7 @@
                 DEFAULT_INSTANCES,
             )),
             crash_suspects: Mutex::default(),
+            crash_parts: Mutex::default(),
             settings,
         }))
     }
@@ -355,6 +358,13 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Parts of prompts under which endpoints end.
+    pub fn crash_parts(&self) -> MutexGuard<'_, CrashParts> {
+        self.crash_parts
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Puts a configuration in force, unless the same or a newer version already is.
     pub fn activate_config(&self, text: &str, from: &'static str) {
         let catalog = match self.platform.wire.decode_catalog(text) {
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -154,7 +154,7 @@
     match feed.next(remaining).await {
         Ok(events) => {
             history.in_flight = false;
-            history.begun = true;
+            request.record_begun(&selected, history);
             let stream = EndpointStream {
                 selected,
                 feed,
