Send refused fingerprints again where the update did not go out

The holder noted the number of refused fingerprints as sent before it tried, and compared by number only: an update that met a full queue, or a change that kept the number, left an instance without them.

What was sent last is now kept by value, only after a send that went out, and each full update (once a second) carries it.

--- a/src/gateway/link/evidence.rs
+++ b/src/gateway/link/evidence.rs
@@ -1,7 +1,5 @@
 //! Messages about endpoints that end under a part of the prompts that they run.
 
-use std::collections::BTreeSet;
-
 use prost::Message;
 
 /// A request that was on an endpoint when it ended, and whose answer had not begun there.
@@ -77,7 +75,7 @@
 impl CrashEvidence {
     /// Digests that are blamed, watched or cleared, which say whether an update is needed.
     #[must_use]
-    pub fn ids(&self) -> BTreeSet<u64> {
+    pub fn ids(&self) -> Vec<u64> {
         let blamed = self.blamed.iter().map(|blamed| blamed.part);
         let sound = self.sound.iter().map(|sound| !sound.id);
         let watched = self.watched.iter().map(|id| id.rotate_left(1));
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -16,6 +16,7 @@
 mod engine_events;
 mod fleet;
 pub mod inbox;
+pub mod last_sent;
 pub mod port;
 mod publish;
 pub mod record;
--- a/src/gateway/orders/publish.rs
+++ b/src/gateway/orders/publish.rs
@@ -1,6 +1,6 @@
 //! Publishes engine views and estimated waits to all instances.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::sync::PoisonError;
 use std::time::Duration;
 
@@ -13,6 +13,7 @@
 use super::super::servers::EndpointView;
 use super::OrderController;
 use super::inbox::LinkReport;
+use super::last_sent::LastSent;
 
 /// Interval between sends of all views to an instance.
 const FULL_VIEW_INTERVAL: Duration = Duration::from_secs(1);
@@ -29,9 +30,9 @@
     pub(super) sent_version: u64,
     pub(super) full_sent: Duration,
     pub(super) last_sent: Duration,
-    pub(super) refused_sent: usize,
-    /// Digests in the evidence that it was sent last; none where it has to be sent.
-    sent_crashes: Option<BTreeSet<u64>>,
+    refused_sent: LastSent,
+    /// Digests in the evidence about prompt parts that it was sent last.
+    crashes_sent: LastSent,
 }
 
 impl OrderController {
@@ -104,26 +105,26 @@
                     .since(if full_due { 0 } else { peer.sent_version }),
                 leaving: leaving.clone(),
                 estimates: peer.relevant_estimates(estimates),
-                refused: if refused.len() == peer.refused_sent {
-                    Vec::new()
-                } else {
+                refused: if full_due || peer.refused_sent.is_due(&refused) {
                     refused.clone()
+                } else {
+                    Vec::new()
                 },
-                crashes: (full_due || peer.sent_crashes.as_ref() != Some(&crash_ids))
+                crashes: (full_due || peer.crashes_sent.is_due(&crash_ids))
                     .then(|| crashes.clone()),
                 ..FleetUpdate::default()
             };
             let update_due = now >= peer.last_sent + MAX_UPDATE_INTERVAL;
             if full_due || update_due || has_updates(&update) {
                 peer.last_sent = now;
-                peer.refused_sent = refused.len();
                 peer.demand.config_version = peer.demand.config_version.max(catalog.version);
                 if full_due {
                     peer.full_sent = now;
                 }
                 let sent = peer.updates.try_send(update).is_ok();
                 peer.sent_version = if sent { self.views.version() } else { 0 };
-                peer.sent_crashes = sent.then(|| crash_ids.clone());
+                peer.refused_sent.record(&refused, sent);
+                peer.crashes_sent.record(&crash_ids, sent);
             }
         }
     }
@@ -182,8 +183,8 @@
             sent_version: 0,
             full_sent: Duration::ZERO,
             last_sent: Duration::ZERO,
-            refused_sent: 0,
-            sent_crashes: None,
+            refused_sent: LastSent::default(),
+            crashes_sent: LastSent::default(),
         }
     }
 
