Crash parts: an answer lost earlier does not hide the end of an endpoint

A living endpoint that lost an answer was noted with that time; answers after it showed it as alive, and its true end later did not count.

Each closed connection now has its own time and is checked by itself.

--- a/src/gateway/crash_parts.rs
+++ b/src/gateway/crash_parts.rs
@@ -12,11 +12,12 @@
 use super::crash_suspects::Fingerprint;
 use super::link::{BlamedPart, BrokenRequest, CrashEvidence, EndpointDeath, SoundAnswer, millis};
 
+mod death;
 mod sound;
 mod verdict;
 
+use death::{Break, Death};
 use sound::SoundTimes;
-use verdict::Death;
 
 /// Time after which an endpoint's end no longer counts.
 const DEATH_TTL: Duration = Duration::from_mins(5);
@@ -32,8 +33,6 @@
 const MAX_BLAME_TIME: Duration = Duration::from_hours(2);
 /// Most ends of endpoints that are kept.
 const MAX_DEATHS: usize = 64;
-/// Most requests kept of one end of an endpoint.
-const MAX_BROKEN_REQUESTS: usize = 64;
 /// Most parts kept of one prompt.
 const MAX_PARTS: usize = 8;
 /// Most ends of endpoints in one report.
@@ -122,11 +121,16 @@
         if parts.is_empty() {
             return;
         }
-        let parts = parts.to_vec();
-        self.add_death(endpoint, now, now, vec![BrokenRequest { request, parts }]);
-        if let Some(death) = self.deaths.get_mut(&endpoint) {
-            death.local = true;
-        }
+        let (parts, at) = (parts.to_vec(), now);
+        let heard_at = now;
+        let broken = Break {
+            request,
+            parts,
+            at,
+            heard_at,
+            local: true,
+        };
+        self.add_break(endpoint, broken, now);
     }
 
     /// Records that the answer to a request with these parts began at an endpoint.
@@ -167,21 +171,21 @@
     /// reported before, for a holder that may not know them.
     #[must_use]
     pub fn report(&self, all: bool, now: Duration) -> CrashEvidence {
-        let mut local: Vec<(&IncarnationId, &Death)> = self
-            .deaths
-            .iter()
-            .filter(|(_, d)| d.local && (all || now < d.at + REPORT_TIME))
-            .collect();
-        local.sort_by_key(|(_, death)| std::cmp::Reverse(death.at));
+        let is_due = |b: &&Break| b.local && (all || now < b.at + REPORT_TIME);
+        let mut local: Vec<(Duration, EndpointDeath)> = Vec::new();
+        for (endpoint, death) in &self.deaths {
+            let due = death.breaks.iter().filter(is_due);
+            let Some(last) = due.clone().map(|b| b.at).max() else {
+                continue;
+            };
+            let requests = due.map(|b| b.to_message(now)).collect();
+            let endpoint = *endpoint;
+            local.push((last, EndpointDeath { endpoint, requests }));
+        }
+        local.sort_by_key(|(last, _)| std::cmp::Reverse(*last));
         let deaths = local.into_iter().take(MAX_REPORTED_DEATHS);
         CrashEvidence {
-            deaths: deaths
-                .map(|(endpoint, death)| EndpointDeath {
-                    endpoint: *endpoint,
-                    age_ms: millis(now.saturating_sub(death.at)),
-                    requests: death.requests.clone(),
-                })
-                .collect(),
+            deaths: deaths.map(|(_, death)| death).collect(),
             sound: self.sound_answers(now),
             blamed: self.blamed_parts(now),
             watched: Vec::new(),
@@ -215,9 +219,22 @@
         for SoundAnswer { id, age_ms } in &evidence.sound {
             self.record_sound(*id, ago(*age_ms));
         }
-        for death in &evidence.deaths {
-            let requests = death.requests.clone();
-            self.add_death(death.endpoint, ago(death.age_ms), now, requests);
+        for EndpointDeath { endpoint, requests } in &evidence.deaths {
+            for BrokenRequest {
+                request,
+                parts,
+                age_ms,
+            } in requests
+            {
+                let broken = Break {
+                    request: *request,
+                    parts: parts.iter().take(MAX_PARTS).copied().collect(),
+                    at: ago(*age_ms),
+                    heard_at: now,
+                    local: false,
+                };
+                self.add_break(*endpoint, broken, now);
+            }
         }
         for blamed in &evidence.blamed {
             let at = ago(blamed.age_ms);
@@ -240,32 +257,14 @@
         self.heard_at = now;
     }
 
-    fn add_death(
-        &mut self,
-        endpoint: IncarnationId,
-        at: Duration,
-        now: Duration,
-        requests: Vec<BrokenRequest>,
-    ) {
-        self.deaths.retain(|_, d| now < d.at + DEATH_TTL);
-        if now >= at + DEATH_TTL {
+    fn add_break(&mut self, endpoint: IncarnationId, broken: Break, now: Duration) {
+        if now >= broken.at + DEATH_TTL {
             return;
         }
-        let death = self.deaths.entry(endpoint).or_insert(Death {
-            at,
-            heard_at: now,
-            local: false,
-            requests: Vec::new(),
-        });
-        death.at = death.at.min(at);
-        for mut request in requests {
-            request.parts.truncate(MAX_PARTS);
-            if death.requests.len() < MAX_BROKEN_REQUESTS && !death.requests.contains(&request) {
-                death.requests.push(request);
-            }
-        }
+        self.deaths.retain(|_, d| now < d.last() + DEATH_TTL);
+        self.deaths.entry(endpoint).or_default().add(broken);
         if self.deaths.len() > MAX_DEATHS {
-            let oldest = self.deaths.iter().min_by_key(|(_, d)| d.at);
+            let oldest = self.deaths.iter().min_by_key(|(_, d)| d.last());
             if let Some(oldest) = oldest.map(|(endpoint, _)| *endpoint) {
                 self.deaths.remove(&oldest);
             }
--- a/src/gateway/crash_parts/verdict.rs
+++ b/src/gateway/crash_parts/verdict.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use super::super::link::BrokenRequest;
+use super::death::{ALIVE_MARGIN, Death};
 use super::{BLAME_TIME, Blame, CrashParts, IncarnationId, MAX_BLAME_TIME, PartId};
 
 /// Deaths at different times after which a part is blamed.
@@ -16,19 +16,6 @@
 const MOMENT: Duration = Duration::from_millis(100);
 /// Time in which the other instances report sound answers, before a death counts.
 const SETTLE_TIME: Duration = Duration::from_millis(700);
-/// Time after its end from which an answer shows that an endpoint had not ended.
-const ALIVE_MARGIN: Duration = Duration::from_millis(500);
-
-/// The end of an incarnation of an endpoint.
-#[derive(Debug)]
-pub(super) struct Death {
-    pub(super) at: Duration,
-    /// When it became known here.
-    pub(super) heard_at: Duration,
-    /// Whether a request of this instance was on it.
-    pub(super) local: bool,
-    pub(super) requests: Vec<BrokenRequest>,
-}
 
 /// What speaks against a part.
 #[derive(Debug, Default)]
@@ -128,32 +115,38 @@
     /// What speaks against each part, by deaths that have been known for `settled`.
     pub(super) fn tallies(&self, now: Duration, settled: Duration) -> BTreeMap<PartId, Tally> {
         let mut tallies: BTreeMap<PartId, Tally> = BTreeMap::new();
-        let known = self.deaths.iter();
-        for (endpoint, death) in known.filter(|(_, d)| now >= d.heard_at + settled) {
-            let answered = self.sound.last(*endpoint);
-            if answered.is_some_and(|at| at > death.at + ALIVE_MARGIN) || self.explains(death) {
-                continue;
-            }
-            for request in &death.requests {
-                for (depth, part) in request.parts.iter().enumerate() {
-                    if self.sound.last(*part).is_some_and(|at| at >= death.at) {
+        for (endpoint, death) in self.deaths.iter().filter(|(_, d)| !self.explains(d)) {
+            let answered = self.sound.last(*endpoint).unwrap_or_default();
+            let mut times: BTreeMap<PartId, Duration> = BTreeMap::new();
+            let breaks = death.breaks.iter();
+            let counted = breaks.filter(|b| now >= b.heard_at + settled);
+            for broken in counted.filter(|b| answered <= b.at + ALIVE_MARGIN) {
+                for (depth, part) in broken.parts.iter().enumerate() {
+                    if self.sound.last(*part).is_some_and(|at| at >= broken.at) {
                         continue;
                     }
+                    let time = times.entry(*part).or_default();
+                    *time = broken.at.max(*time);
                     let tally = tallies.entry(*part).or_default();
-                    tally.times.insert(death.at);
-                    tally.requests.insert(request.request);
+                    tally.requests.insert(broken.request);
                     tally.endpoints.insert(*endpoint);
                     tally.depth = tally.depth.max(depth);
                     tally.is_first |= depth == 0;
                 }
             }
+            for (part, time) in times {
+                tallies.entry(part).or_default().times.insert(time);
+            }
         }
         tallies
     }
 
-    /// Whether a blamed part was on the endpoint while it was refused or before.
+    /// Whether a request with a blamed part was on the endpoint before or during its refusal.
     fn explains(&self, death: &Death) -> bool {
-        let mut parts = death.requests.iter().flat_map(|r| &r.parts);
-        parts.any(|part| self.blamed.get(part).is_some_and(|b| death.at < b.until))
+        let mut breaks = death.breaks.iter();
+        breaks.any(|broken| {
+            let mut blames = broken.parts.iter().filter_map(|p| self.blamed.get(p));
+            blames.any(|blame| broken.at < blame.until)
+        })
     }
 }
--- a/src/gateway/link/evidence.rs
+++ b/src/gateway/link/evidence.rs
@@ -11,19 +11,19 @@
     /// Digests of the parts of its prompt in order, without the last one.
     #[prost(fixed64, repeated, tag = "2")]
     pub parts: Vec<u64>,
+    /// Time since the endpoint closed its connection, in milliseconds.
+    #[prost(uint32, tag = "3")]
+    pub age_ms: u32,
 }
 
-/// The end of an incarnation of an endpoint, as far as an instance saw it.
+/// What an instance saw of the end of an incarnation of an endpoint.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct EndpointDeath {
     /// Digest of the incarnation.
     #[prost(fixed64, tag = "1")]
     pub endpoint: u64,
-    /// Time since its end, in milliseconds.
-    #[prost(uint32, tag = "2")]
-    pub age_ms: u32,
     /// Requests that were on it without an answer that had begun.
-    #[prost(message, repeated, tag = "3")]
+    #[prost(message, repeated, tag = "2")]
     pub requests: Vec<BrokenRequest>,
 }
 
