--- a/tests/crash_parts_sim.rs
+++ b/tests/crash_parts_sim.rs
@@ -126,7 +126,7 @@
                 }
             }
             self.advance(now);
-            if now % REPORT_MS == 0 {
+            if now.is_multiple_of(REPORT_MS) {
                 self.exchange(now);
             }
         }
@@ -255,7 +255,7 @@
 
     /// Reports to the holder and its notice; a tenth of each is lost.
     fn exchange(&mut self, now: u64) {
-        if self.troubles.new_holders && now % 6_000 == 0 {
+        if self.troubles.new_holders && now.is_multiple_of(6_000) {
             self.holder = CrashParts::default();
             for instance in &self.instances {
                 self.holder
