Refuse a waiting request as soon as its prompt part is blamed

A request that waited for its model learned only at its send that its part had been blamed, and was then refused as overload. The code that knows of evidence moves into a module of its own, so that serve.rs keeps to the request's path.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -7,6 +7,7 @@
 pub mod admission;
 pub mod budget;
 pub mod catalog;
+pub mod crash_evidence;
 pub mod crash_parts;
 pub mod crash_suspects;
 pub mod daemon;
--- a/src/gateway/routing.rs
+++ b/src/gateway/routing.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::admission;
+use super::crash_evidence::refusal_for;
 use super::serve::{
     NO_ENDPOINT_RETRY_DELAY, OVERLOAD_RETRY_DELAY, RoutedRequest, STOPPING_RETRY_DELAY, SendHistory,
 };
@@ -46,6 +47,10 @@
             if now >= send_by {
                 return Err(refusal(Cause::NoCapacity).retry_after(OVERLOAD_RETRY_DELAY));
             }
+            // A part may have been blamed while the request waited or ran.
+            if let Some(blamed) = refusal_for(&self.gateway, &self.head, &self.parts) {
+                return Err(blamed.raise_verdict(history.verdict()));
+            }
             if let Some(selected) = servers.select(&self.requirements(history), now) {
                 return self.check_queue_wait(selected, history);
             }
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -8,13 +8,12 @@
 use hyper::{HeaderMap, Method, Request, Response, Uri};
 
 use super::catalog::Route;
-use super::crash_parts::{PartId, incarnation_id, part_ids};
+use super::crash_parts::{PartId, part_ids};
 use super::crash_suspects::{Fingerprint, fingerprint};
 use super::headers::strip_connection_headers;
 use super::protocol::RequestHead;
-use super::servers::SelectedEndpoint;
 use super::shared::Gateway;
-use super::{forward, stream};
+use super::{crash_evidence, forward, stream};
 use crate::http::Body;
 use crate::request;
 use crate::request_context::RequestLimits;
@@ -148,11 +147,7 @@
         return refuse(&gateway, &refusal, &id, &route.name, arrived_at);
     }
     let prompt_parts = part_ids(&head.shared_parts);
-    if let Some((index, left)) = gateway.crash_parts().refusal(&prompt_parts, gateway.now()) {
-        let part = head.shared_parts.get(index).cloned().unwrap_or_default();
-        let refusal = Refusal::not_run(Cause::CrashSuspect)
-            .retry_after(left)
-            .detail(format!("prompt part {part}"));
+    if let Some(refusal) = crash_evidence::refusal_for(&gateway, &head, &prompt_parts) {
         return refuse(&gateway, &refusal, &id, &route.name, arrived_at);
     }
     let Some(service) = route.pick_service(rand::random()).map(str::to_owned) else {
@@ -232,11 +227,6 @@
         }
     }
 
-    /// Ids of the prompt's shared parts as a log field.
-    pub(super) fn parts_text(&self) -> String {
-        self.head.shared_parts.join(",")
-    }
-
     /// Current time of the instance's clock.
     #[must_use]
     pub fn now(&self) -> Duration {
@@ -269,13 +259,11 @@
     /// Whether the request may be sent now; every send after the first spends retry budget.
     #[must_use]
     pub fn take_send_permit(&self, history: &SendHistory) -> bool {
-        if self.crashes_endpoints(history) {
-            return false;
-        }
         if history.sends == 0 {
             return true;
         }
-        if history.possible_runs > 0 && !self.may_run_after(history.possible_runs) {
+        let may_have_run = history.possible_runs > 0;
+        if may_have_run && (!self.may_run_after(history.possible_runs) || self.is_crash_suspect()) {
             return false;
         }
         if history.not_run >= MAX_NOT_RUN_SENDS {
@@ -284,31 +272,6 @@
         self.gateway.budgets().try_spend(&self.service, self.now())
     }
 
-    /// Whether a part of the prompt is refused, or suspected after the request has broken off.
-    fn crashes_endpoints(&self, history: &SendHistory) -> bool {
-        let now = self.now();
-        let mut parts = self.gateway.crash_parts();
-        parts.refusal(&self.parts, now).is_some()
-            || history.possible_runs > 0 && parts.is_suspect(&self.parts, now)
-    }
-
-    /// Records that the answer of an endpoint has begun.
-    pub(super) fn record_begun(&self, selected: &SelectedEndpoint, history: &mut SendHistory) {
-        history.begun = true;
-        let endpoint = incarnation_id(&selected.id, selected.started_ms);
-        let now = self.now();
-        let mut parts = self.gateway.crash_parts();
-        parts.record_begun(endpoint, &self.parts, now);
-    }
-
-    /// Records that an endpoint closed the connection before its answer had begun.
-    pub(super) fn record_not_begun(&self, selected: &SelectedEndpoint) {
-        let endpoint = incarnation_id(&selected.id, selected.started_ms);
-        let now = self.now();
-        let mut parts = self.gateway.crash_parts();
-        parts.record_break(endpoint, self.fingerprint, &self.parts, now);
-    }
-
     /// Records the refusal and builds the response for it.
     #[must_use]
     pub fn refuse(&self, refusal: &Refusal, history: &SendHistory) -> Response<Body> {
@@ -329,9 +292,6 @@
     pub fn final_refusal(&self, history: &SendHistory) -> Refusal {
         let late = self.time_left().is_zero();
         let refusal = match (history.verdict(), late) {
-            (Verdict::NotRun, _) if self.crashes_endpoints(history) => {
-                Refusal::not_run(Cause::CrashSuspect).retry_after(NO_ENDPOINT_RETRY_DELAY)
-            }
             (Verdict::NotRun, _) => {
                 Refusal::not_run(Cause::Overload).retry_after(OVERLOAD_RETRY_DELAY)
             }
