Crash parts: reports repeat evidence for 3 s, not 10

A link that opens carries all of it, so ten seconds cost bytes only: at most 64 closed connections of 8 incarnations each 0.2 s.

--- a/src/gateway/crash_parts.rs
+++ b/src/gateway/crash_parts.rs
@@ -22,7 +22,7 @@
 /// Time after which an endpoint's end no longer counts.
 const DEATH_TTL: Duration = Duration::from_mins(5);
 /// Time for which an instance repeats an end of an endpoint in its reports.
-const REPORT_TIME: Duration = Duration::from_secs(10);
+const REPORT_TIME: Duration = Duration::from_secs(3);
 /// Time without word of the lease holder after which an instance judges by itself.
 const ALONE_TIME: Duration = Duration::from_millis(1500);
 /// Interval between two verdicts of an instance without a lease holder.
