--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -6,7 +6,7 @@
 use tokio::time::timeout;
 
 use super::headers::strip_connection_headers;
-use super::send::{CheckedReply, SendOutcome};
+use super::send::{Break, CheckedReply, SendOutcome};
 use super::serve::{RoutedRequest, SendHistory};
 use super::servers::{RequestOutcome, SelectedEndpoint};
 use super::silence::{Success, first_success};
@@ -74,7 +74,7 @@
                 return match first_success(silent, later).await {
                     Ok(Success::Silent(found)) => Ok(found),
                     Ok(Success::Later(found)) => {
-                        request.record_failure(&selected, false);
+                        request.record_failure(&selected, Break::Silent);
                         Ok(found)
                     }
                     Err((silent, (later, refusal))) => Err((later.or(silent).or(failed), refusal)),
@@ -139,11 +139,19 @@
     let answer = match timeout(request.time_left(), read).await {
         Ok(Ok(answer)) => answer,
         Ok(Err(error)) => {
-            let closed = error.fault == SendFault::Body;
-            return record_break(request, selected, history, closed, &error.to_string());
+            let broken = match error.fault {
+                SendFault::Body => Break::Closed { begun: false },
+                _ => Break::Invalid,
+            };
+            return record_break(request, selected, history, broken, &error.to_string());
+        }
+        Err(late) => {
+            return record_break(request, selected, history, Break::Silent, &late.to_string());
         }
-        Err(late) => return record_break(request, selected, history, false, &late.to_string()),
     };
+    if answer.head.status.is_success() {
+        request.record_begun(selected);
+    }
     let health = if answer.head.status.is_server_error() {
         RequestOutcome::Failure
     } else {
@@ -160,12 +168,13 @@
     request: &RoutedRequest,
     selected: &SelectedEndpoint,
     history: &mut SendHistory,
-    closed: bool,
+    broken: Break,
     error: &str,
 ) -> Option<Answer> {
-    request.record_broken_response(selected, history, closed);
-    log::info!(id = request.head.id.as_str(), endpoint = selected.id.as_str(), error = error;
-        "answer broke off");
+    request.record_broken_response(selected, history, broken);
+    log::info!(id = request.head.id.as_str(), endpoint = selected.id.as_str(),
+        started_ms = selected.started_ms, parts = request.parts_text(),
+        fingerprint = request.fingerprint, error = error; "answer broke off");
     None
 }
 
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -16,6 +16,7 @@
 mod engine_events;
 mod fleet;
 pub mod inbox;
+pub mod last_sent;
 pub mod port;
 mod publish;
 pub mod record;
@@ -219,6 +220,11 @@
         let pending = self.inbox.take();
         for (number, report) in pending.reports {
             link::apply_leaving(&self.gateway, &report.demand.leaving);
+            if let Some(crashes) = &report.demand.crashes {
+                let now = self.gateway.now();
+                let mut parts = self.gateway.crash_parts();
+                parts.merge(crashes, report.heard_at, now);
+            }
             self.record_demand(&report.demand);
             if let Some(peer) = self.peers.get_mut(&number) {
                 peer.heard_at = report.heard_at;
--- a/src/gateway/orders/publish.rs
+++ b/src/gateway/orders/publish.rs
@@ -13,6 +13,7 @@
 use super::super::servers::EndpointView;
 use super::OrderController;
 use super::inbox::LinkReport;
+use super::last_sent::LastSent;
 
 /// Interval between sends of all views to an instance.
 const FULL_VIEW_INTERVAL: Duration = Duration::from_secs(1);
@@ -29,7 +30,9 @@
     pub(super) sent_version: u64,
     pub(super) full_sent: Duration,
     pub(super) last_sent: Duration,
-    pub(super) refused_sent: usize,
+    refused_sent: LastSent,
+    /// Digests in the evidence about prompt parts that it was sent last.
+    crashes_sent: LastSent,
 }
 
 impl OrderController {
@@ -70,6 +73,12 @@
         let config_read_at = *self.gateway.config_read_at.borrow();
         let leaving = link::recently_leaving(&self.gateway);
         let refused = self.gateway.crash_suspects().refused();
+        let crashes = {
+            let mut parts = self.gateway.crash_parts();
+            parts.judge(now);
+            parts.notice(now)
+        };
+        let crash_ids = crashes.ids();
         let live = u32::try_from(self.peers.len() + 1).unwrap_or(u32::MAX);
         self.gateway.servers.apply_views(&views, now);
         self.gateway.budgets().resize(live);
@@ -96,23 +105,26 @@
                     .since(if full_due { 0 } else { peer.sent_version }),
                 leaving: leaving.clone(),
                 estimates: peer.relevant_estimates(estimates),
-                refused: if refused.len() == peer.refused_sent {
-                    Vec::new()
-                } else {
+                refused: if full_due || peer.refused_sent.is_due(&refused) {
                     refused.clone()
+                } else {
+                    Vec::new()
                 },
+                crashes: (full_due || peer.crashes_sent.is_due(&crash_ids))
+                    .then(|| crashes.clone()),
                 ..FleetUpdate::default()
             };
             let update_due = now >= peer.last_sent + MAX_UPDATE_INTERVAL;
             if full_due || update_due || has_updates(&update) {
                 peer.last_sent = now;
-                peer.refused_sent = refused.len();
                 peer.demand.config_version = peer.demand.config_version.max(catalog.version);
                 if full_due {
                     peer.full_sent = now;
                 }
                 let sent = peer.updates.try_send(update).is_ok();
                 peer.sent_version = if sent { self.views.version() } else { 0 };
+                peer.refused_sent.record(&refused, sent);
+                peer.crashes_sent.record(&crash_ids, sent);
             }
         }
     }
@@ -171,7 +183,8 @@
             sent_version: 0,
             full_sent: Duration::ZERO,
             last_sent: Duration::ZERO,
-            refused_sent: 0,
+            refused_sent: LastSent::default(),
+            crashes_sent: LastSent::default(),
         }
     }
 
@@ -187,5 +200,8 @@
 }
 
 fn has_updates(update: &FleetUpdate) -> bool {
-    !update.engines.is_empty() || !update.config.is_empty() || !update.refused.is_empty()
+    !update.engines.is_empty()
+        || !update.config.is_empty()
+        || !update.refused.is_empty()
+        || update.crashes.is_some()
 }
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -21,6 +21,21 @@
     pub head: ResponseHead,
 }
 
+/// How a response broke off.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Break {
+    /// The endpoint closed the connection, before or after the response had begun: its first event
+    /// or its whole body came.
+    Closed {
+        /// Whether the response had begun.
+        begun: bool,
+    },
+    /// The endpoint sent nothing more in time.
+    Silent,
+    /// The endpoint sent what is no response, or too much.
+    Invalid,
+}
+
 /// Outcome of a send.
 #[derive(Debug)]
 pub enum SendOutcome {
@@ -64,30 +79,31 @@
     }
 
     /// Records that an endpoint did not complete its response, as a run of the request.
-    ///
-    /// Where it `closed` the connection, the break counts against the request's fingerprint.
     pub fn record_broken_response(
         &self,
         selected: &SelectedEndpoint,
         history: &mut SendHistory,
-        closed: bool,
+        broken: Break,
     ) {
-        self.record_failure(selected, closed);
+        self.record_failure(selected, broken);
         history.record_possible_run(&selected.id);
     }
 
     /// Records that an endpoint did not complete its response, for its health only.
     ///
-    /// Where it `closed` the connection, the break counts against the request's fingerprint.
-    pub fn record_failure(&self, selected: &SelectedEndpoint, closed: bool) {
+    /// A closed connection also counts against the request, which may have crashed the endpoint.
+    pub fn record_failure(&self, selected: &SelectedEndpoint, broken: Break) {
         let now = self.now();
         self.gateway
             .servers
             .record_outcome(selected.key, RequestOutcome::Failure, now);
-        if closed {
+        if let Break::Closed { begun } = broken {
             self.gateway
                 .crash_suspects()
                 .record_local(self.fingerprint, now);
+            if !begun {
+                self.record_not_begun(selected);
+            }
         }
     }
 
@@ -143,9 +159,12 @@
                     self.gateway
                         .crash_suspects()
                         .record_local(self.fingerprint, now);
+                    self.record_not_begun(selected);
                 }
                 log::info!(id = self.head.id.as_str(), endpoint = selected.id.as_str(),
-                    fault:% = error.fault, verdict:% = error.verdict(),
+                    started_ms = selected.started_ms, fault:% = error.fault,
+                    verdict:% = error.verdict(), parts = self.parts_text(),
+                    fingerprint = self.fingerprint,
                     left_ms = super::link::millis(self.time_left()); "send failed");
                 return match error.verdict() {
                     Verdict::NotRun => SendOutcome::NotRun,
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -8,11 +8,12 @@
 use hyper::{HeaderMap, Method, Request, Response, Uri};
 
 use super::catalog::{Catalog, Route};
+use super::crash_parts::{PartId, part_ids};
 use super::crash_suspects::{Fingerprint, fingerprint};
 use super::headers::strip_connection_headers;
 use super::protocol::RequestHead;
 use super::shared::Gateway;
-use super::{forward, stream};
+use super::{crash_evidence, forward, stream};
 use crate::http::Body;
 use crate::request::{self, discard_body};
 use crate::request_context::RequestLimits;
@@ -59,6 +60,8 @@
     pub body: Bytes,
     /// Digest of path and body, which identifies requests that crash endpoints.
     pub fingerprint: Fingerprint,
+    /// Digests of the prompt's parts, without the last one.
+    pub parts: Vec<PartId>,
     /// When the head had been received.
     pub arrived_at: Duration,
     /// When the response has to be complete.
@@ -161,6 +164,10 @@
         let refusal = Refusal::not_run(Cause::CrashSuspect).retry_after(NO_ENDPOINT_RETRY_DELAY);
         return refuse(&gateway, &refusal, &id, &route.name, arrived_at);
     }
+    let prompt_parts = part_ids(&head.shared_parts);
+    if let Some(refusal) = crash_evidence::refusal_for(&gateway, &head, &prompt_parts) {
+        return refuse(&gateway, &refusal, &id, &route.name, arrived_at);
+    }
     let Some(service) = route.pick_service(rand::random()).map(str::to_owned) else {
         let refusal = Refusal::not_run(Cause::NoEndpoint);
         return refuse(&gateway, &refusal, &id, &route.name, arrived_at);
@@ -180,6 +187,7 @@
         headers,
         body,
         fingerprint,
+        parts: prompt_parts,
         arrived_at,
         deadline,
     };
@@ -293,7 +301,8 @@
         if history.sends == 0 {
             return true;
         }
-        if history.possible_runs > 0 && !self.may_run_after(history.possible_runs) {
+        let may_have_run = history.possible_runs > 0;
+        if may_have_run && (!self.may_run_after(history.possible_runs) || self.is_crash_suspect()) {
             return false;
         }
         if history.not_run >= MAX_NOT_RUN_SENDS {
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -125,7 +125,7 @@
                 return;
             }
             StreamEnd::Cut | StreamEnd::Invalid | StreamEnd::Silent => {
-                record_break(&request, &stream.selected, &mut history, end);
+                record_break(&request, &stream.selected, &mut history, stream.broken(end));
                 let endpoint = stream.selected.id.clone();
                 drop(stream);
                 let next = resume_stream(&mut request, &mut history, &outlet, last_event).await;
--- a/src/gateway/stream/events.rs
+++ b/src/gateway/stream/events.rs
@@ -53,13 +53,16 @@
         };
         let is_silent = matches!(next, Err(StreamEnd::Silent)) && !request.time_left().is_zero();
         if !is_silent {
-            return next;
+            return next.inspect(|_| record_begun(request, stream));
         }
         if !request.has_alternative(history, &stream.selected) {
             continue;
         }
         match wait_beside(request, history, stream, caller, last_event).await {
-            Silence::Over(events) => return Ok(events),
+            Silence::Over(events) => {
+                record_begun(request, stream);
+                return Ok(events);
+            }
             Silence::Moved(next) => *stream = *next,
             Silence::Alone => {}
             Silence::Ended(end) => return Err(end),
@@ -67,6 +70,12 @@
     }
 }
 
+fn record_begun(request: &RoutedRequest, stream: &mut EndpointStream) {
+    if !std::mem::replace(&mut stream.begun, true) {
+        request.record_begun(&stream.selected);
+    }
+}
+
 /// Asks another endpoint to go on with a silent stream, which stays open until one has begun to.
 ///
 /// Silence is no proof that an endpoint has failed, and the other one may be full or fail.
@@ -108,7 +117,10 @@
     };
     let (id, from) = (request.head.id.as_str(), stream.selected.id.as_str());
     if let Silence::Moved(next) = &silence {
-        request.record_failure(&stream.selected, ended == Some(StreamEnd::Cut));
+        request.record_failure(
+            &stream.selected,
+            stream.broken(ended.unwrap_or(StreamEnd::Silent)),
+        );
         log::info!(id = id, endpoint = next.selected.id.as_str(), from = from,
             after = last_event.unwrap_or_default(), sends = history.sends; "silent stream moved");
     } else {
--- a/src/gateway/stream/start.rs
+++ b/src/gateway/stream/start.rs
@@ -8,7 +8,7 @@
 use tokio::time::timeout;
 
 use super::super::headers::strip_connection_headers;
-use super::super::send::{CheckedReply, SendOutcome};
+use super::super::send::{Break, CheckedReply, SendOutcome};
 use super::super::serve::{RoutedRequest, SendHistory};
 use super::super::servers::{RequestGuard, SelectedEndpoint};
 use super::super::silence::{Success, first_success};
@@ -34,6 +34,8 @@
     pub(super) feed: EventReader,
     pub(super) sender: Sender,
     pub(super) running: RequestGuard,
+    /// Whether an event has come.
+    pub(super) begun: bool,
 }
 
 impl EndpointStream {
@@ -44,6 +46,17 @@
             next => next,
         }
     }
+
+    /// How the response broke off, where its stream ended like this without being whole.
+    pub(super) const fn broken(&self, end: StreamEnd) -> Break {
+        match end {
+            StreamEnd::Silent => Break::Silent,
+            StreamEnd::Invalid => Break::Invalid,
+            StreamEnd::Cut | StreamEnd::Whole | StreamEnd::CallerGone => {
+                Break::Closed { begun: self.begun }
+            }
+        }
+    }
 }
 
 /// Why there is no stream.
@@ -74,10 +87,9 @@
         history.in_flight = false;
         let end = match first {
             Ok(events) => return Ok((stream, events)),
-            Err(StreamEnd::Whole) => StreamEnd::Cut,
             Err(end) => end,
         };
-        record_break(request, &stream.selected, history, end);
+        record_break(request, &stream.selected, history, stream.broken(end));
         check_retry(request, history)?;
     }
 }
@@ -126,7 +138,7 @@
                         Ok(stream)
                     }
                     Ok(Success::Later(stream)) => {
-                        request.record_failure(&selected, false);
+                        request.record_failure(&selected, Break::Silent);
                         Ok(stream)
                     }
                     Err((Some(answered), Unopened::Refused(_))) => Err(answered),
@@ -195,6 +207,7 @@
         feed: EventReader::new(body),
         sender,
         running,
+        begun: false,
     };
     (Ok(stream), history)
 }
@@ -216,13 +229,12 @@
     let answer = match timeout(request.time_left(), read).await {
         Ok(Ok(answer)) => answer,
         broken => {
-            let closed = matches!(&broken, Ok(Err(error)) if error.fault == SendFault::Body);
-            let end = if closed {
-                StreamEnd::Cut
-            } else {
-                StreamEnd::Invalid
+            let broken = match broken {
+                Ok(Err(error)) if error.fault == SendFault::Body => Break::Closed { begun: false },
+                Err(_late) => Break::Silent,
+                Ok(_) => Break::Invalid,
             };
-            record_break(request, selected, history, end);
+            record_break(request, selected, history, broken);
             return None;
         }
     };
@@ -233,14 +245,21 @@
     Some(Unopened::Answered(response, selected.id.clone()))
 }
 
+/// Records that the response of an endpoint broke off, as a run of the request.
 pub(super) fn record_break(
     request: &RoutedRequest,
     selected: &SelectedEndpoint,
     history: &mut SendHistory,
-    end: StreamEnd,
+    broken: Break,
 ) {
-    request.record_broken_response(selected, history, end == StreamEnd::Cut);
+    request.record_broken_response(selected, history, broken);
+    let (end, begun) = match broken {
+        Break::Closed { begun } => (StreamEnd::Cut, begun),
+        Break::Silent => (StreamEnd::Silent, false),
+        Break::Invalid => (StreamEnd::Invalid, false),
+    };
     log::info!(id = request.head.id.as_str(), endpoint = selected.id.as_str(), end:% = end,
-        ran = history.possible_runs, left_ms = super::super::link::millis(request.time_left());
-        "stream broke off");
+        started_ms = selected.started_ms, begun = begun, parts = request.parts_text(),
+        fingerprint = request.fingerprint, ran = history.possible_runs,
+        left_ms = super::super::link::millis(request.time_left()); "stream broke off");
 }
