Endpoints: silence ejects none

Cause: an attempt or a stream without a byte for some time counted as a failure, and three in a row eject an endpoint, though a sound one goes on. Silence is an outcome of its own now: it raises the endpoint's share of failed responses, which sends requests elsewhere, and does not count towards ejection.

--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -94,9 +94,13 @@
     /// A closed connection also counts against the request, which may have crashed the endpoint.
     pub fn record_failure(&self, selected: &SelectedEndpoint, broken: Break) {
         let now = self.now();
+        let outcome = match broken {
+            Break::Closed { .. } | Break::Invalid => RequestOutcome::Failure,
+            Break::Silent => RequestOutcome::Silence,
+        };
         self.gateway
             .servers
-            .record_outcome(selected.key, RequestOutcome::Failure, now);
+            .record_outcome(selected.key, outcome, now);
         if let Break::Closed { begun } = broken {
             self.gateway
                 .crash_suspects()
@@ -153,7 +157,11 @@
         let reply = match result {
             Ok(reply) => reply,
             Err(error) => {
-                servers.record_outcome(selected.key, RequestOutcome::Failure, now);
+                let outcome = match error.fault {
+                    SendFault::Silent => RequestOutcome::Silence,
+                    _ => RequestOutcome::Failure,
+                };
+                servers.record_outcome(selected.key, outcome, now);
                 history.failed_endpoints.push(selected.id.clone());
                 if error.fault == SendFault::Closed {
                     self.gateway
--- a/src/gateway/servers.rs
+++ b/src/gateway/servers.rs
@@ -478,11 +478,12 @@
         let Some(server) = state.servers.get_mut(key) else {
             return;
         };
-        let failed = f64::from(u8::from(outcome == RequestOutcome::Failure));
+        let failed = f64::from(u8::from(outcome != RequestOutcome::Success));
         server.failure_rate += FAILURE_WEIGHT * (failed - server.failure_rate);
         match outcome {
             RequestOutcome::Success => server.consecutive_failures = 0,
             RequestOutcome::Failure => server.consecutive_failures += 1,
+            RequestOutcome::Silence => {}
         }
         if server.consecutive_failures >= EJECTION_FAILURES {
             server.consecutive_failures = 0;
--- a/src/gateway/servers/server.rs
+++ b/src/gateway/servers/server.rs
@@ -17,8 +17,11 @@
 pub enum RequestOutcome {
     /// The endpoint answered.
     Success,
-    /// The endpoint failed, stalled or closed the connection early.
+    /// The endpoint failed or closed the connection early.
     Failure,
+    /// The endpoint sent nothing in time. Others are preferred then, but a sound endpoint goes on, so
+    /// this ejects none.
+    Silence,
 }
 
 /// The lease holder's view of an endpoint.
