--- /dev/null
+++ b/src/gateway/servers/select.rs
@@ -0,0 +1,74 @@
+//! Selection of an endpoint for a request.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use super::super::protocol::Target;
+use super::super::selection::{Candidate, choose};
+use super::{DEFAULT_RUN_TIME, Server, ServerKey, Servers};
+
+/// An endpoint selected for a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SelectedEndpoint {
+    /// Key in the registry.
+    pub key: ServerKey,
+    /// Id of the incarnation.
+    pub id: String,
+    /// Start of the incarnation, in Unix milliseconds.
+    pub started_ms: u64,
+    /// Network address.
+    pub address: SocketAddr,
+    /// Expected time in the endpoint's queue.
+    pub expected_wait: Duration,
+}
+
+/// Requirements and preferences of a request for its endpoint.
+#[derive(Debug, Clone, Default)]
+pub struct SelectionCriteria<'a> {
+    /// Service that the endpoint belongs to.
+    pub service: &'a str,
+    /// Model or adapter that the endpoint must hold, if any.
+    pub target: Option<&'a Target>,
+    /// Failure domain of this instance; an endpoint in it is preferred.
+    pub domain: &'a str,
+    /// Id of the prompt's shared prefix; an endpoint that has likely cached it is preferred.
+    pub prompt_prefix: Option<&'a str>,
+    /// Ids of endpoints that were already tried.
+    pub excluded: &'a [String],
+}
+
+impl Servers {
+    /// Selects an endpoint for a request; none if no endpoint can run it.
+    #[must_use]
+    pub fn select(
+        &self,
+        criteria: &SelectionCriteria<'_>,
+        now: Duration,
+    ) -> Option<SelectedEndpoint> {
+        let state = self.state();
+        let matches = |s: &Server| s.matches(criteria, now) && s.pause.left(now).is_none();
+        let matching: Vec<(ServerKey, &Server)> =
+            state.servers.iter().filter(|(_, s)| matches(s)).collect();
+        let candidates: Vec<Candidate> = matching
+            .iter()
+            .enumerate()
+            .map(|(at, (_, s))| s.candidate(at, criteria, state.event_interval, now))
+            .collect();
+        let (key, server) = matching.get(choose(&candidates, rand::random::<u16>().into())?)?;
+        Some(SelectedEndpoint {
+            key: *key,
+            id: server.endpoint.id.clone(),
+            started_ms: server.endpoint.start_ms,
+            address: server.endpoint.address,
+            expected_wait: server.expected_wait(state.run_time.unwrap_or(DEFAULT_RUN_TIME)),
+        })
+    }
+
+    /// Time until the first endpoint that could run a request ends its pause; none without a pause.
+    #[must_use]
+    pub fn pause_left(&self, criteria: &SelectionCriteria<'_>, now: Duration) -> Option<Duration> {
+        let state = self.state();
+        let matching = state.servers.values().filter(|s| s.matches(criteria, now));
+        matching.filter_map(|s| s.pause.left(now)).min()
+    }
+}
