Start without the store: instances tell each other the configuration and the list

Change: src/gateway/exchange. An instance that cannot serve asks all seeds and the holder, the next one 60 ms after the last, each 100 ms until it can; what knows nothing is no answer. One that serves and has no holder, or only an old or copied list, tells one other its versions each 300 ms, and is asked for what that one lacks, one at a time. Sent are configuration, server list with its revision, its age and scheduled removals, marks of leaving with their age, refused requests.

Fields are new and optional (tag 20); older instances skip them.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -9,6 +9,7 @@
 pub mod catalog;
 pub mod crash_suspects;
 pub mod daemon;
+pub mod exchange;
 pub mod feed;
 pub mod forward;
 pub mod headers;
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -14,7 +14,7 @@
 use super::orders::inbox::DemandInbox;
 use super::renewal::LeaseRenewal;
 use super::shared::{Gateway, GatewaySettings, PlatformApi};
-use super::{feed, listener};
+use super::{exchange, feed, listener};
 use crate::daemon::StartError;
 
 /// Time from the stop signal until open connections are closed: the load balancer probes readiness
@@ -117,6 +117,7 @@
     let holding = gateway.lease_held.subscribe();
     let servers = feed::follow_servers(Arc::clone(gateway), holding, holder_link.clone());
     tokio::spawn(servers);
+    tokio::spawn(exchange::run(Arc::clone(gateway), holder_link));
     tokio::spawn(report_dropped_lines());
 }
 
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -264,6 +264,8 @@
     let mut relist_until = Duration::ZERO;
     loop {
         let was_lost = follower.lost_since.is_some();
+        let known_version = gateway.exchange_state().list_version;
+        follower.newest_version = follower.newest_version.max(known_version);
         let max_pause = max_retry_pause(&gateway, holder_link.borrow().up);
         let next = follower
             .next_batch(&gateway, SERVERS_MAX_WAIT, max_pause)
@@ -277,7 +279,14 @@
         if was_lost || kind == BatchKind::Restored {
             relist_until = now + gateway.settings.relist_grace;
         }
-        if apply_batch(&gateway, &batch, kind, relist_until) {
+        let has_changed = {
+            // Held so that no copy of the list comes between the rows and their version.
+            let mut state = gateway.exchange_state();
+            state.list_version = batch.version;
+            state.list_copied = false;
+            apply_batch(&gateway, &batch, kind, relist_until)
+        };
+        if has_changed {
             gateway.record_list_change(batch.version);
         }
         gateway
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -15,6 +15,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep, timeout};
 
+use super::exchange;
 use super::lease::LeaseRow;
 use super::orders::inbox::{DemandInbox, LinkReport};
 use super::servers::EndpointView;
@@ -121,6 +122,7 @@
         aborted: gateway.crash_suspects().take_unreported(),
         clock_echo: 0,
         leaving: recently_leaving(gateway),
+        exchange: None,
     }
 }
 
@@ -203,6 +205,12 @@
             frame = timeout(SILENCE_TIMEOUT, link.next()) => {
                 let Ok(Some(Ok(bytes))) = frame else { break };
                 let Ok(report) = DemandReport::decode(bytes) else { break };
+                if let Some(told) = report.exchange {
+                    if exchange::serve(&gateway, link, told).await.is_none() {
+                        log::trace!(link = link_id; "exchange ended");
+                    }
+                    return;
+                }
                 let known = holder_info.borrow().clone();
                 if known.holding {
                     inbox.report(link_id, LinkReport {
@@ -230,7 +238,7 @@
     inbox.close(link_id);
 }
 
-async fn send(link: &mut Frames, message: &impl Message) -> Option<()> {
+pub(super) async fn send(link: &mut Frames, message: &impl Message) -> Option<()> {
     let bytes = Bytes::from(message.encode_to_vec());
     timeout(SILENCE_TIMEOUT, link.send(bytes)).await.ok()?.ok()
 }
--- a/src/gateway/link/message.rs
+++ b/src/gateway/link/message.rs
@@ -2,6 +2,7 @@
 
 use prost::Message;
 
+use super::super::exchange::Knowledge;
 use super::super::protocol::{HeldModels, Target};
 use super::super::servers::{EndpointView, LeavingMark};
 
@@ -81,6 +82,9 @@
     /// Endpoints that were recently found to leave.
     #[prost(message, repeated, tag = "7")]
     pub leaving: Vec<LeavingEndpoint>,
+    /// What the sender knows, in place of its demand.
+    #[prost(message, optional, tag = "20")]
+    pub exchange: Option<Knowledge>,
 }
 
 /// An incarnation of an endpoint that leaves.
@@ -237,4 +241,7 @@
     /// Endpoints that were recently found to leave, if the sender holds the lease.
     #[prost(message, repeated, tag = "13")]
     pub leaving: Vec<LeavingEndpoint>,
+    /// What the sender knows, in answer to the same of the receiver.
+    #[prost(message, optional, tag = "20")]
+    pub exchange: Option<Knowledge>,
 }
--- a/src/gateway/servers.rs
+++ b/src/gateway/servers.rs
@@ -11,10 +11,12 @@
 use super::protocol::{Endpoint, EndpointState, Target};
 use super::selection::{Candidate, choose};
 
+mod copy;
 mod leaving;
 mod pause;
 mod server;
 
+pub use copy::{CopiedEndpoint, CopiedMark};
 pub use leaving::{LeavingMark, LeavingMarks};
 pub use pause::Pause;
 pub(crate) use pause::TRIAL_INTERVAL;
--- a/src/gateway/servers/leaving.rs
+++ b/src/gateway/servers/leaving.rs
@@ -6,6 +6,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use super::CopiedMark;
+
 /// Time for which a mark is told to other instances: many report and update intervals.
 const SHARE_TIME: Duration = Duration::from_secs(3);
 /// Age at which a mark is dropped; endpoints leave within seconds.
@@ -75,4 +77,15 @@
         };
         recent.map(mark).collect()
     }
+    /// All marks that have not lapsed, with their age.
+    pub(super) fn all(&self, now: Duration) -> Vec<CopiedMark> {
+        let marks = self.marks.iter().map(|(id, (started_ms, at))| CopiedMark {
+            mark: LeavingMark {
+                id: id.clone(),
+                started_ms: *started_ms,
+            },
+            age: now.saturating_sub(*at),
+        });
+        marks.filter(|m| m.age < MARK_TTL).collect()
+    }
 }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -10,6 +10,7 @@
 use super::budget::{RetryAllowance, RetryBudgets};
 use super::catalog::Catalog;
 use super::crash_suspects::CrashSuspects;
+use super::exchange::ExchangeState;
 use super::lease::LeaseTiming;
 use super::protocol::{TableFeed, Target, WireProtocol};
 use super::servers::Servers;
@@ -240,6 +241,7 @@
     pub lease_held: watch::Sender<bool>,
     /// When the lease holder's estimate for a cold model arrived, and its time until ready.
     pub ready_estimates: Mutex<BTreeMap<DemandKey, (Duration, Duration)>>,
+    pub(super) exchange: Mutex<ExchangeState>,
     budgets: Mutex<RetryBudgets>,
     crash_suspects: Mutex<CrashSuspects>,
 }
@@ -281,6 +283,7 @@
             closing_connections: watch::Sender::new(false),
             lease_held: watch::Sender::new(false),
             ready_estimates: Mutex::default(),
+            exchange: Mutex::default(),
             budgets: Mutex::new(RetryBudgets::new(
                 settings.retry_allowance,
                 DEFAULT_INSTANCES,
