Stop: an instance hands over what it knows to one that stays

Cause: an instance with a fresh list tells nobody, and one that reads the list some seconds before the store goes away may alone know the newest; stopped then, its list, and with it which endpoints drain, was lost for the rest of the outage.

Change: from the stop signal to its exit an instance tells seeds and holder its versions, again for each newer one, until one that does not stop itself has them. The list of one that stops is taken also where the own one is fresh. Where nobody has it at the exit, a warning names the versions.

--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -44,7 +44,7 @@
         callers:% = settings.callers_addr, peers:% = settings.peers_addr,
         version = env!("CARGO_PKG_VERSION"); "instance starts");
     let gateway = Gateway::new(settings, edges)?;
-    spawn_tasks(&gateway, peers);
+    let holder_link = spawn_tasks(&gateway, peers);
     tokio::spawn(listener::serve_readiness(ready, Arc::clone(&gateway)));
     tokio::spawn(listener::serve_metrics(metrics, Arc::clone(&gateway)));
     let (close_sender, close) = watch::channel(false);
@@ -59,11 +59,22 @@
     let left = end.saturating_duration_since(Instant::now());
     gateway.exit_time.send_replace(Some(gateway.now() + left));
     gateway.stopping.send_replace(true);
+    let (kept_sender, kept) = watch::channel(false);
+    tokio::spawn(exchange::hand_over(
+        Arc::clone(&gateway),
+        holder_link,
+        kept_sender,
+    ));
     sleep(READINESS_NOTICE).await;
     log::info!("instance stops: closing connections after their current requests");
     gateway.closing_connections.send_replace(true);
     close_sender.send_replace(true);
     let cut = timeout_at(end, serving).await.is_err();
+    if !*kept.borrow() {
+        let known = exchange::known_versions(&gateway);
+        log::warn!(config = known.config_version, list = known.list_version;
+            "no instance that stays was found that knows what this one knows");
+    }
     log::info!(cut = cut; "instance stopped");
     Ok(cut)
 }
@@ -75,7 +86,9 @@
 }
 
 /// Spawns the background tasks and the listener for other instances.
-fn spawn_tasks(gateway: &Arc<Gateway>, peers: TcpListener) {
+///
+/// Returns the state of the link to the lease holder.
+fn spawn_tasks(gateway: &Arc<Gateway>, peers: TcpListener) -> watch::Receiver<HolderLink> {
     let settings = &gateway.settings;
     let own_row = LeaseRow {
         holder: settings.name.clone(),
@@ -117,8 +130,9 @@
     let holding = gateway.lease_held.subscribe();
     let servers = feed::follow_servers(Arc::clone(gateway), holding, holder_link.clone());
     tokio::spawn(servers);
-    tokio::spawn(exchange::run(Arc::clone(gateway), holder_link));
+    tokio::spawn(exchange::run(Arc::clone(gateway), holder_link.clone()));
     tokio::spawn(report_dropped_lines());
+    holder_link
 }
 
 /// Logs the number of newly dropped log lines at each interval that had any.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -2,7 +2,7 @@
 //!
 //! An instance that lacks the configuration or the server list asks the others until one has them; one
 //! that knows them and has no holder tells the seeds its versions, and a seed that lacks something
-//! asks for it.
+//! asks for it. An instance that stops hands over what it knows to one that stays.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -22,7 +22,7 @@
 mod knowledge;
 mod message;
 
-pub use knowledge::{ExchangeState, apply, join, known_versions, lacks, newer_than};
+pub use knowledge::{ExchangeState, apply, join, keeps, known_versions, lacks, newer_than};
 pub use message::{EndpointEntry, Knowledge, KnownVersions, LeavingEntry};
 
 /// Time that the store has to answer a new instance before others are asked.
@@ -35,6 +35,8 @@
 const TELL_INTERVAL: Duration = Duration::from_millis(300);
 /// Longest time of one exchange, and for which a seed waits for what it asked for.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(800);
+/// Pause between two attempts to hand over, and between two looks for something new to hand over.
+const HAND_OVER_INTERVAL: Duration = Duration::from_millis(150);
 /// Most frames of one message.
 const MAX_FRAMES: usize = 256;
 
@@ -94,6 +96,37 @@
     while gateway.is_blank() && asked.join_next().await.is_some() {}
 }
 
+/// Hands over what this instance knows to one that stays, again for each newer version, until the
+/// process ends; `kept` is whether one has it.
+pub async fn hand_over(
+    gateway: Arc<Gateway>,
+    holder_link: watch::Receiver<HolderLink>,
+    kept: watch::Sender<bool>,
+) {
+    let mut handed_over = KnownVersions::default();
+    loop {
+        let own = known_versions(&gateway);
+        let is_newer = own.config_version > handed_over.config_version
+            || own.list_version > handed_over.list_version;
+        if is_newer {
+            kept.send_replace(false);
+            for address in others(&gateway, linked_holder(&holder_link)) {
+                let peer = exchange(&gateway, address).await;
+                if peer.is_some_and(|peer| keeps(&peer, &own)) {
+                    log::info!(to:% = address, config = own.config_version,
+                        list = own.list_version; "handed over what this instance knows");
+                    handed_over = own;
+                    kept.send_replace(true);
+                    break;
+                }
+            }
+        } else {
+            kept.send_replace(true);
+        }
+        sleep(HAND_OVER_INTERVAL).await;
+    }
+}
+
 /// Exchanges with one instance; returns what that one knows in the end.
 async fn exchange(gateway: &Gateway, address: SocketAddr) -> Option<KnownVersions> {
     let result = timeout(EXCHANGE_TIMEOUT, exchange_on_link(gateway, address)).await;
--- a/src/gateway/exchange/knowledge.rs
+++ b/src/gateway/exchange/knowledge.rs
@@ -70,12 +70,29 @@
         || (other.beliefs != 0 && other.beliefs != own.beliefs)
 }
 
+/// Whether an instance that stays has all of another one's configuration and list.
+///
+/// # Examples
+///
+/// ```
+/// use brassrack::gateway::exchange::{KnownVersions, keeps};
+///
+/// let own = KnownVersions { config_version: 3, stopping: true, ..KnownVersions::default() };
+/// assert!(!keeps(&own, &own), "it stops itself");
+/// assert!(keeps(&KnownVersions { stopping: false, ..own }, &own));
+/// ```
+#[must_use]
+pub fn keeps(peer: &KnownVersions, own: &KnownVersions) -> bool {
+    !peer.stopping && !lacks_config(peer, own) && !lacks_list(peer, own)
+}
+
 fn lacks_config(own: &KnownVersions, other: &KnownVersions) -> bool {
     other.config_version > own.config_version
 }
 
+/// A list of an instance that stops is wanted in any case: nobody else may have it.
 fn lacks_list(own: &KnownVersions, other: &KnownVersions) -> bool {
-    own.wants_list && other.list_version > own.list_version
+    (own.wants_list || other.stopping) && other.list_version > own.list_version
 }
 
 /// What this instance knows beyond `other`, in frames; at least one.
