--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -22,6 +22,8 @@
 const READINESS_NOTICE: Duration = Duration::from_millis(2600);
 /// Time before the end of the grace period at which the process exits by itself.
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
+/// Time for the last log lines to be written, which nobody waits for otherwise.
+const LOG_WRITE_TIME: Duration = Duration::from_millis(50);
 /// Interval at which the number of dropped log lines is checked.
 const DROPPED_LOG_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -76,6 +78,7 @@
             "no instance that stays was found that knows what this one knows");
     }
     log::info!(cut = cut; "instance stopped");
+    sleep(LOG_WRITE_TIME).await;
     Ok(cut)
 }
 
