--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -11,6 +11,7 @@
 pub mod crash_parts;
 pub mod crash_suspects;
 pub mod daemon;
+pub mod exchange;
 pub mod feed;
 pub mod forward;
 pub mod headers;
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -52,6 +52,8 @@
     let mut unchanged_at = Duration::ZERO;
     loop {
         let failed_call = follower.failed_call;
+        let known_version = gateway.exchange_state().list_version;
+        follower.newest_version = follower.newest_version.max(known_version);
         // Heartbeats change the list several times a second; a wait would only hide a silent store.
         let call = follower.next_batch(&gateway, Duration::ZERO);
         let Some((batch, kind)) = removing_expired(&gateway, call).await else {
@@ -70,7 +72,14 @@
             relist_until,
             mass_until: mass_removal_end(&gateway.settings, now, failed_call, unchanged_at),
         };
-        if apply_batch(&gateway, &batch, kind, bounds) {
+        let has_changed = {
+            // Held so that no copy of the list comes between the rows and their version.
+            let mut state = gateway.exchange_state();
+            state.list_version = batch.version;
+            state.list_copied = false;
+            apply_batch(&gateway, &batch, kind, bounds)
+        };
+        if has_changed {
             gateway.record_list_change(batch.version);
         }
         gateway.servers.remove_expired(now);
--- a/src/gateway/feed/follower.rs
+++ b/src/gateway/feed/follower.rs
@@ -30,7 +30,7 @@
 pub(super) struct TableFollower {
     table: &'static str,
     version: Option<u64>,
-    newest_version: u64,
+    pub(super) newest_version: u64,
     answered_at: Option<Duration>,
     lost_since: Option<Duration>,
     /// Start of the last failed call, until one succeeds.
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -15,6 +15,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep, timeout};
 
+use super::exchange;
 use super::lease::LeaseRow;
 use super::orders::inbox::{DemandInbox, LinkReport};
 use super::servers::EndpointView;
@@ -167,6 +168,7 @@
         clock_echo: 0,
         leaving: recently_leaving(gateway),
         crashes: crash_report(gateway, false),
+        exchange: None,
     }
 }
 
@@ -255,6 +257,12 @@
             frame = timeout(SILENCE_TIMEOUT, link.next()) => {
                 let Ok(Some(Ok(bytes))) = frame else { break };
                 let Ok(report) = DemandReport::decode(bytes) else { break };
+                if let Some(told) = report.exchange {
+                    if exchange::serve(&gateway, link, told).await.is_none() {
+                        log::trace!(link = link_id; "exchange ended");
+                    }
+                    return;
+                }
                 let known = holder_info.borrow().clone();
                 if known.holding {
                     inbox.report(link_id, LinkReport {
@@ -282,7 +290,7 @@
     inbox.close(link_id);
 }
 
-async fn send(link: &mut Frames, message: &impl Message) -> Option<()> {
+pub(super) async fn send(link: &mut Frames, message: &impl Message) -> Option<()> {
     let bytes = Bytes::from(message.encode_to_vec());
     timeout(SILENCE_TIMEOUT, link.send(bytes)).await.ok()?.ok()
 }
--- a/src/gateway/link/message.rs
+++ b/src/gateway/link/message.rs
@@ -2,6 +2,7 @@
 
 use prost::Message;
 
+use super::super::exchange::Knowledge;
 use super::super::protocol::{HeldModels, Target};
 use super::super::servers::{EndpointView, LeavingMark};
 use super::evidence::CrashEvidence;
@@ -85,6 +86,9 @@
     /// Parts of prompts under which endpoints end, as far as the instance knows.
     #[prost(message, optional, tag = "8")]
     pub crashes: Option<CrashEvidence>,
+    /// What the sender knows, in place of its demand.
+    #[prost(message, optional, tag = "20")]
+    pub exchange: Option<Knowledge>,
 }
 
 /// An incarnation of an endpoint that leaves.
@@ -244,4 +248,7 @@
     /// Parts of prompts under which endpoints end; none if unchanged.
     #[prost(message, optional, tag = "14")]
     pub crashes: Option<CrashEvidence>,
+    /// What the sender knows, in answer to the same of the receiver.
+    #[prost(message, optional, tag = "20")]
+    pub exchange: Option<Knowledge>,
 }
--- a/src/gateway/servers.rs
+++ b/src/gateway/servers.rs
@@ -9,11 +9,13 @@
 
 use super::protocol::{Endpoint, EndpointState, Target};
 
+mod copy;
 mod leaving;
 mod pause;
 mod select;
 mod server;
 
+pub use copy::{CopiedEndpoint, CopiedMark};
 pub use leaving::{LeavingMark, LeavingMarks};
 pub use pause::Pause;
 pub(crate) use pause::TRIAL_INTERVAL;
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -11,6 +11,7 @@
 use super::catalog::Catalog;
 use super::crash_parts::CrashParts;
 use super::crash_suspects::CrashSuspects;
+use super::exchange::ExchangeState;
 use super::lease::LeaseTiming;
 use super::protocol::{TableFeed, Target, WireProtocol};
 use super::servers::Servers;
@@ -246,6 +247,7 @@
     pub lease_held: watch::Sender<bool>,
     /// When the lease holder's estimate for a cold model arrived, and its time until ready.
     pub ready_estimates: Mutex<BTreeMap<DemandKey, (Duration, Duration)>>,
+    pub(super) exchange: Mutex<ExchangeState>,
     budgets: Mutex<RetryBudgets>,
     crash_suspects: Mutex<CrashSuspects>,
     crash_parts: Mutex<CrashParts>,
@@ -289,6 +291,7 @@
             closing_connections: watch::Sender::new(false),
             lease_held: watch::Sender::new(false),
             ready_estimates: Mutex::default(),
+            exchange: Mutex::default(),
             budgets: Mutex::new(RetryBudgets::new(
                 settings.retry_allowance,
                 DEFAULT_INSTANCES,
