--- a/src/gateway/feed/removal.rs
+++ b/src/gateway/feed/removal.rs
@@ -27,7 +27,7 @@
     pub(super) mass_until: Duration,
 }
 
-/// Does the work, and removes endpoints meanwhile whose scheduled removal is due.
+/// Runs `work`, and removes endpoints whose scheduled removal falls due before it is done.
 ///
 /// The removal leaves time for a last read of the list, and does not wait for one that has no answer.
 pub(super) async fn removing_expired<T>(gateway: &Gateway, work: impl Future<Output = T>) -> T {
--- a/src/gateway/servers/leaving.rs
+++ b/src/gateway/servers/leaving.rs
@@ -8,7 +8,7 @@
 
 use super::CopiedMark;
 
-/// Time for which a mark is told to other instances: many report and update intervals.
+/// Time for which a mark is reported to other instances: many report and update intervals.
 const SHARE_TIME: Duration = Duration::from_secs(3);
 /// Age at which a mark is dropped; endpoints leave within seconds.
 const MARK_TTL: Duration = Duration::from_mins(10);
