Routing: a request that waits for its model is refused in time to hear of it

What callers saw: none of the instance's answer. A request that waited for a model got its refusal 60 ms before its deadline, too late on a busy machine. Cause: the least time for a send was that of a plain call; a request to an engine also needs its prompt read, so with 60 ms left it could not be served anyway, and was known not to be.

--- a/src/gateway/routing.rs
+++ b/src/gateway/routing.rs
@@ -11,8 +11,10 @@
 use super::shared::WaitingRequest;
 use crate::verdict::{Cause, Refusal};
 
-/// Least time before the caller's deadline for sending a request: covers connect and prefill.
+/// Least time before the caller's deadline for sending a call; a refusal still reaches the caller.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(60);
+/// The same for a request to an engine: covers the prefill of a prompt as well.
+const MIN_ENGINE_TIME_LEFT: Duration = Duration::from_millis(150);
 /// Interval at which the choice is retried without a notification of a change.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -43,7 +45,11 @@
         loop {
             changes.borrow_and_update();
             let now = self.now();
-            let send_by = self.first_deadline.saturating_sub(MIN_TIME_LEFT);
+            let min_left = match self.head.target {
+                Some(_) => MIN_ENGINE_TIME_LEFT,
+                None => MIN_TIME_LEFT,
+            };
+            let send_by = self.first_deadline.saturating_sub(min_left);
             if now >= send_by {
                 return Err(refusal(Cause::NoCapacity).retry_after(OVERLOAD_RETRY_DELAY));
             }
