Endpoints: the limit that one names is read and logged

Change: the header is decoded into ResponseHead.limit, kept by incarnation until an answer to a later request names none, and logged at each change; each send to such an endpoint has a line, and brassrack_gateway_sends the label 'limited'. Routing is unchanged. The header still goes to the caller.

--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -210,7 +210,7 @@
 }
 
 /// Fields decoded from the head of an endpoint's response.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct ResponseHead {
     /// Id of the request that it responds to.
     pub id: Option<String>,
@@ -222,6 +222,8 @@
     pub load: Option<(u32, u32, u32)>,
     /// Whether the endpoint leaves and is to get no new requests.
     pub leaving: bool,
+    /// Requests a second that the endpoint takes from all instances together, if it names a limit.
+    pub limit: Option<f64>,
     /// Time for which an endpoint that turned the request away wants nothing from this instance.
     pub pause: Option<Duration>,
 }
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -8,7 +8,7 @@
 
 use super::protocol::{DispatchHead, ResponseHead};
 use super::serve::{RoutedRequest, SendHistory};
-use super::servers::{RequestOutcome, SelectedEndpoint};
+use super::servers::{LimitAnswer, RequestOutcome, SelectedEndpoint};
 use crate::outbound::{Freshness, Reply, SendError, SendFault};
 use crate::verdict::Verdict;
 
@@ -57,9 +57,17 @@
         head_timeout: Duration,
     ) -> SendOutcome {
         history.sends += 1;
+        let limit = self
+            .gateway
+            .servers
+            .limit(&selected.id, selected.started_ms);
+        if let Some(limit) = limit {
+            log::info!(id = self.head.id.as_str(), endpoint = selected.id.as_str(), limit = limit,
+                sends = history.sends; "sent to an endpoint that names a limit");
+        }
         self.gateway
             .stats
-            .record_send(&self.service, history.sends > 1);
+            .record_send(&self.service, history.sends > 1, limit.is_some());
         let request = self.endpoint_request(selected, last_event);
         let sent =
             self.gateway
@@ -192,6 +200,14 @@
         if response_head.leaving && is_own {
             servers.mark_leaving(&selected.id, selected.started_ms, "answer", now);
         }
+        if is_own {
+            let answer = LimitAnswer {
+                rate: response_head.limit,
+                sent_at,
+                now,
+            };
+            servers.record_limit(&selected.id, selected.started_ms, answer);
+        }
         if let Some(pause) = response_head.pause {
             servers.begin_pause(&selected.id, now + pause);
             log::info!(endpoint = selected.id.as_str(),
--- a/src/gateway/servers.rs
+++ b/src/gateway/servers.rs
@@ -11,12 +11,14 @@
 
 mod copy;
 mod leaving;
+mod limits;
 mod pause;
 mod select;
 mod server;
 
 pub use copy::{CopiedEndpoint, CopiedMark};
 pub use leaving::{LeavingMark, LeavingMarks};
+pub use limits::{EndpointLimits, LimitAnswer};
 pub use pause::Pause;
 pub(crate) use pause::TRIAL_INTERVAL;
 pub use select::{SelectedEndpoint, SelectionCriteria};
@@ -52,6 +54,7 @@
     servers: SlotMap<ServerKey, Server>,
     keys: BTreeMap<String, ServerKey>,
     leaving: LeavingMarks,
+    limits: EndpointLimits,
     /// Start and sequence number of the last description of removed endpoints, by id.
     removed: BTreeMap<String, (u64, u64)>,
 }
--- a/src/gateway/stats.rs
+++ b/src/gateway/stats.rs
@@ -79,11 +79,12 @@
         self.first_response.record(took.as_secs_f64(), &[label]);
     }
 
-    /// Records a request sent to an endpoint.
-    pub fn record_send(&self, service: &str, repeated: bool) {
+    /// Records a request sent to an endpoint, which may have named a limit.
+    pub fn record_send(&self, service: &str, repeated: bool, limited: bool) {
         let labels = [
             KeyValue::new("service", service.to_owned()),
             KeyValue::new("repeated", repeated),
+            KeyValue::new("limited", limited),
         ];
         self.sends.add(1, &labels);
     }
