Endpoints: a limit that one names is kept by all instances together

Cause: the limit was not read, so requests went on as before. Read by each instance for itself it would still be exceeded: in the record no instance sent more than 4 in the 4 s of the breach, and 1.1 a second allows 4.4. Change: the lease holder knows the limits from all instances' reports and grants permits out of one bucket for each endpoint, first to requests that wait, to the instances in turn. An endpoint without a permit is not chosen; a request that no other one can run waits where a permit comes in time, and is refused at once with that time where not. Without a holder each instance uses an equal part, which begins with a random fraction of a request. Answers to requests end a limit. Why it works: in any 4 s no more than 5.5 times the rate and 3 can be sent, below the 6 times and 5 of the rule, whatever the number of instances.

--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -22,11 +22,16 @@
 use super::shared::Gateway;
 
 mod evidence;
+mod limits;
 mod message;
 
 use crate::peers::codec::{Frames, frames};
 pub use evidence::{BlamedPart, BrokenRequest, CrashEvidence, EndpointDeath, SoundAnswer};
-pub use message::{DemandReport, EngineView, FleetUpdate, LeavingEndpoint, ModelView, TargetCount};
+pub(super) use limits::apply_grants;
+pub use limits::{apply_limits, limit_entries};
+pub use message::{
+    DemandReport, EngineView, FleetUpdate, LeavingEndpoint, LimitEntry, ModelView, TargetCount,
+};
 
 /// Timeout for opening a link.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
@@ -168,6 +173,7 @@
         clock_echo: 0,
         leaving: recently_leaving(gateway),
         crashes: crash_report(gateway, false),
+        limits: limit_entries(gateway),
         exchange: None,
     }
 }
@@ -420,6 +426,7 @@
     }
     gateway.record_list_change(update.list_change);
     apply_leaving(gateway, &update.leaving);
+    apply_grants(gateway, &update.limits, update.live_instances);
     gateway.budgets().resize(update.live_instances);
     gateway.crash_suspects().merge_refused(&update.refused);
     if let Some(notice) = &update.crashes {
--- a/src/gateway/link/message.rs
+++ b/src/gateway/link/message.rs
@@ -1,11 +1,14 @@
 //! Protocol Buffers messages between an instance and the lease holder.
 
+use std::time::Duration;
+
 use prost::Message;
 
 use super::super::exchange::Knowledge;
 use super::super::protocol::{HeldModels, Target};
-use super::super::servers::{EndpointView, LeavingMark};
+use super::super::servers::{EndpointView, LeavingMark, LimitNotice};
 use super::evidence::CrashEvidence;
+use super::millis;
 
 /// Request counts and wait time of a model or adapter.
 #[derive(Clone, PartialEq, Message)]
@@ -59,6 +62,56 @@
     }
 }
 
+/// Limit of an endpoint, and the permits to send requests to it.
+#[derive(Clone, PartialEq, Message)]
+pub struct LimitEntry {
+    /// Id of the endpoint.
+    #[prost(string, tag = "1")]
+    pub id: String,
+    /// Start of the incarnation, in Unix milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub started_ms: u64,
+    /// Requests a second from all instances together; 0 where the limit has ended.
+    #[prost(double, tag = "3")]
+    pub rate: f64,
+    /// Time since an answer said so, in milliseconds.
+    #[prost(uint32, tag = "4")]
+    pub age_ms: u32,
+    /// In demand reports, the requests that wait for a permit.
+    #[prost(uint32, tag = "5")]
+    pub waiting: u32,
+    /// In demand reports, the further requests that are expected soon.
+    #[prost(uint32, tag = "6")]
+    pub ahead: u32,
+    /// In fleet updates, the permits granted to the instance.
+    #[prost(uint32, tag = "7")]
+    pub granted: u32,
+    /// In fleet updates, the time until a further permit is free, in milliseconds.
+    #[prost(uint32, tag = "8")]
+    pub next_ms: u32,
+}
+
+impl LimitEntry {
+    pub(in super::super) fn new(notice: &LimitNotice) -> Self {
+        Self {
+            id: notice.id.clone(),
+            started_ms: notice.started_ms,
+            rate: notice.rate.unwrap_or_default(),
+            age_ms: millis(notice.age),
+            ..Self::default()
+        }
+    }
+
+    pub(super) fn notice(&self) -> LimitNotice {
+        LimitNotice {
+            id: self.id.clone(),
+            started_ms: self.started_ms,
+            rate: (self.rate > 0.0).then_some(self.rate),
+            age: Duration::from_millis(self.age_ms.into()),
+        }
+    }
+}
+
 /// Report from an instance to the lease holder.
 #[derive(Clone, PartialEq, Message)]
 pub struct DemandReport {
@@ -86,6 +139,9 @@
     /// Parts of prompts under which endpoints end, as far as the instance knows.
     #[prost(message, optional, tag = "8")]
     pub crashes: Option<CrashEvidence>,
+    /// Limits that endpoints name, and the permits that the instance asks for.
+    #[prost(message, repeated, tag = "9")]
+    pub limits: Vec<LimitEntry>,
     /// What the sender knows, in place of its demand.
     #[prost(message, optional, tag = "20")]
     pub exchange: Option<Knowledge>,
@@ -248,6 +304,9 @@
     /// Parts of prompts under which endpoints end; none if unchanged.
     #[prost(message, optional, tag = "14")]
     pub crashes: Option<CrashEvidence>,
+    /// Limits that endpoints name, and the permits of the receiver, if the sender holds the lease.
+    #[prost(message, repeated, tag = "15")]
+    pub limits: Vec<LimitEntry>,
     /// What the sender knows, in answer to the same of the receiver.
     #[prost(message, optional, tag = "20")]
     pub exchange: Option<Knowledge>,
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -17,6 +17,8 @@
 mod fleet;
 pub mod inbox;
 pub mod last_sent;
+pub mod limit_ledger;
+mod limits;
 pub mod port;
 mod publish;
 pub mod record;
@@ -29,6 +31,7 @@
 
 use engine_events::ChangeEnded;
 use inbox::DemandInbox;
+use limit_ledger::LimitLedger;
 use port::PlatformEngine;
 use publish::Peer;
 use record::ArrivalRate;
@@ -68,6 +71,7 @@
     rates: BTreeMap<DemandKey, ArrivalRate>,
     records: EngineRecords,
     store_loads: StoreLoads,
+    limit_ledger: LimitLedger,
 }
 
 /// Asks for a plan, at an interval or because demand at this instance changed.
@@ -98,6 +102,7 @@
                 rates: BTreeMap::new(),
                 records: EngineRecords::default(),
                 store_loads: StoreLoads::new(window),
+                limit_ledger: LimitLedger::default(),
             },
             Mailbox::bounded(MAILBOX_MESSAGES),
         );
@@ -207,11 +212,12 @@
         }
         let slots = catalog.engines().map(|(_, e)| e.slots).max().unwrap_or(1);
         self.request_reports(slots, now);
-        if now >= self.published + PUBLISH_INTERVAL || self.dirty {
+        let limits = self.grant_permits(now);
+        if now >= self.published + PUBLISH_INTERVAL || self.dirty || limits.any_granted() {
             self.published = now;
             self.dirty = false;
             let estimates = self.estimates(&catalog, &demands, now);
-            self.publish(&catalog, &estimates, now);
+            self.publish(&catalog, &estimates, &limits, now);
         }
     }
 
@@ -220,6 +226,7 @@
         let pending = self.inbox.take();
         for (number, report) in pending.reports {
             link::apply_leaving(&self.gateway, &report.demand.leaving);
+            link::apply_limits(&self.gateway, &report.demand.limits);
             if let Some(crashes) = &report.demand.crashes {
                 let now = self.gateway.now();
                 let mut parts = self.gateway.crash_parts();
@@ -252,6 +259,7 @@
     /// Forgets the loads and the published views of an earlier term.
     fn clear_published(&mut self) {
         self.store_loads.clear();
+        self.limit_ledger.clear();
         self.views = EngineViews::default();
         for peer in self.peers.values_mut() {
             peer.sent_version = 0;
--- a/src/gateway/orders/inbox.rs
+++ b/src/gateway/orders/inbox.rs
@@ -46,7 +46,8 @@
     pub fn report(&self, link: u64, mut report: LinkReport) {
         let echo = Duration::from_millis(report.demand.clock_echo);
         self.echoes().record(&report.demand.instance, echo);
-        let is_urgent = report.demand.requested.iter().any(|c| c.count > 0);
+        let is_urgent = report.demand.requested.iter().any(|c| c.count > 0)
+            || report.demand.limits.iter().any(|l| l.waiting > 0);
         let mut pending = self.pending();
         if let Some(earlier) = pending.reports.remove(&link) {
             add_events(&mut report.demand, earlier.demand);
--- a/src/gateway/orders/port.rs
+++ b/src/gateway/orders/port.rs
@@ -12,6 +12,7 @@
 use super::super::lease::Lease;
 use super::super::link;
 use super::super::protocol::{Endpoint, Order, Report};
+use super::super::servers::LimitAnswer;
 use super::super::shared::Gateway;
 use crate::BoxFuture;
 use crate::outbound::Freshness;
@@ -128,6 +129,21 @@
         servers.mark_leaving(&self.engine, started_ms, "engine", now);
     }
 
+    /// Records the limit that an answer names; one without does not end a limit, as only answers to
+    /// requests are sure to name it.
+    fn record_limit(&self, started_ms: u64, rate: Option<f64>) {
+        let now = self.gateway.now();
+        if rate.is_some() {
+            let answer = LimitAnswer {
+                rate,
+                sent_at: now,
+                now,
+            };
+            let servers = &self.gateway.servers;
+            servers.record_limit(&self.engine, started_ms, answer);
+        }
+    }
+
     async fn send_order(&self, order: &Order) -> OrderAnswer {
         if self.is_paused() {
             return OrderAnswer::Refused;
@@ -156,8 +172,12 @@
                 let response = self.gateway.platform.wire.decode_response_head(&mut head);
                 let classified = classify(head.status);
                 self.begin_pause(response.pause);
-                if response.leaving && classified != OrderAnswer::Gone {
-                    self.mark_leaving(self.listed().map_or(0, |e| e.start_ms));
+                if classified != OrderAnswer::Gone {
+                    let started_ms = self.listed().map_or(0, |e| e.start_ms);
+                    self.record_limit(started_ms, response.limit);
+                    if response.leaving {
+                        self.mark_leaving(started_ms);
+                    }
                 }
                 (classified, head.status.as_u16())
             }
@@ -206,17 +226,15 @@
             }
         };
         let mut head = answer.head;
-        let leaving = self
-            .gateway
-            .platform
-            .wire
-            .decode_response_head(&mut head)
-            .leaving;
+        let response = self.gateway.platform.wire.decode_response_head(&mut head);
         match self.gateway.platform.wire.decode_report(&answer.body) {
             Ok(report) => {
                 let is_own = self.listed().is_some_and(|e| e.start_ms == report.start_ms);
-                if leaving && is_own {
-                    self.mark_leaving(report.start_ms);
+                if is_own {
+                    self.record_limit(report.start_ms, response.limit);
+                    if response.leaving {
+                        self.mark_leaving(report.start_ms);
+                    }
                 }
                 Ok(report)
             }
--- a/src/gateway/orders/publish.rs
+++ b/src/gateway/orders/publish.rs
@@ -14,6 +14,7 @@
 use super::OrderController;
 use super::inbox::LinkReport;
 use super::last_sent::LastSent;
+use super::limits::{LimitGrants, OWN_NUMBER};
 
 /// Interval between sends of all views to an instance.
 const FULL_VIEW_INTERVAL: Duration = Duration::from_secs(1);
@@ -37,7 +38,13 @@
 
 impl OrderController {
     /// Publishes what changed to all instances, this one included.
-    pub(super) fn publish(&mut self, catalog: &Catalog, estimates: &[TargetCount], now: Duration) {
+    pub(super) fn publish(
+        &mut self,
+        catalog: &Catalog,
+        estimates: &[TargetCount],
+        limits: &LimitGrants,
+        now: Duration,
+    ) {
         let mut loads: BTreeMap<String, u32> = BTreeMap::new();
         for demand in self.demands() {
             for count in &demand.running {
@@ -82,6 +89,7 @@
         let live = u32::try_from(self.peers.len() + 1).unwrap_or(u32::MAX);
         self.gateway.servers.apply_views(&views, now);
         self.gateway.budgets().resize(live);
+        link::apply_grants(&self.gateway, &limits.entries(OWN_NUMBER), live);
         for estimate in estimates {
             let key = (estimate.scope.clone(), estimate.target());
             self.gateway
@@ -89,7 +97,7 @@
         }
         self.views
             .update(views.iter().map(EngineView::from_view).collect());
-        for peer in self.peers.values_mut() {
+        for (number, peer) in &mut self.peers {
             let full_due = now >= peer.full_sent + FULL_VIEW_INTERVAL;
             let update = FleetUpdate {
                 holding: true,
@@ -104,6 +112,7 @@
                     .views
                     .since(if full_due { 0 } else { peer.sent_version }),
                 leaving: leaving.clone(),
+                limits: limits.entries(*number),
                 estimates: peer.relevant_estimates(estimates),
                 refused: if full_due || peer.refused_sent.is_due(&refused) {
                     refused.clone()
@@ -204,4 +213,5 @@
         || !update.config.is_empty()
         || !update.refused.is_empty()
         || update.crashes.is_some()
+        || update.limits.iter().any(|l| l.granted > 0)
 }
--- a/src/gateway/routing.rs
+++ b/src/gateway/routing.rs
@@ -7,7 +7,9 @@
 use super::serve::{
     NO_ENDPOINT_RETRY_DELAY, OVERLOAD_RETRY_DELAY, RoutedRequest, STOPPING_RETRY_DELAY, SendHistory,
 };
-use super::servers::{SelectedEndpoint, SelectionCriteria, TRIAL_INTERVAL};
+use super::servers::{
+    LimitedEndpoint, PermitWait, SelectedEndpoint, SelectionCriteria, TRIAL_INTERVAL,
+};
 use super::shared::WaitingRequest;
 use crate::verdict::{Cause, Refusal};
 
@@ -26,6 +28,8 @@
             domain: &self.gateway.settings.domain,
             prompt_prefix: self.head.prefix_id.as_deref(),
             excluded: &history.failed_endpoints,
+            priority: self.route.priority,
+            waits_at: None,
         }
     }
 
@@ -41,6 +45,9 @@
         let servers = &self.gateway.servers;
         let mut changes = servers.subscribe();
         let mut waiting = None;
+        let mut permit_wait: Option<PermitWait> = None;
+        let limited = servers.limited(&self.requirements(history), self.now());
+        servers.record_wanted(&limited, self.now());
         let refusal = |cause| Refusal::not_run(cause).raise_verdict(history.verdict());
         loop {
             changes.borrow_and_update();
@@ -57,8 +64,16 @@
             if let Some(blamed) = refusal_for(&self.gateway, &self.head, &self.parts) {
                 return Err(blamed.raise_verdict(history.verdict()));
             }
-            if let Some(selected) = servers.select(&self.requirements(history), now) {
-                return self.check_queue_wait(selected, history);
+            let criteria = SelectionCriteria {
+                waits_at: permit_wait.as_ref().map(|wait| wait.id.as_str()),
+                ..self.requirements(history)
+            };
+            if let Some(selected) = servers.select(&criteria, now) {
+                let selected = self.check_queue_wait(selected, history)?;
+                if servers.take_permit(&selected, now) {
+                    return Ok(selected);
+                }
+                continue;
             }
             if *self.gateway.stopping.borrow() {
                 return Err(refusal(Cause::Stopping).retry_after(STOPPING_RETRY_DELAY));
@@ -67,31 +82,36 @@
                 return Err(refusal(Cause::NoEndpoint).retry_after(NO_ENDPOINT_RETRY_DELAY));
             }
             let paused_for = servers.pause_left(&self.requirements(history), now);
+            let limited = servers.limited(&self.requirements(history), now);
+            let limited = limited.first();
+            let permit_in = limited.map(|endpoint| endpoint.wait);
+            let held_for = paused_for.into_iter().chain(permit_in).min();
             let Some(target) = &self.head.target else {
-                let Some(left) = paused_for else {
+                let Some(left) = held_for else {
                     return Err(refusal(Cause::NoEndpoint).retry_after(NO_ENDPOINT_RETRY_DELAY));
                 };
                 // The end of a trial is nearer than any return of the caller.
                 let max_wait = admission::max_queue_wait(&self.route).max(TRIAL_INTERVAL);
-                if left > max_wait || now + left > send_by {
+                let waited = now.saturating_sub(self.arrived_at);
+                let is_held_long = permit_in.is_some() && waited + left > max_wait;
+                if left > max_wait || is_held_long || now + left > send_by {
                     let retry_in = admission::retry_after(left, rand::random());
                     return Err(refusal(Cause::Overload).retry_after(retry_in));
                 }
+                self.join_permit_queue(&mut permit_wait, limited);
                 if let Ok(Err(_closed)) = tokio::time::timeout(left, changes.changed()).await {
                     return Err(refusal(Cause::Stopping));
                 }
                 continue;
             };
             let estimated = self.gateway.ready_estimate(&self.service, target);
-            let ready_in = match (estimated, paused_for) {
-                (Some(loaded_in), Some(left)) => Some(left.min(loaded_in)),
-                (estimated, paused_for) => estimated.or(paused_for),
-            };
+            let ready_in = estimated.into_iter().chain(held_for).min();
             let unknown_limit = admission::max_unknown_wait(&self.route);
-            let too_late = match ready_in {
-                Some(ready_in) => now + ready_in > send_by,
-                None => now > self.arrived_at + unknown_limit && history.possible_runs == 0,
-            };
+            // When a permit comes is not sure: more urgent requests go first.
+            let is_unsure = estimated.is_none() && paused_for.is_none();
+            let is_long =
+                is_unsure && now > self.arrived_at + unknown_limit && history.possible_runs == 0;
+            let too_late = is_long || ready_in.is_some_and(|ready_in| now + ready_in > send_by);
             if too_late {
                 let retry_in = ready_in.unwrap_or(NO_ENDPOINT_RETRY_DELAY);
                 return Err(refusal(Cause::DeadlineTooShort).retry_after(retry_in));
@@ -103,13 +123,16 @@
                     objective: self.route.latency_objective,
                 };
                 waiting = Some(demand_tracker.register_wait(&self.service, target, request));
-                log::info!(id = self.head.id.as_str(), service = self.service.as_str(),
-                    model = target.model.as_str(),
-                    adapter = target.adapter_name(),
-                    left_ms = super::link::millis(send_by.saturating_sub(now));
-                    "no endpoint holds the model; waiting");
+                if limited.is_none() {
+                    log::info!(id = self.head.id.as_str(), service = self.service.as_str(),
+                        model = target.model.as_str(),
+                        adapter = target.adapter_name(),
+                        left_ms = super::link::millis(send_by.saturating_sub(now));
+                        "no endpoint holds the model; waiting");
+                }
             }
-            let recheck = paused_for.map_or(RECHECK_INTERVAL, |left| left.min(RECHECK_INTERVAL));
+            self.join_permit_queue(&mut permit_wait, limited);
+            let recheck = held_for.map_or(RECHECK_INTERVAL, |left| left.min(RECHECK_INTERVAL));
             let pause = send_by.saturating_sub(now).min(recheck);
             if tokio::time::timeout(pause, changes.changed())
                 .await
@@ -120,6 +143,27 @@
         }
     }
 
+    /// Waits for a permit of the endpoint with a limit that is expected to have one first, if any.
+    fn join_permit_queue(
+        &self,
+        permit_wait: &mut Option<PermitWait>,
+        limited: Option<&LimitedEndpoint>,
+    ) {
+        let Some(endpoint) = limited else {
+            *permit_wait = None;
+            return;
+        };
+        if permit_wait.as_ref().is_some_and(|w| w.id == endpoint.id) {
+            return;
+        }
+        let servers = &self.gateway.servers;
+        *permit_wait = Some(servers.wait_for_permit(endpoint, self.route.priority));
+        self.gateway.demand.changed.notify_one();
+        log::info!(id = self.head.id.as_str(), endpoint = endpoint.id.as_str(),
+            wait_ms = super::link::millis(endpoint.wait);
+            "waits for a permit of an endpoint with a limit");
+    }
+
     /// Whether an endpoint other than `current` can run the request without waiting.
     #[must_use]
     pub fn has_alternative(&self, history: &SendHistory, current: &SelectedEndpoint) -> bool {
--- a/src/gateway/servers.rs
+++ b/src/gateway/servers.rs
@@ -13,14 +13,16 @@
 mod leaving;
 mod limits;
 mod pause;
+mod permits;
 mod select;
 mod server;
 
 pub use copy::{CopiedEndpoint, CopiedMark};
 pub use leaving::{LeavingMark, LeavingMarks};
-pub use limits::{EndpointLimits, LimitAnswer};
+pub use limits::{EndpointLimits, LimitAnswer, LimitNotice, LimitedEndpoint, PermitWait};
 pub use pause::Pause;
 pub(crate) use pause::TRIAL_INTERVAL;
+pub use permits::{Grant, Permits, Wanted, permit_ttl};
 pub use select::{SelectedEndpoint, SelectionCriteria};
 pub use server::{EndpointView, RequestOutcome, Server};
 
@@ -60,7 +62,7 @@
 }
 
 /// An endpoint's entry in the server list.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct ListedEndpoint {
     /// Id of the incarnation.
     pub id: String,
@@ -70,6 +72,8 @@
     pub ready: bool,
     /// Whether it asked this instance for a pause.
     pub paused: bool,
+    /// Requests a second that it takes from all instances together, if it names a limit.
+    pub limit: Option<f64>,
 }
 
 /// Registry of endpoints, shared by all tasks of an instance.
@@ -259,6 +263,7 @@
             started_ms: s.endpoint.start_ms,
             ready: s.accepts_requests(),
             paused: s.pause.left(now).is_some(),
+            limit: state.limits.rate(&s.endpoint.id, s.endpoint.start_ms),
         };
         state.servers.values().filter(matches).map(listed).collect()
     }
--- a/src/gateway/servers/select.rs
+++ b/src/gateway/servers/select.rs
@@ -35,6 +35,10 @@
     pub prompt_prefix: Option<&'a str>,
     /// Ids of endpoints that were already tried.
     pub excluded: &'a [String],
+    /// Priority among requests that wait for an endpoint with a limit; 0 goes first.
+    pub priority: u8,
+    /// Id of the endpoint for whose permit the request waits, if any.
+    pub waits_at: Option<&'a str>,
 }
 
 impl Servers {
@@ -46,7 +50,14 @@
         now: Duration,
     ) -> Option<SelectedEndpoint> {
         let state = self.state();
-        let matches = |s: &Server| s.matches(criteria, now) && s.pause.left(now).is_none();
+        let is_open = |s: &Server| {
+            let (id, started_ms) = (&s.endpoint.id, s.endpoint.start_ms);
+            let waits = criteria.waits_at == Some(id);
+            let limits = &state.limits;
+            limits.is_open(id, started_ms, criteria.priority, waits, now)
+        };
+        let matches =
+            |s: &Server| s.matches(criteria, now) && s.pause.left(now).is_none() && is_open(s);
         let matching: Vec<(ServerKey, &Server)> =
             state.servers.iter().filter(|(_, s)| matches(s)).collect();
         let candidates: Vec<Candidate> = matching
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -254,7 +254,7 @@
 }
 
 /// Assumed number of live instances until the lease holder has reported it.
-const DEFAULT_INSTANCES: u32 = 8;
+pub(super) const DEFAULT_INSTANCES: u32 = 8;
 
 impl Gateway {
     /// The initial state of an instance.
--- a/tests/endpoint_beliefs.rs
+++ b/tests/endpoint_beliefs.rs
@@ -42,6 +42,7 @@
         domain: "east",
         prompt_prefix: None,
         excluded: tried,
+        ..SelectionCriteria::default()
     };
     servers.select(&need, now).map(|p| p.id)
 }
--- a/tests/endpoint_pauses.rs
+++ b/tests/endpoint_pauses.rs
@@ -14,6 +14,8 @@
     domain: "east",
     prompt_prefix: None,
     excluded: &[],
+    priority: 0,
+    waits_at: None,
 };
 
 fn listed(id: &str, start_ms: u64) -> Endpoint {
--- a/tests/order_model/holder.rs
+++ b/tests/order_model/holder.rs
@@ -175,6 +175,7 @@
                 },
                 ready: true,
                 paused: false,
+                limit: None,
             });
         }
         let describe = |id: &str| Some(self.world.endpoint(id));
--- a/tests/order_terms.rs
+++ b/tests/order_terms.rs
@@ -40,6 +40,7 @@
         started_ms,
         ready: true,
         paused: false,
+        limit: None,
     }
 }
 
