Planner: a limit below the demand asks for another copy

Cause: a model whose only engine names a limit below its demand counted as served, so its requests waited or were refused while other engines were free. Change: such an engine does not count as a replica where requests wait, an engine with a limit is the last one to be given a model or an adapter, and an adapter on it does not count where another engine has the model. Result: demand_beyond_a_limit, limited_engine_loads_last and adapter_beside_a_limit in load_plans; without the change to model_summary the first one plans nothing.

--- a/src/gateway/orders/record.rs
+++ b/src/gateway/orders/record.rs
@@ -54,6 +54,8 @@
     pub leaving: bool,
     /// Whether it asked this instance for a pause.
     pub paused: bool,
+    /// Requests a second that it takes from all instances together, if it names a limit.
+    pub limit: Option<f64>,
     /// Whether the models that it holds are unknown until its next report.
     pub state_unknown: bool,
     /// Report requests in a row for which no connection could be opened.
@@ -90,6 +92,7 @@
             swap: None,
             leaving: false,
             paused: false,
+            limit: None,
             state_unknown: true,
             failed_connects: 0,
             sequence: OrderSequence::default(),
@@ -304,6 +307,7 @@
             busy: !self.is_idle() || self.state_unknown || self.paused,
             draining: self.leaving,
             unreachable: self.is_unreachable(),
+            limit: self.limit,
         }
     }
 }
--- a/src/gateway/orders/records.rs
+++ b/src/gateway/orders/records.rs
@@ -74,6 +74,7 @@
                 }
                 record.leaving |= !entry.ready;
                 record.paused = entry.paused;
+                record.limit = entry.limit;
                 record.loaded_at.retain(|_, at| now < *at + RATE_WINDOW);
             }
         }
--- a/src/gateway/planner.rs
+++ b/src/gateway/planner.rs
@@ -55,6 +55,8 @@
     pub draining: bool,
     /// Whether it cannot be reached; its models serve no request.
     pub unreachable: bool,
+    /// Requests a second that it takes, if it names a limit.
+    pub limit: Option<f64>,
 }
 
 impl EngineState {
--- a/src/gateway/planner/adapters.rs
+++ b/src/gateway/planner/adapters.rs
@@ -9,6 +9,8 @@
 
 impl Planner<'_> {
     /// Adapters that requests wait for and no engine has or loads, longest wait first.
+    ///
+    /// An engine that names a limit does not count where another one has the model.
     pub(super) fn missing_adapters(&self) -> Vec<Target> {
         let mut missing: Vec<(Duration, Target)> = self
             .demand
@@ -24,7 +26,11 @@
 
     fn held_or_loading(&self, target: &Target) -> bool {
         let name = target.adapter_name();
-        self.engines.iter().filter(|e| e.serves()).any(|e| {
+        let has_model = |e: &EngineState| e.serves() && e.models.contains_key(&target.model);
+        let mut with_model = self.engines.iter().filter(|e| has_model(e));
+        let has_free = with_model.any(|e| e.limit.is_none());
+        let counts = |e: &&EngineState| e.serves() && !(has_free && e.limit.is_some());
+        self.engines.iter().filter(counts).any(|e| {
             let held = |h: &LoadedModel| h.adapters.contains_key(name);
             e.loading_adapters.contains(target) || e.models.get(&target.model).is_some_and(held)
         })
@@ -34,7 +40,7 @@
         let best = (0..self.engines.len())
             .filter_map(|at| Some((self.adapter_cost(target, at)?, at)))
             .min_by(|a, b| a.0.partial_cmp(&b.0).unwrap_or(std::cmp::Ordering::Equal))?;
-        let ((_, _, evict), at) = best;
+        let ((.., evict), at) = best;
         let engine = &mut self.engines[at];
         for evicted in &evict {
             if let Some(loaded) = engine.models.get_mut(&evicted.model) {
@@ -54,10 +60,11 @@
 
     /// Cost of loading an adapter on an engine, and the adapters to evict for it.
     ///
-    /// The cost is the number of evictions, then the running requests of its base model. `None` if
+    /// The cost is whether it names a limit, then the number of evictions, then the running requests
+    /// of its base model. `None` if
     /// the engine accepts no adapter now, does not hold the model, or cannot free enough memory and
     /// adapter slots.
-    fn adapter_cost(&self, target: &Target, at: usize) -> Option<(usize, u32, Vec<Target>)> {
+    fn adapter_cost(&self, target: &Target, at: usize) -> Option<(bool, usize, u32, Vec<Target>)> {
         let engine = &self.engines[at];
         if !engine.serves() || engine.busy || engine.loading_adapters.len() >= MAX_LOADING_ADAPTERS
         {
@@ -77,7 +84,7 @@
             free_slots += 1;
             evict.push(evicted);
         }
-        Some((evict.len(), loaded.running, evict))
+        Some((engine.limit.is_some(), evict.len(), loaded.running, evict))
     }
 
     /// Adapters that no request uses or waits for, by descending arrival rate.
--- a/src/gateway/planner/model_loads.rs
+++ b/src/gateway/planner/model_loads.rs
@@ -23,6 +23,8 @@
 /// An engine that can load a model, and the models that it has to evict first.
 struct LoadOption {
     engine: usize,
+    /// Whether the engine names a limit; any other one goes before it.
+    limited: bool,
     source: WeightSource,
     evict: Vec<String>,
     cost: f64,
@@ -132,19 +134,23 @@
         })
     }
 
-    /// Option with the nearest weights, and among equally near ones the lowest eviction cost.
+    /// Option without a limit, then with the nearest weights, and among equally near ones the lowest eviction cost.
     fn best_option(&self, model: &str, store_open: bool) -> Option<LoadOption> {
         let mut best: Option<LoadOption> = None;
         for index in 0..self.engines.len() {
             let engine_source = weight_source(&self.engines[index], model);
-            let farther = best.as_ref().is_some_and(|b| engine_source > b.source);
+            let limited = self.engines[index].limit.is_some();
+            let is_after = |b: &LoadOption| (limited, engine_source) > (b.limited, b.source);
+            let farther = best.as_ref().is_some_and(is_after);
             if farther || (engine_source == WeightSource::Store && !store_open) {
                 continue;
             }
             let Some(option) = self.load_option(model, index) else {
                 continue;
             };
-            let is_better = |b: &LoadOption| (option.source, option.cost) < (b.source, b.cost);
+            let is_better = |b: &LoadOption| {
+                (option.limited, option.source, option.cost) < (b.limited, b.source, b.cost)
+            };
             if best.as_ref().is_none_or(is_better) {
                 best = Some(option);
             }
@@ -198,6 +204,7 @@
         let tie_break = engine.on_disk.len() as f64 * 1e-6;
         (free_memory >= size).then(|| LoadOption {
             engine: index,
+            limited: engine.limit.is_some(),
             source: weight_source(engine, model),
             evict,
             cost: cost + tie_break,
--- a/src/gateway/planner/model_summary.rs
+++ b/src/gateway/planner/model_summary.rs
@@ -10,7 +10,7 @@
 pub(super) struct ModelSummary {
     /// Demand including that for its adapters; `None` without demand.
     pub(super) demand: Option<TargetDemand>,
-    /// Engines that have it loaded or are loading it.
+    /// Engines that have it loaded or are loading it, but for those whose limit is below the demand.
     pub(super) replicas: u32,
     /// Requests running on these engines.
     pub(super) running: u32,
@@ -35,9 +35,15 @@
         }
     }
     for engine in fleet.engines.iter().filter(|e| e.serves()) {
+        let rate = |model: &String| {
+            let demand = summaries.get(model).and_then(|s| s.demand);
+            demand.unwrap_or_default().request_rate
+        };
+        let demanded: f64 = engine.models.keys().map(rate).sum();
+        let is_short = engine.limit.is_some_and(|limit| demanded > limit);
         for (model, loaded) in &engine.models {
             let summary = summaries.entry(model.clone()).or_default();
-            summary.replicas += 1;
+            summary.replicas += u32::from(!is_short);
             summary.running += loaded.running;
             summary.has_copy = true;
         }
--- a/tests/load_plans.rs
+++ b/tests/load_plans.rs
@@ -352,3 +352,66 @@
     let steps = decide(&spec, vec![gone, spare], &[(on("m", None), waiting(1))]);
     assert_eq!(swap(&steps[0]).0, "spare");
 }
+
+/// An engine that takes less than the demand for its model, one that takes as much, and a free one.
+fn limited_plan(limit: Option<f64>) -> Vec<PlannedAction> {
+    let mut limited = engine("limited", &["a"]);
+    limited.limit = limit;
+    let mut free = engine("free", &["b"]);
+    free.on_disk.insert("a".into());
+    let spec = spec(&["a", "b"]);
+    let demand = TargetDemand {
+        request_rate: 1.2,
+        ..waiting(1)
+    };
+    decide(&spec, vec![limited, free], &[(on("a", None), demand)])
+}
+
+/// Pattern: the only engine with a model takes fewer requests than come; another one gets the model.
+#[test]
+fn demand_beyond_a_limit() {
+    let steps = limited_plan(Some(1.0));
+    assert_eq!(swap(&steps[0]).0, "free");
+}
+
+/// Pattern: an engine's limit is above the demand for its model; nothing is loaded.
+#[test]
+fn demand_within_a_limit() {
+    assert_eq!(limited_plan(Some(1.5)), Vec::new());
+    assert_eq!(limited_plan(None), Vec::new());
+}
+
+/// Pattern: a rare model is asked for, and the engine with a copy on its disk names a limit.
+#[test]
+fn limited_engine_loads_last() {
+    let mut limited = engine("limited", &["a"]);
+    limited.limit = Some(1.0);
+    limited.on_disk.insert("rare".into());
+    let free = engine("free", &["b"]);
+    let spec = spec(&["a", "b", "rare"]);
+    let wants = [(on("rare", None), waiting(1))];
+    let overdue = [(
+        on("rare", None),
+        TargetDemand {
+            oldest_arrival: Duration::from_secs(70),
+            ..waiting(1)
+        },
+    )];
+    let steps = decide(&spec, vec![limited.clone(), free.clone()], &overdue);
+    assert_eq!(swap(&steps[0]).0, "free");
+    assert_eq!(swap(&decide(&spec, vec![limited], &wants)[0]).0, "limited");
+}
+
+/// Pattern: an adapter is only on an engine that names a limit, and another engine has its model.
+#[test]
+fn adapter_beside_a_limit() {
+    let mut limited = engine("limited", &["a"]);
+    limited.limit = Some(1.0);
+    let free = engine("free", &["a"]);
+    let adapters = &mut limited.models.get_mut("a").unwrap().adapters;
+    adapters.insert("a1".into(), 1);
+    let wants = [(on("a", Some("a1")), waiting(1))];
+    let steps = decide(&spec(&["a"]), vec![limited.clone(), free], &wants);
+    assert_eq!(steps[0].engine, "free");
+    assert_eq!(decide(&spec(&["a"]), vec![limited], &wants), Vec::new());
+}
