Stop: connections that wait to be accepted are served before the listener closes

What callers saw: a closed connection without an answer, for requests that came just when an instance that stops had answered all others. Cause: the listener closed as soon as no connection was open, whatever waited in its queue to be accepted; and at the end of the grace it went on accepting until the process exited. Change: it closes once none is open and none has come for 20 ms, or when waiting requests are refused before the exit; what waits is accepted then, and answered.

--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -1,9 +1,11 @@
 //! HTTP listeners for callers, readiness probes and metrics.
 
 use std::convert::Infallible;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_util::FutureExt;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue};
 use hyper::service::service_fn;
@@ -19,44 +21,87 @@
 
 /// Delay after a failed accept, for example when file descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Time without a new connection after which a closing listener stops.
+const QUIET_TIME: Duration = Duration::from_millis(20);
 /// Smallest buffer for a request head that hyper accepts.
 const MIN_HEAD_BUFFER_BYTES: usize = 8192;
 
 /// Serves callers until `close` turns true and all their connections have ended.
 ///
 /// Connections open at that time are closed after their current request. New ones are still
-/// accepted, for one request each, until the last connection has ended.
+/// accepted, for one request each, until none is open and none comes for [`QUIET_TIME`], at most
+/// until shortly before the process exits. Those that are accepted by then are still answered.
 pub async fn serve_callers(
     listener: TcpListener,
     gateway: Arc<Gateway>,
-    close: watch::Receiver<bool>,
+    mut close: watch::Receiver<bool>,
 ) {
-    let connection_slots = Arc::new(Semaphore::new(gateway.settings.max_connections));
-    let connections = TaskTracker::new();
-    let mut closing = close.clone();
-    let drained = async {
-        if closing.wait_for(|closing| *closing).await.is_err() {
+    let mut callers = Callers {
+        slots: Arc::new(Semaphore::new(gateway.settings.max_connections)),
+        connections: TaskTracker::new(),
+        close: close.clone(),
+        gateway,
+    };
+    let closing = async {
+        if close.wait_for(|closing| *closing).await.is_err() {
             log::debug!("shutdown channel closed; stopping the caller listener");
         }
-        connections.close();
-        connections.wait().await;
     };
-    tokio::pin!(drained);
+    tokio::select! {
+        () = callers.accept_all(&listener) => {}
+        () = closing => {}
+    }
+    callers.connections.close();
+    let gateway = Arc::clone(&callers.gateway);
+    let last_call = gateway.wait_before_exit();
+    tokio::pin!(last_call);
     loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = &mut drained => return,
+        let connections = callers.connections.clone();
+        let quiet = async {
+            connections.wait().await;
+            tokio::time::sleep(QUIET_TIME).await;
         };
+        tokio::select! {
+            biased;
+            () = &mut last_call => break,
+            accepted = listener.accept() => callers.serve(accepted).await,
+            () = quiet => break,
+        }
+    }
+    while let Some(accepted) = listener.accept().now_or_never() {
+        callers.serve(accepted).await;
+    }
+    drop(listener);
+    callers.connections.wait().await;
+}
+
+/// The connections of callers.
+struct Callers {
+    gateway: Arc<Gateway>,
+    slots: Arc<Semaphore>,
+    connections: TaskTracker,
+    close: watch::Receiver<bool>,
+}
+
+impl Callers {
+    async fn accept_all(&mut self, listener: &TcpListener) {
+        loop {
+            let accepted = listener.accept().await;
+            self.serve(accepted).await;
+        }
+    }
+
+    async fn serve(&mut self, accepted: std::io::Result<(TcpStream, SocketAddr)>) {
         let Ok((stream, _)) = accepted else {
             tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-            continue;
+            return;
         };
-        let Ok(slot) = Arc::clone(&connection_slots).try_acquire_owned() else {
+        let Ok(slot) = Arc::clone(&self.slots).try_acquire_owned() else {
             log::warn!("connection limit reached; closing a new connection");
-            continue;
+            return;
         };
-        let connection = serve_connection(stream, Arc::clone(&gateway), close.clone());
-        connections.spawn(async move {
+        let connection = serve_connection(stream, Arc::clone(&self.gateway), self.close.clone());
+        self.connections.spawn(async move {
             connection.await;
             drop(slot);
         });
