Connections: a late second copy of an answer is none to the next order

What could happen: an engine that sends its answer to an order or a report twice, the second time on a connection in use again, has the copy taken for the answer to the next order; the holder believes that an order was accepted which was not. Callers' requests are safe: an answer with another id is refused. Cause: orders and reports have no id, so that their answers look alike. Change: for half a second after such a call, its connection carries only requests that an answer can be told apart from; the same for two requests with one id.

--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -271,6 +271,7 @@
             idle: IDLE_TIMEOUT,
             kept: MAX_IDLE_CONNECTIONS,
             echo: settings.echo_header.clone(),
+            late_copy: LATE_COPY_TIME,
             ..OutboundSettings::default()
         });
         Ok(Arc::new(Self {
@@ -430,6 +431,8 @@
 const EXIT_MARGIN: Duration = Duration::from_millis(300);
 /// Time-out for connecting to an endpoint; below the 1 s after which a lost SYN is sent again.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
+/// Time within which an endpoint may send a second copy of an answer.
+const LATE_COPY_TIME: Duration = Duration::from_millis(500);
 /// Idle time after which a pooled connection is no longer trusted to work.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Most idle connections to one endpoint; all instances share the endpoint's connection limit.
--- a/src/outbound.rs
+++ b/src/outbound.rs
@@ -11,6 +11,7 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1::{Builder, SendRequest};
+use hyper::header::HeaderValue;
 use hyper::{HeaderMap, Request, Response, Version};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
@@ -41,6 +42,11 @@
     pub unacked: Duration,
     /// Header in which the other end repeats the id of a request.
     pub echo: String,
+    /// Time within which a second copy of an answer may come on its connection.
+    ///
+    /// A request is not sent there within it where the copy would pass for its answer: where
+    /// neither has an id, or both have the same.
+    pub late_copy: Duration,
 }
 
 impl Default for OutboundSettings {
@@ -51,6 +57,7 @@
             kept: 32,
             unacked: Duration::from_secs(3),
             echo: crate::http::REQUEST_ID.to_owned(),
+            late_copy: Duration::ZERO,
         }
     }
 }
@@ -69,6 +76,8 @@
 pub struct Sender {
     requests: SendRequest<Full<Bytes>>,
     meter: Meter,
+    /// Id of the last request, if it has one.
+    last_id: Option<HeaderValue>,
 }
 
 #[derive(Debug)]
@@ -128,8 +137,19 @@
     ///
     /// [`SendFault::Connect`] where none can be opened.
     pub async fn open(&self, to: SocketAddr, freshness: Freshness) -> Result<Link, SendError> {
+        self.open_unlike(to, freshness, |_| false).await
+    }
+
+    /// A connection for one request; a connection that a request was just sent on is left out where
+    /// `is_alike` is true for the id of that request.
+    async fn open_unlike(
+        &self,
+        to: SocketAddr,
+        freshness: Freshness,
+        is_alike: impl Fn(Option<&HeaderValue>) -> bool,
+    ) -> Result<Link, SendError> {
         let pooled = match freshness {
-            Freshness::Proved => self.take(to),
+            Freshness::Proved => self.take(to, is_alike),
             Freshness::Fresh => None,
         };
         let reused = pooled.is_some();
@@ -157,7 +177,9 @@
         freshness: Freshness,
         head: Duration,
     ) -> Result<Reply, SendError> {
-        self.open(to, freshness).await?.send(request, head).await
+        let id = named(request.headers(), &self.settings.echo);
+        let link = self.open_unlike(to, freshness, |last| last == id.as_ref());
+        link.await?.send(request, head).await
     }
 
     /// Sends a request and reads the whole answer of at most `most` bytes.
@@ -194,15 +216,19 @@
         }
     }
 
-    fn take(&self, to: SocketAddr) -> Option<Sender> {
+    fn take(
+        &self,
+        to: SocketAddr,
+        is_alike: impl Fn(Option<&HeaderValue>) -> bool,
+    ) -> Option<Sender> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let list = idle.get_mut(&to)?;
-        while let Some(last) = list.pop() {
-            if last.since.elapsed() < self.settings.idle && last.sender.requests.is_ready() {
-                return Some(last.sender);
-            }
-        }
-        None
+        list.retain(|i| i.sender.requests.is_ready() && i.since.elapsed() < self.settings.idle);
+        let is_clear = |i: &Idle| {
+            i.since.elapsed() >= self.settings.late_copy || !is_alike(i.sender.last_id.as_ref())
+        };
+        let newest = list.iter().rposition(is_clear)?;
+        Some(list.remove(newest).sender)
     }
 
     async fn connect(&self, to: SocketAddr) -> Result<Sender, SendError> {
@@ -227,7 +253,11 @@
                 log::debug!(to:% = to, error:% = error; "connection ended");
             }
         });
-        Ok(Sender { requests, meter })
+        Ok(Sender {
+            requests,
+            meter,
+            last_id: None,
+        })
     }
 
     fn tune(&self, stream: &TcpStream) -> std::io::Result<()> {
@@ -242,6 +272,11 @@
     }
 }
 
+/// Id of a request, as it or its answer carries it.
+fn named(headers: &HeaderMap, echo: &str) -> Option<HeaderValue> {
+    headers.get(echo).filter(|id| !id.is_empty()).cloned()
+}
+
 impl Reply {
     /// An answer that was taken apart before.
     #[must_use]
@@ -318,9 +353,8 @@
     async fn exchange(mut self, mut request: Request<Full<Bytes>>) -> Result<Reply, SendError> {
         let to = self.to;
         crate::http::set_host(request.headers_mut(), to);
-        let echo = self.echo.as_str();
-        let named = |headers: &HeaderMap| headers.get(echo).filter(|id| !id.is_empty()).cloned();
-        let asked = named(request.headers());
+        let asked = named(request.headers(), &self.echo);
+        self.sender.last_id.clone_from(&asked);
         let meter = self.sender.meter.clone();
         meter.reset();
         let sent = self.sender.requests.try_send_request(request).await;
@@ -341,7 +375,7 @@
         // Passed on in an older version, a body would end with the caller's connection.
         *response.version_mut() = Version::HTTP_11;
         // A request without an id has no answer with one: that is another's, late.
-        let echoed = named(response.headers());
+        let echoed = named(response.headers(), &self.echo);
         if asked != echoed {
             let detail = format!("the answer carries the request id {echoed:?}");
             return Err(SendError::new(SendFault::Crossed, to, &detail));
--- a/tests/stray_answers.rs
+++ b/tests/stray_answers.rs
@@ -3,10 +3,12 @@
 #![expect(clippy::unwrap_used, reason = "a failed step fails the test")]
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use brassrack::http::REQUEST_ID;
-use brassrack::outbound::{Answer, Freshness, Outbound, SendError, SendFault};
+use brassrack::outbound::{Answer, Freshness, Outbound, OutboundSettings, SendError, SendFault};
 use brassrack::verdict::Verdict;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -59,3 +61,44 @@
         assert_eq!(call(to, None).await.unwrap().body, "whole");
     }
 }
+
+/// An endpoint that sends each answer again, late: before the answer to the next request on its
+/// connection. An answer holds the number of the request.
+async fn repeating_endpoint() -> SocketAddr {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let number = Arc::new(AtomicU32::new(0));
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let number = Arc::clone(&number);
+            tokio::spawn(async move {
+                let (mut request, mut copy) = ([0; 4096], String::new());
+                while stream.read(&mut request).await.is_ok_and(|count| count > 0) {
+                    let body = number.fetch_add(1, Ordering::Relaxed) + 1;
+                    let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\n{body}");
+                    let both = format!("{copy}{answer}");
+                    stream.write_all(both.as_bytes()).await.unwrap();
+                    copy = answer;
+                }
+            });
+        }
+    });
+    address
+}
+
+/// Guards against an order or a report that takes the late second copy of the answer to the one
+/// before it for its own.
+#[tokio::test]
+async fn second_copy_is_no_answer_to_the_next_order() {
+    let to = repeating_endpoint().await;
+    let pool = Outbound::new(OutboundSettings {
+        late_copy: Duration::from_millis(500),
+        ..OutboundSettings::default()
+    });
+    for number in 1..=3 {
+        let request = Request::new(Full::new(Bytes::new()));
+        let call = pool.call(to, request, Freshness::Proved, LIMIT, MOST);
+        let body = call.await.unwrap().body;
+        assert_eq!(body, number.to_string());
+    }
+}
