Endpoints: an instance that starts again learns of all that leave

What could happen: an endpoint that had said in its answers that it leaves, and was still listed as ready, got requests again from each instance that started anew, up to ten minutes later; from the lease holder too. Cause: instances told each other of such an endpoint only in the three seconds after one had heard it. One that started later, and read the list from the store, never learnt of it. Change: the first report on a link, and the holder's first update to an instance, have all endpoints that are known to leave; a holder that is behind keeps those of a first report that it has not read.

--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -191,6 +191,16 @@
     marks.into_iter().map(LeavingEndpoint::from).collect()
 }
 
+/// All endpoints that are known to leave, for an instance that may know of none.
+#[must_use]
+pub fn all_leaving(gateway: &Gateway) -> Vec<LeavingEndpoint> {
+    let marks = gateway.servers.copy_marks(gateway.now());
+    marks
+        .into_iter()
+        .map(|copied| LeavingEndpoint::from(copied.mark))
+        .collect()
+}
+
 /// Takes over which endpoints another instance found to leave.
 pub fn apply_leaving(gateway: &Gateway, leaving: &[LeavingEndpoint]) {
     for LeavingEndpoint { id, started_ms } in leaving {
@@ -352,6 +362,7 @@
     let mut clock_echo = 0;
     let first = DemandReport {
         crashes: crash_report(gateway, true),
+        leaving: all_leaving(gateway),
         ..demand_report(gateway)
     };
     send(&mut link, &first).await?;
--- a/src/gateway/orders/inbox.rs
+++ b/src/gateway/orders/inbox.rs
@@ -80,7 +80,7 @@
     }
 }
 
-/// Adds the arrivals and aborted requests of an earlier report, which each report carries only once.
+/// Adds the events of an earlier report that no later report carries again.
 fn add_events(demand: &mut DemandReport, earlier: DemandReport) {
     for count in earlier.requested.into_iter().filter(|c| c.arrivals > 0) {
         let same = demand.requested.iter_mut().find(|c| {
@@ -96,6 +96,12 @@
         }
     }
     demand.aborted.extend(earlier.aborted);
+    // The first report of a link has all endpoints that leave, later ones only the newest.
+    for endpoint in earlier.leaving {
+        if !demand.leaving.contains(&endpoint) {
+            demand.leaving.push(endpoint);
+        }
+    }
     if let Some(earlier) = earlier.crashes {
         let deaths = &mut demand.crashes.get_or_insert_default().deaths;
         let is_new = |d: &EndpointDeath| deaths.iter().all(|known| known.endpoint != d.endpoint);
--- a/src/gateway/orders/publish.rs
+++ b/src/gateway/orders/publish.rs
@@ -31,6 +31,8 @@
     pub(super) sent_version: u64,
     pub(super) full_sent: Duration,
     pub(super) last_sent: Duration,
+    /// Whether it was sent all endpoints that are known to leave.
+    leaving_sent: bool,
     refused_sent: LastSent,
     /// Digests in the evidence about prompt parts that it was sent last.
     crashes_sent: LastSent,
@@ -111,7 +113,11 @@
                 engines: self
                     .views
                     .since(if full_due { 0 } else { peer.sent_version }),
-                leaving: leaving.clone(),
+                leaving: if peer.leaving_sent {
+                    leaving.clone()
+                } else {
+                    link::all_leaving(&self.gateway)
+                },
                 limits: limits.entries(*number),
                 estimates: peer.relevant_estimates(estimates),
                 refused: if full_due || peer.refused_sent.is_due(&refused) {
@@ -131,6 +137,7 @@
                     peer.full_sent = now;
                 }
                 let sent = peer.updates.try_send(update).is_ok();
+                peer.leaving_sent |= sent;
                 peer.sent_version = if sent { self.views.version() } else { 0 };
                 peer.refused_sent.record(&refused, sent);
                 peer.crashes_sent.record(&crash_ids, sent);
@@ -192,6 +199,7 @@
             sent_version: 0,
             full_sent: Duration::ZERO,
             last_sent: Duration::ZERO,
+            leaving_sent: false,
             refused_sent: LastSent::default(),
             crashes_sent: LastSent::default(),
         }
--- a/tests/holder_inbox.rs
+++ b/tests/holder_inbox.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use brassrack::gateway::lease::{Echoes, Lease, LeaseRow, LeaseTiming};
-use brassrack::gateway::link::{DemandReport, TargetCount};
+use brassrack::gateway::link::{DemandReport, LeavingEndpoint, TargetCount};
 use brassrack::gateway::orders::inbox::{DemandInbox, LinkReport};
 use tokio::sync::mpsc;
 
@@ -65,6 +65,25 @@
     assert!(inbox.take().reports.is_empty());
 }
 
+/// Guards against endpoints that leave and are unknown to a new holder, which is behind: only the
+/// first report of a link has all of them.
+#[test]
+fn leaving_of_the_first_report_is_kept() {
+    let leaving = |id: &str| LeavingEndpoint {
+        id: id.into(),
+        started_ms: 5,
+    };
+    let inbox = DemandInbox::default();
+    let mut first = report(Vec::new(), &[], 0);
+    first.demand.leaving = vec![leaving("a"), leaving("b")];
+    inbox.report(1, first);
+    let mut second = report(Vec::new(), &[], 10);
+    second.demand.leaving = vec![leaving("b")];
+    inbox.report(1, second);
+    let found = &inbox.take().reports[&1].demand.leaving;
+    assert_eq!(*found, [leaving("b"), leaving("a")]);
+}
+
 /// The echo counts from its arrival, however late the holder plans.
 #[test]
 fn echo_counts_before_the_plan() {
