Relay: a stream that sends only comments is silent

What callers could see: a stream of brassrackd that never ends, where the engine is stalled and something before it sends a comment now and then. Cause: each complete event, a comment too, began the time limit for the next one anew. A byte now and then did not, and on the users' platform the request's deadline ends such a stream. Change: the limit runs from the last event that is more than a comment; time in which the caller does not read is left out. Result: comments_without_an_event never ended before (2 s awaited at a limit of 0.4 s) and ends as silent; slow_events and bytes_without_an_event passed before too.

--- a/src/relay.rs
+++ b/src/relay.rs
@@ -12,7 +12,7 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
 use tokio::sync::mpsc;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 use crate::http::Body;
 use crate::outbound::{AnswerBody, is_garbled};
@@ -98,6 +98,12 @@
         })
 }
 
+/// Whether complete events hold nothing but comments.
+fn is_comment(events: &[u8]) -> bool {
+    let mut lines = events.split(|b| *b == b'\n');
+    lines.all(|line| matches!(line, [] | [b'\r'] | [b':', ..]))
+}
+
 /// The caller's side of a stream.
 ///
 /// The response is complete only after [`CallerStream::finish`]. A stream that is dropped before, in
@@ -164,27 +170,39 @@
             .is_ok_and(|sent| sent.is_ok())
     }
 
-    /// Relays the events of one endpoint until they end; waits at most `limit` for each read.
+    /// Relays the events of one endpoint until they end; waits at most `limit` for each event.
     ///
-    /// Calls `on_gap` with the time that each read took.
+    /// Comments are relayed, but a stream that sends nothing else is silent. Calls `on_gap` with the
+    /// time that each event took.
     pub async fn relay(
         &mut self,
         feed: &mut EventReader,
         limit: Duration,
         on_gap: &(dyn Fn(Duration) + Send + Sync),
     ) -> StreamEnd {
+        let mut since = Instant::now();
         loop {
-            let since = tokio::time::Instant::now();
+            let left = limit.saturating_sub(since.elapsed());
             let next = tokio::select! {
-                next = feed.next(limit) => next,
+                next = feed.next(left) => next,
                 () = self.frames.closed() => return StreamEnd::CallerGone,
             };
             match next {
                 Ok(events) => {
-                    on_gap(since.elapsed());
+                    let has_event = !is_comment(&events);
+                    if has_event {
+                        on_gap(since.elapsed());
+                    }
+                    let relayed = Instant::now();
                     if !self.send(events).await {
                         return StreamEnd::CallerGone;
                     }
+                    // A caller that reads slowly is no silence of the endpoint.
+                    since = if has_event {
+                        Instant::now()
+                    } else {
+                        since + relayed.elapsed()
+                    };
                 }
                 Err(StreamEnd::Cut) if self.done => return StreamEnd::Whole,
                 Err(end) => return end,
