--- a/src/gateway/orders/port.rs
+++ b/src/gateway/orders/port.rs
@@ -153,7 +153,7 @@
         let call = outbound.call(
             self.address,
             request,
-            Freshness::Proved,
+            Freshness::Distinct,
             ANSWER_TIMEOUT,
             MAX_REPORT_BYTES,
         );
--- a/src/outbound.rs
+++ b/src/outbound.rs
@@ -43,9 +43,6 @@
     /// Header in which the other end repeats the id of a request.
     pub echo: String,
     /// Time within which a second copy of an answer may come on its connection.
-    ///
-    /// A request is not sent there within it where the copy would pass for its answer: where
-    /// neither has an id, or both have the same.
     pub late_copy: Duration,
 }
 
@@ -67,6 +64,9 @@
 pub enum Freshness {
     /// One that carried an answer a short time ago, or a new one.
     Proved,
+    /// The same, but for one on which a late second copy of the last answer would pass for the answer
+    /// to this request: where neither request has an id, or both have the same.
+    Distinct,
     /// A new one.
     Fresh,
 }
@@ -140,8 +140,7 @@
         self.open_unlike(to, freshness, |_| false).await
     }
 
-    /// A connection for one request; a connection that a request was just sent on is left out where
-    /// `is_alike` is true for the id of that request.
+    /// A connection for one request; `is_alike` is whether another request's id is like that one's.
     async fn open_unlike(
         &self,
         to: SocketAddr,
@@ -149,7 +148,8 @@
         is_alike: impl Fn(Option<&HeaderValue>) -> bool,
     ) -> Result<Link, SendError> {
         let pooled = match freshness {
-            Freshness::Proved => self.take(to, is_alike),
+            Freshness::Proved => self.take(to, |_| false),
+            Freshness::Distinct => self.take(to, is_alike),
             Freshness::Fresh => None,
         };
         let reused = pooled.is_some();
