Streams: how attempts beside each other end is logged and counted

No line said which of the two the caller got, nor how long the other one had the request. Change: a line 'attempts beside each other ended', and brassrack_gateway_beside by what was awaited and who won. No logic is changed.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -9,7 +9,7 @@
 use super::send::{Break, CheckedReply, SendOutcome};
 use super::serve::{RoutedRequest, SendHistory};
 use super::servers::{RequestOutcome, SelectedEndpoint};
-use super::silence::{Success, first_success};
+use super::silence::{Awaited, Success, first_success, winner};
 use crate::BoxFuture;
 use crate::http::{Body, full};
 use crate::outbound::{Answer, SendFault};
@@ -60,6 +60,7 @@
                 return Err((failed, request.final_refusal(history)));
             }
             let patience = patience(request, history);
+            let asked_at = request.now();
             let attempt = attempt(request, selected.clone(), history.begin_attempt());
             tokio::pin!(attempt);
             let finished = match patience {
@@ -69,9 +70,13 @@
             let Some((answer, after)) = finished else {
                 request.log_silence(&selected);
                 history.record_silence(&selected.id);
+                let beside_at = request.now();
                 let silent = async { attempt.await.0 };
                 let later = find_answer(request, history);
-                return match first_success(silent, later).await {
+                let first = first_success(silent, later).await;
+                let times = (asked_at, beside_at);
+                request.record_beside(&selected, Awaited::Answer, winner(&first), times);
+                return match first {
                     Ok(Success::Silent(found)) => Ok(found),
                     Ok(Success::Later(found)) => {
                         request.record_failure(&selected, Break::Silent);
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -9,6 +9,7 @@
 use super::protocol::{DispatchHead, ResponseHead};
 use super::serve::{RoutedRequest, SendHistory};
 use super::servers::{LimitAnswer, RequestOutcome, SelectedEndpoint};
+use super::silence::{Awaited, Winner};
 use crate::outbound::{Freshness, Reply, SendError, SendFault};
 use crate::verdict::Verdict;
 
@@ -126,6 +127,23 @@
             "endpoint is silent; asking another one too");
     }
 
+    /// Records the end of two attempts beside each other; the silent one was asked at `asked_at`, the
+    /// other one from `beside_at` on.
+    pub fn record_beside(
+        &self,
+        silent: &SelectedEndpoint,
+        awaited: Awaited,
+        winner: Winner,
+        (asked_at, beside_at): (Duration, Duration),
+    ) {
+        let now = self.now();
+        self.gateway.stats.record_beside(awaited, winner);
+        log::info!(id = self.head.id.as_str(), endpoint = silent.id.as_str(), awaited:% = awaited,
+            winner:% = winner, silent_ms = super::link::millis(now.saturating_sub(asked_at)),
+            beside_ms = super::link::millis(now.saturating_sub(beside_at));
+            "attempts beside each other ended");
+    }
+
     fn endpoint_request(
         &self,
         selected: &SelectedEndpoint,
--- a/src/gateway/silence.rs
+++ b/src/gateway/silence.rs
@@ -3,6 +3,30 @@
 //! Silence is no proof that an endpoint has failed: a sound one may go on after a second or so. A
 //! silent attempt stays open while others are made, and the first success of either counts.
 
+/// What an endpoint was silent about when another one was asked beside it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Awaited {
+    /// The answer to a call.
+    Answer,
+    /// The head of a stream.
+    Head,
+    /// The first event, or the next one, of a stream.
+    Event,
+}
+
+/// Which of two attempts beside each other the caller got.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Winner {
+    /// The one at the silent endpoint.
+    Silent,
+    /// The one made beside it.
+    Later,
+    /// None of them.
+    Neither,
+}
+
 /// A success, and which attempt it comes from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Success<T> {
@@ -48,3 +72,22 @@
         },
     }
 }
+
+/// Which attempt the caller got.
+///
+/// # Examples
+///
+/// ```
+/// use brassrack::gateway::silence::{Success, Winner, winner};
+///
+/// assert_eq!(winner::<_, ()>(&Ok(Success::Later(1))), Winner::Later);
+/// assert_eq!(winner::<(), _>(&Err("closed")), Winner::Neither);
+/// ```
+#[must_use]
+pub const fn winner<T, E>(first: &Result<Success<T>, E>) -> Winner {
+    match first {
+        Ok(Success::Silent(_)) => Winner::Silent,
+        Ok(Success::Later(_)) => Winner::Later,
+        Err(_) => Winner::Neither,
+    }
+}
--- a/src/gateway/stats.rs
+++ b/src/gateway/stats.rs
@@ -5,6 +5,7 @@
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Histogram};
 
+use super::silence::{Awaited, Winner};
 use crate::metrics::{MetricsError, Registered};
 
 /// Metric instruments of an instance's gateway.
@@ -13,6 +14,7 @@
     registered: Registered,
     requests: Counter<u64>,
     sends: Counter<u64>,
+    beside: Counter<u64>,
     orders: Counter<u64>,
     store: Counter<u64>,
     first_response: Histogram<f64>,
@@ -34,6 +36,7 @@
         Ok(Self {
             requests: meter.u64_counter("brassrack_gateway_requests").build(),
             sends: meter.u64_counter("brassrack_gateway_sends").build(),
+            beside: meter.u64_counter("brassrack_gateway_beside").build(),
             orders: meter.u64_counter("brassrack_gateway_orders").build(),
             store: meter.u64_counter("brassrack_gateway_store_calls").build(),
             first_response: crate::metrics::seconds(
@@ -89,6 +92,16 @@
         self.sends.add(1, &labels);
     }
 
+    /// Records the end of two attempts beside each other.
+    pub fn record_beside(&self, awaited: Awaited, winner: Winner) {
+        let (awaited, winner): (&'static str, &'static str) = (awaited.into(), winner.into());
+        let labels = [
+            KeyValue::new("awaited", awaited),
+            KeyValue::new("winner", winner),
+        ];
+        self.beside.add(1, &labels);
+    }
+
     /// Records the outcome of an order.
     pub fn record_order(&self, outcome: &'static str) {
         self.orders.add(1, &[KeyValue::new("outcome", outcome)]);
--- a/src/gateway/stream/events.rs
+++ b/src/gateway/stream/events.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 
 use super::super::serve::{RoutedRequest, SendHistory};
+use super::super::silence::{Awaited, Winner};
 use super::RESUME_TIMEOUT;
 use super::start::{EndpointStream, open_stream};
 use crate::relay::{CallerStream, StreamEnd};
@@ -86,6 +87,7 @@
     caller: Option<&CallerStream>,
     last_event: Option<u64>,
 ) -> Silence {
+    let beside_at = request.now();
     let runs_before = history.possible_runs;
     history.in_flight = false;
     history.record_possible_run(&stream.selected.id);
@@ -115,6 +117,13 @@
             }
         }
     };
+    let winner = match &silence {
+        Silence::Over(_) | Silence::Ended(StreamEnd::Whole) => Winner::Silent,
+        Silence::Moved(_) => Winner::Later,
+        Silence::Alone | Silence::Ended(_) => Winner::Neither,
+    };
+    let times = (stream.opened_at, beside_at);
+    request.record_beside(&stream.selected, Awaited::Event, winner, times);
     let (id, from) = (request.head.id.as_str(), stream.selected.id.as_str());
     if let Silence::Moved(next) = &silence {
         request.record_failure(
--- a/src/gateway/stream/start.rs
+++ b/src/gateway/stream/start.rs
@@ -11,7 +11,7 @@
 use super::super::send::{Break, CheckedReply, SendOutcome};
 use super::super::serve::{RoutedRequest, SendHistory};
 use super::super::servers::{RequestGuard, SelectedEndpoint};
-use super::super::silence::{Success, first_success};
+use super::super::silence::{Awaited, Success, first_success, winner};
 use super::events::next_events;
 use crate::BoxFuture;
 use crate::http::{Body, full};
@@ -36,6 +36,8 @@
     pub(super) running: RequestGuard,
     /// Whether an event has come.
     pub(super) begun: bool,
+    /// When its endpoint was asked.
+    pub(super) opened_at: Duration,
 }
 
 impl EndpointStream {
@@ -120,6 +122,7 @@
                 && request.has_alternative(history, &selected);
             let runs_before = history.possible_runs;
             let (chosen, before) = (selected.clone(), history.begin_attempt());
+            let asked_at = request.now();
             let attempt = start_stream(request, chosen, before, last_event);
             let mut attempt = Box::pin(attempt);
             let finished = if may_ask_beside {
@@ -130,9 +133,13 @@
             let Some((opened, after)) = finished else {
                 request.log_silence(&selected);
                 history.record_silence(&selected.id);
+                let beside_at = request.now();
                 let silent = async { attempt.await.0 };
                 let later = open_stream(request, history, last_event);
-                return match first_success(silent, later).await {
+                let first = first_success(silent, later).await;
+                let times = (asked_at, beside_at);
+                request.record_beside(&selected, Awaited::Head, winner(&first), times);
+                return match first {
                     Ok(Success::Silent(stream)) => {
                         history.settle_silence(runs_before);
                         Ok(stream)
@@ -184,6 +191,7 @@
             .servers
             .begin_request(selected.key, target, prefix_id, request.now());
     let limit = request.time_left();
+    let opened_at = request.now();
     let sent = request.send(&selected, &mut history, last_event, limit);
     let checked = match sent.await {
         SendOutcome::Answered(checked) => checked,
@@ -208,6 +216,7 @@
         sender,
         running,
         begun: false,
+        opened_at,
     };
     (Ok(stream), history)
 }
