--- a/src/gateway/orders/limit_ledger.rs
+++ b/src/gateway/orders/limit_ledger.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::super::servers::{LimitNotice, permit_ttl};
+use super::super::servers::{LimitNotice, Wanted, permit_ttl};
 
 /// Time for which unused permits accrue.
 const BURST_TIME: Duration = Duration::from_millis(500);
@@ -114,28 +114,20 @@
     }
 
     fn grant(&mut self, wants: &[InstanceWant], rate: f64, now: Duration) -> Grants {
-        let mut missing: BTreeMap<u64, (u32, u32)> = BTreeMap::new();
-        for want in wants {
-            let on_way = self.on_way(want);
-            let waiting = want.waiting.saturating_sub(on_way);
-            let ahead = want
-                .ahead
-                .saturating_sub(on_way.saturating_sub(want.waiting));
-            missing.insert(want.instance, (waiting, ahead));
-        }
+        let missing = |want: &InstanceWant| (want.instance, self.missing(want));
+        let mut missing: BTreeMap<u64, Wanted> = wants.iter().map(missing).collect();
         let mut grants = Grants::default();
         while self.tokens >= 1.0 {
-            let next = self
-                .next_in_turn(&missing, |(waiting, _)| waiting)
-                .or_else(|| self.next_in_turn(&missing, |(_, ahead)| ahead));
+            let waiting = self.next_in_turn(&missing, |wanted| wanted.waiting);
+            let next = waiting.or_else(|| self.next_in_turn(&missing, |wanted| wanted.ahead));
             let Some(instance) = next else {
                 break;
             };
-            if let Some((waiting, ahead)) = missing.get_mut(&instance) {
-                if *waiting > 0 {
-                    *waiting -= 1;
+            if let Some(wanted) = missing.get_mut(&instance) {
+                if wanted.waiting > 0 {
+                    wanted.waiting -= 1;
                 } else {
-                    *ahead -= 1;
+                    wanted.ahead -= 1;
                 }
             }
             self.tokens -= 1.0;
@@ -143,12 +135,22 @@
             self.granted.push((now, instance));
             *grants.permits.entry(instance).or_default() += 1;
         }
-        let waiting: u32 = missing.values().map(|(waiting, _)| waiting).sum();
+        let waiting: u32 = missing.values().map(|wanted| wanted.waiting).sum();
         let short = f64::from(waiting) + 1.0 - self.tokens;
         grants.next_in = Duration::from_secs_f64((short / rate).max(0.0));
         grants
     }
 
+    /// What an instance wants beyond the permits that are on the way to it.
+    fn missing(&self, want: &InstanceWant) -> Wanted {
+        let on_way = self.on_way(want);
+        let spare = on_way.saturating_sub(want.waiting);
+        Wanted {
+            waiting: want.waiting.saturating_sub(on_way),
+            ahead: want.ahead.saturating_sub(spare),
+        }
+    }
+
     /// Permits of an instance that it did not know of when it asked.
     fn on_way(&self, want: &InstanceWant) -> u32 {
         let granted = self.granted.iter();
@@ -160,13 +162,12 @@
     /// The next instance after the last one that wants any.
     fn next_in_turn(
         &self,
-        missing: &BTreeMap<u64, (u32, u32)>,
-        wants: impl Fn((u32, u32)) -> u32,
+        missing: &BTreeMap<u64, Wanted>,
+        count: impl Fn(&Wanted) -> u32,
     ) -> Option<u64> {
         let after = missing.range(self.last + 1..);
         let mut in_turn = after.chain(missing.range(..=self.last));
-        in_turn
-            .find(|(_, counts)| wants(**counts) > 0)
-            .map(|(instance, _)| *instance)
+        let next = in_turn.find(|(_, wanted)| count(wanted) > 0);
+        next.map(|(instance, _)| *instance)
     }
 }
--- a/src/gateway/servers.rs
+++ b/src/gateway/servers.rs
@@ -11,6 +11,7 @@
 
 mod copy;
 mod leaving;
+mod limited;
 mod limits;
 mod pause;
 mod permits;
@@ -19,7 +20,8 @@
 
 pub use copy::{CopiedEndpoint, CopiedMark};
 pub use leaving::{LeavingMark, LeavingMarks};
-pub use limits::{EndpointLimits, LimitAnswer, LimitNotice, LimitedEndpoint, PermitWait};
+pub use limited::{LimitedEndpoint, PermitWait};
+pub use limits::{EndpointLimits, LimitAnswer, LimitNotice};
 pub use pause::Pause;
 pub(crate) use pause::TRIAL_INTERVAL;
 pub use permits::{Grant, Permits, Wanted, permit_ttl};
