--- a/tests/endpoint_limits.rs
+++ b/tests/endpoint_limits.rs
@@ -1,12 +1,16 @@
 //! Limits that endpoints name, divided among instances in simulated time, under seeded cases.
 
+#![expect(clippy::unwrap_used, reason = "a failed step fails the test")]
+
 use std::collections::{BTreeMap, VecDeque};
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use brassrack::gateway::orders::limit_ledger::{InstanceWant, LimitLedger};
 use brassrack::gateway::servers::{EndpointLimits, Grant, LimitAnswer, LimitNotice};
 
-const CASES: u64 = 60;
+/// Seeds that are played unless `LIMIT_SEEDS` names others, as `5` or `0-399`.
+const SEEDS: RangeInclusive<u64> = 0..=59;
 const STEP_MS: u64 = 10;
 const NAMED_MS: u64 = 2_000;
 const ENDED_MS: u64 = 32_000;
@@ -402,10 +406,18 @@
     }
 }
 
+fn seeds() -> RangeInclusive<u64> {
+    let Ok(text) = std::env::var("LIMIT_SEEDS") else {
+        return SEEDS;
+    };
+    let (from, to) = text.split_once('-').unwrap_or((&text, &text));
+    from.parse().unwrap()..=to.parse().unwrap()
+}
+
 /// Guards against LIMIT: instances that keep a limit each for itself, lost holders, restarts.
 #[test]
 fn limit_is_kept_by_all_together() {
-    for seed in 0..CASES {
+    for seed in seeds() {
         let load = load(seed);
         let outcome = Case::new(seed, load).play();
         let most = u32::try_from(most_in_window(&outcome)).unwrap_or(u32::MAX);
@@ -419,7 +431,7 @@
 /// Guards against a limit that refuses far more than it has to.
 #[test]
 fn limit_is_used() {
-    for seed in 0..CASES {
+    for seed in seeds() {
         let load = Load {
             waits: true,
             lost_holders: 0,
@@ -449,7 +461,7 @@
 /// Guards against a limit that is kept long after it has ended, as nobody sends a request there.
 #[test]
 fn end_of_limit_is_learnt() {
-    for seed in 0..CASES {
+    for seed in seeds() {
         let load = Load {
             lost_holders: 0,
             limit: 1.1,
