Observability: software versions of endpoints, and resumptions by callers

The version of an endpoint's software and the header Resumes are decoded; lines about streams and listed endpoints carry them, and a refused resumption has a line of its own.

--- a/src/gateway/exchange/message.rs
+++ b/src/gateway/exchange/message.rs
@@ -68,6 +68,9 @@
     /// Time until it is removed, in milliseconds, if that is scheduled.
     #[prost(uint32, optional, tag = "12")]
     pub left_ms: Option<u32>,
+    /// Version of its software.
+    #[prost(string, tag = "13")]
+    pub software: String,
 }
 
 impl EndpointEntry {
@@ -93,6 +96,7 @@
             memory_models: endpoint.memory_models.iter().cloned().collect(),
             disk_models: endpoint.disk_models.iter().cloned().collect(),
             left_ms: copy.left.map(millis),
+            software: endpoint.software.clone(),
         }
     }
 
@@ -111,6 +115,7 @@
                 service: self.service.clone(),
                 address,
                 domain: self.domain.clone(),
+                software: self.software.clone(),
                 slots: self.slots,
                 state: if self.draining {
                     EndpointState::Draining
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -250,7 +250,8 @@
             continue;
         };
         log::info!(endpoint = *id, service = endpoint.service.as_str(),
-            address:% = endpoint.address, state:% = endpoint.state, version = version;
+            address:% = endpoint.address, state:% = endpoint.state,
+            software = endpoint.software.as_str(), version = version;
             "endpoint listed");
     }
     for id in removed {
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -92,6 +92,8 @@
     pub address: SocketAddr,
     /// Failure domain.
     pub domain: String,
+    /// Version of its software.
+    pub software: String,
     /// Number of requests that it runs concurrently.
     pub slots: u32,
     /// Whether it accepts new requests.
@@ -194,6 +196,8 @@
     pub shared_parts: Vec<String>,
     /// Id of the last event that the caller has received.
     pub last_event: Option<u64>,
+    /// Id of the attempt that brought the first event of the stream that this one resumes.
+    pub resumes: Option<String>,
 }
 
 /// Values that a request to an endpoint carries in its headers.
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -322,6 +322,10 @@
         let took = self.now().saturating_sub(self.arrived_at);
         let (id, route) = (self.head.id.as_str(), self.route.name.as_str());
         record_refusal(&self.gateway, id, route, refusal, took, history);
+        if let Some(attempt) = &self.head.resumes {
+            log::info!(id = id, resumes = attempt.as_str(),
+                after = self.head.last_event.unwrap_or_default(); "resumption by the caller refused");
+        }
         self.gateway.platform.wire.refusal_response(refusal, id)
     }
 
--- a/src/gateway/servers/select.rs
+++ b/src/gateway/servers/select.rs
@@ -16,6 +16,8 @@
     pub id: String,
     /// Start of the incarnation, in Unix milliseconds.
     pub started_ms: u64,
+    /// Version of its software.
+    pub software: String,
     /// Network address.
     pub address: SocketAddr,
     /// Expected time in the endpoint's queue.
@@ -70,6 +72,7 @@
             key: *key,
             id: server.endpoint.id.clone(),
             started_ms: server.endpoint.start_ms,
+            software: server.endpoint.software.clone(),
             address: server.endpoint.address,
             expected_wait: server.expected_wait(state.run_time.unwrap_or(DEFAULT_RUN_TIME)),
         })
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -53,7 +53,10 @@
                 .stats
                 .record_first_response(&request.route.name, took);
             log::info!(id = request.head.id.as_str(), endpoint = stream.selected.id.as_str(),
-                sends = history.sends, first_ms = super::link::millis(took); "stream begun");
+                software = stream.selected.software.as_str(), sends = history.sends,
+                after = last_event.unwrap_or_default(),
+                resumes = request.head.resumes.as_deref().unwrap_or_default(),
+                first_ms = super::link::millis(took); "stream begun");
             let (outlet, body) = CallerStream::new();
             let status = head.status.as_u16();
             tokio::spawn(relay_stream(
@@ -210,6 +213,7 @@
         Unopened::Refused(refusal) => refusal.cause.into(),
     })?;
     log::info!(id = request.head.id.as_str(), endpoint = stream.selected.id.as_str(),
+        software = stream.selected.software.as_str(),
         after = last_event.unwrap_or_default(), sends = history.sends; "stream resumed");
     Ok(stream)
 }
--- a/src/gateway/stream/events.rs
+++ b/src/gateway/stream/events.rs
@@ -131,6 +131,7 @@
             stream.broken(ended.unwrap_or(StreamEnd::Silent)),
         );
         log::info!(id = id, endpoint = next.selected.id.as_str(), from = from,
+            software = next.selected.software.as_str(),
             after = last_event.unwrap_or_default(), sends = history.sends; "silent stream moved");
     } else {
         log::info!(id = id, endpoint = from, sends = history.sends; "silent stream kept");
--- a/tests/endpoint_pauses.rs
+++ b/tests/endpoint_pauses.rs
@@ -24,6 +24,7 @@
         service: "calls".into(),
         address: ([127, 0, 0, 1], 9).into(),
         domain: "east".into(),
+        software: "v1".into(),
         slots: 8,
         state: EndpointState::Ready,
         start_ms,
--- a/tests/list_polls.rs
+++ b/tests/list_polls.rs
@@ -73,6 +73,7 @@
         service: "writers".into(),
         address: ([127, 0, 0, 1], 9).into(),
         domain: "east".into(),
+        software: "v1".into(),
         slots: 8,
         state,
         start_ms,
--- a/tests/order_model/world.rs
+++ b/tests/order_model/world.rs
@@ -260,6 +260,7 @@
             service: "writers".to_owned(),
             address: ([127, 0, 0, 1], 9).into(),
             domain: "east".to_owned(),
+            software: "v1".into(),
             slots: 8,
             state: EndpointState::Ready,
             start_ms: report.start_ms,
--- a/tests/order_terms.rs
+++ b/tests/order_terms.rs
@@ -24,6 +24,7 @@
         service: "writers".into(),
         address: ([127, 0, 0, 1], 9).into(),
         domain: "east".into(),
+        software: "v1".into(),
         slots: 8,
         state: EndpointState::Ready,
         start_ms: 1,
--- a/tests/restored_list.rs
+++ b/tests/restored_list.rs
@@ -14,6 +14,7 @@
         service: "calls".into(),
         address: ([127, 0, 0, 1], 9).into(),
         domain: "east".into(),
+        software: "v1".into(),
         slots: 8,
         state: EndpointState::Ready,
         start_ms,
