Streams go on only at the software version that began them

Change: after its first event a stream requires the version of the endpoint that sent it. Instances record where their streams began; while endpoints of several versions are known, or were within the longest timeout of a route, they tell each other through the lease holder. A caller's resumption goes on at the recorded version; with a single version that one began it; else the request waits 0.6 s for the record and is refused as not run. Nothing is told while a service has one version.

Why it works: whoever sends to a second endpoint needs the version in hand, and what is not known is refused.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -31,3 +31,4 @@
 pub mod silence;
 pub mod stats;
 pub mod stream;
+pub mod stream_origins;
--- a/src/gateway/catalog.rs
+++ b/src/gateway/catalog.rs
@@ -249,6 +249,13 @@
             .find_map(|(at, _)| routes.get(&path[..=at]))
     }
 
+    /// Longest time limit of a route.
+    #[must_use]
+    pub fn longest_timeout(&self) -> Duration {
+        let routes = self.routes.values().flat_map(BTreeMap::values);
+        routes.map(|r| r.timeout).max().unwrap_or_default()
+    }
+
     /// The services whose endpoints are model servers, with the properties of their engines.
     pub fn engines(&self) -> impl Iterator<Item = (&str, &Engine)> {
         let services = self.services.iter();
--- a/src/gateway/exchange/knowledge.rs
+++ b/src/gateway/exchange/knowledge.rs
@@ -3,8 +3,10 @@
 use std::sync::{MutexGuard, PoisonError};
 use std::time::Duration;
 
-use super::super::link::millis;
+use super::super::feed::observe_software;
+use super::super::link::{apply_origins, millis};
 use super::super::shared::Gateway;
+use super::super::stream_origins::Scope;
 use super::message::{EndpointEntry, Knowledge, KnownVersions, LeavingEntry};
 
 /// Age of the own reading of the list, in drain deadlines, from which a newer copy is wanted: more
@@ -117,6 +119,7 @@
         last.leaving = marks.into_iter().map(LeavingEntry::from).collect();
         last.refused = gateway.crash_suspects().refused();
     }
+    last.origins = gateway.stream_origins().new_notice(0, Scope::All, now);
     let list_version = {
         // Held so that the list is of this version.
         let state = gateway.exchange_state();
@@ -179,6 +182,7 @@
         whole.endpoints.extend(frame.endpoints);
         whole.leaving.extend(frame.leaving);
         whole.refused.extend(frame.refused);
+        whole.origins = whole.origins.or(frame.origins);
     }
     whole
 }
@@ -190,6 +194,7 @@
         gateway.activate_config(&knowledge.config, "link");
     }
     gateway.crash_suspects().merge_refused(&knowledge.refused);
+    apply_origins(gateway, knowledge.origins.as_ref());
     for entry in &knowledge.leaving {
         let found_at = now.saturating_sub(Duration::from_millis(entry.age_ms.into()));
         let servers = &gateway.servers;
@@ -209,7 +214,9 @@
     }
     let entries = knowledge.endpoints.iter();
     let copied: Vec<_> = entries.filter_map(EndpointEntry::to_copy).collect();
+    observe_software(gateway);
     gateway.servers.apply_copy(&copied, now);
+    observe_software(gateway);
     log::info!(version = version, before = state.list_version, endpoints = copied.len(),
         age_ms = millis(age); "server list taken from another instance");
     state.list_version = version;
--- a/src/gateway/exchange/message.rs
+++ b/src/gateway/exchange/message.rs
@@ -8,6 +8,7 @@
 use super::super::link::{ModelView, millis};
 use super::super::protocol::{Endpoint, EndpointState};
 use super::super::servers::{CopiedEndpoint, CopiedMark};
+use super::super::stream_origins::OriginNotice;
 
 /// What an instance knows, by version.
 #[derive(Clone, Copy, PartialEq, Eq, Message)]
@@ -189,4 +190,7 @@
     /// Fingerprints of requests to refuse.
     #[prost(fixed64, repeated, tag = "9")]
     pub refused: Vec<u64>,
+    /// Where streams began, if services have several software versions.
+    #[prost(message, optional, tag = "10")]
+    pub origins: Option<OriginNotice>,
 }
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -182,6 +182,7 @@
     bounds: RemovalBounds,
 ) -> bool {
     let now = gateway.now();
+    observe_software(gateway);
     let mut changed = Vec::new();
     let mut removed = BTreeSet::new();
     if kind != BatchKind::Changes {
@@ -222,6 +223,7 @@
     };
     let grace = (now < until).then_some(until);
     log_changes(gateway, batch.version, &changed, &removed, grace);
+    observe_software(gateway);
     for id in &removed {
         match grace {
             Some(at) => gateway.servers.expire_at(id, at),
@@ -231,6 +233,15 @@
     !changed.is_empty() || !removed.is_empty()
 }
 
+/// Records the software versions of all known endpoints.
+pub(super) fn observe_software(gateway: &Gateway) {
+    let now = gateway.now();
+    let mut origins = gateway.stream_origins();
+    for (service, software) in gateway.servers.software_versions() {
+        origins.observe(&service, &software, now);
+    }
+}
+
 fn log_changes(
     gateway: &Gateway,
     version: u64,
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -20,6 +20,7 @@
 use super::orders::inbox::{DemandInbox, LinkReport};
 use super::servers::EndpointView;
 use super::shared::Gateway;
+use super::stream_origins::{OriginNotice, Scope};
 
 mod evidence;
 mod limits;
@@ -174,10 +175,19 @@
         leaving: recently_leaving(gateway),
         crashes: crash_report(gateway, false),
         limits: limit_entries(gateway),
+        origins: None,
         exchange: None,
     }
 }
 
+/// Takes over where streams began at other instances.
+pub(super) fn apply_origins(gateway: &Gateway, origins: Option<&OriginNotice>) {
+    if let Some(notice) = origins {
+        gateway.stream_origins().apply(notice, gateway.now());
+        gateway.origins_told.notify_waiters();
+    }
+}
+
 /// What this instance knows about parts of prompts under which endpoints end, if anything.
 fn crash_report(gateway: &Gateway, all: bool) -> Option<CrashEvidence> {
     let report = gateway.crash_parts().report(all, gateway.now());
@@ -272,7 +282,8 @@
         let update: Option<FleetUpdate> = tokio::select! {
             frame = timeout(SILENCE_TIMEOUT, link.next()) => {
                 let Ok(Some(Ok(bytes))) = frame else { break };
-                let Ok(report) = DemandReport::decode(bytes) else { break };
+                let Ok(mut report) = DemandReport::decode(bytes) else { break };
+                apply_origins(&gateway, report.origins.take().as_ref());
                 if let Some(told) = report.exchange {
                     if exchange::serve(&gateway, link, told).await.is_none() {
                         log::trace!(link = link_id; "exchange ended");
@@ -360,7 +371,9 @@
     let mut last_report = Instant::now();
     let mut last_update = Instant::now();
     let mut clock_echo = 0;
+    let (origins, mut origins_sent) = new_origins(gateway, 0, Scope::Own);
     let first = DemandReport {
+        origins,
         crashes: crash_report(gateway, true),
         leaving: all_leaving(gateway),
         ..demand_report(gateway)
@@ -417,8 +430,11 @@
             return None;
         }
         if report_due {
+            let (origins, last_origin) = new_origins(gateway, origins_sent, Scope::Own);
+            origins_sent = last_origin;
             let report = DemandReport {
                 clock_echo,
+                origins,
                 ..demand_report(gateway)
             };
             send(&mut link, &report).await?;
@@ -427,6 +443,17 @@
     }
 }
 
+/// Where streams began since a number of their records, and the number of the last one.
+pub(super) fn new_origins(
+    gateway: &Gateway,
+    after: u64,
+    scope: Scope,
+) -> (Option<OriginNotice>, u64) {
+    let origins = gateway.stream_origins();
+    let notice = origins.new_notice(after, scope, gateway.now());
+    (notice, origins.last_number())
+}
+
 /// Applies an update from another instance.
 pub fn apply_update(gateway: &Gateway, update: FleetUpdate) {
     if !update.config.is_empty() {
@@ -437,6 +464,7 @@
     }
     gateway.record_list_change(update.list_change);
     apply_leaving(gateway, &update.leaving);
+    apply_origins(gateway, update.origins.as_ref());
     apply_grants(gateway, &update.limits, update.live_instances);
     gateway.budgets().resize(update.live_instances);
     gateway.crash_suspects().merge_refused(&update.refused);
--- a/src/gateway/link/message.rs
+++ b/src/gateway/link/message.rs
@@ -7,6 +7,7 @@
 use super::super::exchange::Knowledge;
 use super::super::protocol::{HeldModels, Target};
 use super::super::servers::{EndpointView, LeavingMark, LimitNotice};
+use super::super::stream_origins::OriginNotice;
 use super::evidence::CrashEvidence;
 use super::millis;
 
@@ -142,6 +143,9 @@
     /// Limits that endpoints name, and the permits that the instance asks for.
     #[prost(message, repeated, tag = "9")]
     pub limits: Vec<LimitEntry>,
+    /// Where new streams began; none while each service has a single software version.
+    #[prost(message, optional, tag = "10")]
+    pub origins: Option<OriginNotice>,
     /// What the sender knows, in place of its demand.
     #[prost(message, optional, tag = "20")]
     pub exchange: Option<Knowledge>,
@@ -307,6 +311,9 @@
     /// Limits that endpoints name, and the permits of the receiver, if the sender holds the lease.
     #[prost(message, repeated, tag = "15")]
     pub limits: Vec<LimitEntry>,
+    /// Where new streams began; none while each service has a single software version.
+    #[prost(message, optional, tag = "16")]
+    pub origins: Option<OriginNotice>,
     /// What the sender knows, in answer to the same of the receiver.
     #[prost(message, optional, tag = "20")]
     pub exchange: Option<Knowledge>,
--- a/src/gateway/orders/publish.rs
+++ b/src/gateway/orders/publish.rs
@@ -11,6 +11,7 @@
 use super::super::planner::{EngineAction, TargetDemand};
 use super::super::protocol::Target;
 use super::super::servers::EndpointView;
+use super::super::stream_origins::{OriginNotice, Scope};
 use super::OrderController;
 use super::inbox::LinkReport;
 use super::last_sent::LastSent;
@@ -33,6 +34,8 @@
     pub(super) last_sent: Duration,
     /// Whether it was sent all endpoints that are known to leave.
     leaving_sent: bool,
+    /// Number of the last origin of a stream that it was sent.
+    origins_sent: u64,
     refused_sent: LastSent,
     /// Digests in the evidence about prompt parts that it was sent last.
     crashes_sent: LastSent,
@@ -47,15 +50,7 @@
         limits: &LimitGrants,
         now: Duration,
     ) {
-        let mut loads: BTreeMap<String, u32> = BTreeMap::new();
-        for demand in self.demands() {
-            for count in &demand.running {
-                *loads.entry(count.scope.clone()).or_default() += count.count;
-            }
-        }
-        for (id, record) in self.records.iter_mut() {
-            record.load = loads.get(id).copied().unwrap_or_default();
-        }
+        self.update_loads();
         let views: Vec<EndpointView> = self
             .records
             .iter_mut()
@@ -100,6 +95,8 @@
         self.views
             .update(views.iter().map(EngineView::from_view).collect());
         for (number, peer) in &mut self.peers {
+            let (origins, last_origin) =
+                link::new_origins(&self.gateway, peer.origins_sent, Scope::All);
             let full_due = now >= peer.full_sent + FULL_VIEW_INTERVAL;
             let update = FleetUpdate {
                 holding: true,
@@ -119,6 +116,7 @@
                     link::all_leaving(&self.gateway)
                 },
                 limits: limits.entries(*number),
+                origins,
                 estimates: peer.relevant_estimates(estimates),
                 refused: if full_due || peer.refused_sent.is_due(&refused) {
                     refused.clone()
@@ -138,6 +136,9 @@
                 }
                 let sent = peer.updates.try_send(update).is_ok();
                 peer.leaving_sent |= sent;
+                if sent {
+                    peer.origins_sent = last_origin;
+                }
                 peer.sent_version = if sent { self.views.version() } else { 0 };
                 peer.refused_sent.record(&refused, sent);
                 peer.crashes_sent.record(&crash_ids, sent);
@@ -145,6 +146,19 @@
         }
     }
 
+    /// Sums up the requests that run at each engine, from all instances.
+    fn update_loads(&mut self) {
+        let mut loads: BTreeMap<String, u32> = BTreeMap::new();
+        for demand in self.demands() {
+            for count in &demand.running {
+                *loads.entry(count.scope.clone()).or_default() += count.count;
+            }
+        }
+        for (id, record) in self.records.iter_mut() {
+            record.load = loads.get(id).copied().unwrap_or_default();
+        }
+    }
+
     /// Estimated times until models with waiting requests can be served.
     pub(super) fn estimates(
         &self,
@@ -200,6 +214,7 @@
             full_sent: Duration::ZERO,
             last_sent: Duration::ZERO,
             leaving_sent: false,
+            origins_sent: 0,
             refused_sent: LastSent::default(),
             crashes_sent: LastSent::default(),
         }
@@ -222,4 +237,8 @@
         || !update.refused.is_empty()
         || update.crashes.is_some()
         || update.limits.iter().any(|l| l.granted > 0)
+        || update
+            .origins
+            .as_ref()
+            .is_some_and(OriginNotice::has_streams)
 }
--- a/src/gateway/routing.rs
+++ b/src/gateway/routing.rs
@@ -25,6 +25,7 @@
         SelectionCriteria {
             service: &self.service,
             target: self.head.target.as_ref(),
+            software: self.software.as_deref(),
             domain: &self.gateway.settings.domain,
             prompt_prefix: self.head.prefix_id.as_deref(),
             excluded: &history.failed_endpoints,
@@ -78,7 +79,7 @@
             if *self.gateway.stopping.borrow() {
                 return Err(refusal(Cause::Stopping).retry_after(STOPPING_RETRY_DELAY));
             }
-            if servers.ready_count(&self.service) == 0 {
+            if servers.ready_count(&self.service, self.software.as_deref()) == 0 {
                 return Err(refusal(Cause::NoEndpoint).retry_after(NO_ENDPOINT_RETRY_DELAY));
             }
             let paused_for = servers.pause_left(&self.requirements(history), now);
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -50,6 +50,8 @@
     pub version: u64,
     /// Service chosen among the route's backends.
     pub service: String,
+    /// Software version of the stream's events so far; only endpoints of that one may go on with it.
+    pub software: Option<String>,
     /// HTTP method.
     pub method: Method,
     /// Path and query.
@@ -184,6 +186,7 @@
         head,
         route,
         service,
+        software: None,
         headers,
         body,
         fingerprint,
--- a/src/gateway/servers.rs
+++ b/src/gateway/servers.rs
@@ -1,6 +1,6 @@
 //! Registry of the endpoints that this instance knows, with their state and selection.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -109,14 +109,27 @@
         self.version.subscribe()
     }
 
-    /// Number of endpoints of a service that accept new requests.
+    /// Number of endpoints of a service, and of a software version if any is named, that accept new
+    /// requests.
     #[must_use]
-    pub fn ready_count(&self, service: &str) -> usize {
+    pub fn ready_count(&self, service: &str, software: Option<&str>) -> usize {
         let state = self.state();
-        let matches = |s: &&Server| s.endpoint.service == service && s.accepts_requests();
+        let matches = |s: &&Server| {
+            s.endpoint.service == service && s.has_software(software) && s.accepts_requests()
+        };
         state.servers.values().filter(matches).count()
     }
 
+    /// Services of the known endpoints, each with a software version.
+    #[must_use]
+    pub fn software_versions(&self) -> BTreeSet<(String, String)> {
+        let state = self.state();
+        let endpoints = state.servers.values().map(|s| &s.endpoint);
+        endpoints
+            .map(|e| (e.service.clone(), e.software.clone()))
+            .collect()
+    }
+
     /// Adds an endpoint or updates its description.
     ///
     /// Returns whether it is new, has restarted, or accepts requests no longer or again.
--- a/src/gateway/servers/select.rs
+++ b/src/gateway/servers/select.rs
@@ -31,6 +31,8 @@
     pub service: &'a str,
     /// Model or adapter that the endpoint must hold, if any.
     pub target: Option<&'a Target>,
+    /// Version of its software, if only that one will do.
+    pub software: Option<&'a str>,
     /// Failure domain of this instance; an endpoint in it is preferred.
     pub domain: &'a str,
     /// Id of the prompt's shared prefix; an endpoint that has likely cached it is preferred.
--- a/src/gateway/servers/server.rs
+++ b/src/gateway/servers/server.rs
@@ -106,11 +106,17 @@
     /// Whether it can run a request, but for a pause that it asked for.
     pub(super) fn matches(&self, criteria: &SelectionCriteria<'_>, now: Duration) -> bool {
         self.endpoint.service == criteria.service
+            && self.has_software(criteria.software)
             && self.accepts_requests()
             && !criteria.excluded.contains(&self.endpoint.id)
             && criteria.target.is_none_or(|t| self.can_run(t, now))
     }
 
+    /// Whether it has this software version; any one will do where none is named.
+    pub(super) fn has_software(&self, software: Option<&str>) -> bool {
+        software.is_none_or(|s| s == self.endpoint.software)
+    }
+
     /// Whether it accepts new requests.
     #[must_use]
     pub fn accepts_requests(&self) -> bool {
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -16,6 +16,7 @@
 use super::protocol::{TableFeed, Target, WireProtocol};
 use super::servers::Servers;
 use super::stats::Stats;
+use super::stream_origins::StreamOrigins;
 use crate::clock::Clock;
 use crate::metrics::MetricsError;
 use crate::outbound::{Outbound, OutboundSettings};
@@ -251,6 +252,9 @@
     budgets: Mutex<RetryBudgets>,
     crash_suspects: Mutex<CrashSuspects>,
     crash_parts: Mutex<CrashParts>,
+    stream_origins: Mutex<StreamOrigins>,
+    /// Notified when another instance has told where streams began.
+    pub(super) origins_told: Notify,
 }
 
 /// Assumed number of live instances until the lease holder has reported it.
@@ -299,6 +303,8 @@
             )),
             crash_suspects: Mutex::default(),
             crash_parts: Mutex::default(),
+            stream_origins: Mutex::default(),
+            origins_told: Notify::new(),
             settings,
         }))
     }
@@ -375,6 +381,13 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Software versions at which streams began.
+    pub fn stream_origins(&self) -> MutexGuard<'_, StreamOrigins> {
+        self.stream_origins
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Puts a configuration in force, unless the same or a newer version already is.
     pub fn activate_config(&self, text: &str, from: &'static str) {
         let catalog = match self.platform.wire.decode_catalog(text) {
@@ -386,6 +399,8 @@
             }
         };
         let version = catalog.version;
+        self.stream_origins()
+            .set_retention(catalog.longest_timeout() + ORIGIN_MARGIN);
         self.active_config.send_if_modified(|active| {
             let known = active.as_ref().map(|f| f.catalog.version);
             if known.is_some_and(|v| v >= version) {
@@ -427,6 +442,8 @@
     }
 }
 
+/// Time for which the origin of a stream is remembered beyond the longest timeout of a route.
+const ORIGIN_MARGIN: Duration = Duration::from_secs(5);
 /// Time before the process exits at which requests without an answer are refused.
 const EXIT_MARGIN: Duration = Duration::from_millis(300);
 /// Time-out for connecting to an endpoint; below the 1 s after which a lost SYN is sent again.
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -17,6 +17,7 @@
 use crate::verdict::{Cause, Refusal};
 
 mod events;
+mod origin;
 mod start;
 
 use events::next_events;
@@ -36,6 +37,9 @@
 pub async fn run(mut request: RoutedRequest) -> Response<Body> {
     let mut history = SendHistory::default();
     let last_event = request.head.last_event;
+    if let Err(refusal) = request.require_origin().await {
+        return request.refuse(&refusal, &history);
+    }
     let gateway = std::sync::Arc::clone(&request.gateway);
     let begun = tokio::select! {
         begun = begin_stream(&mut request, &mut history, last_event) => begun,
@@ -45,6 +49,7 @@
     };
     match begun {
         Ok((stream, events)) => {
+            request.record_origin(&stream.selected.software);
             let mut head = (*stream.head).clone();
             strip_connection_headers(&mut head.headers);
             let took = request.now().saturating_sub(request.arrived_at);
--- /dev/null
+++ b/src/gateway/stream/origin.rs
@@ -0,0 +1,62 @@
+//! Software version that a stream has to go on at.
+
+use std::time::Duration;
+
+use tokio::time::timeout;
+
+use super::super::feed::observe_software;
+use super::super::serve::RoutedRequest;
+use super::super::stream_origins::Origin;
+use crate::verdict::{Cause, Refusal};
+
+/// Time that other instances have to tell where a stream began; longer than two of their reports.
+const ORIGIN_TIMEOUT: Duration = Duration::from_millis(600);
+
+impl RoutedRequest {
+    /// Requires the software version at which the resumed stream began, if the request resumes one.
+    ///
+    /// # Errors
+    ///
+    /// A [`Refusal`] where several versions may have begun it and no instance tells which one did.
+    pub(super) async fn require_origin(&mut self) -> Result<(), Refusal> {
+        if self.head.last_event.is_none() && self.head.resumes.is_none() {
+            return Ok(());
+        }
+        observe_software(&self.gateway);
+        let told = timeout(ORIGIN_TIMEOUT.min(self.time_left()), self.known_origin()).await;
+        let Ok(software) = told else {
+            return Err(Refusal::not_run(Cause::UnknownOrigin));
+        };
+        self.software = software;
+        Ok(())
+    }
+
+    /// Waits until the origin of the resumed stream is known; none without any endpoint.
+    async fn known_origin(&self) -> Option<String> {
+        let attempt = self.head.resumes.as_deref().unwrap_or_default();
+        loop {
+            let told = self.gateway.origins_told.notified();
+            let origin = {
+                let origins = self.gateway.stream_origins();
+                origins.origin(attempt, &self.service, self.now())
+            };
+            match origin {
+                Origin::Version(software) => return Some(software),
+                Origin::NoVersion => return None,
+                Origin::Unknown => told.await,
+            }
+        }
+    }
+
+    /// Records the software version of the first event, at which the stream has to go on.
+    pub(super) fn record_origin(&mut self, software: &str) {
+        self.software = Some(software.to_owned());
+        if self.route.kind.is_repeatable() {
+            let attempt = self.head.resumes.as_ref().unwrap_or(&self.head.id);
+            let now = self.now();
+            self.gateway
+                .stream_origins()
+                .record(attempt, &self.service, software, now);
+        }
+    }
+}
--- a/src/verdict.rs
+++ b/src/verdict.rs
@@ -78,6 +78,8 @@
     NoCapacity,
     /// No endpoint of the service is live.
     NoEndpoint,
+    /// Which software version began the resumed stream is not known.
+    UnknownOrigin,
     /// The platform's table service does not answer.
     TableDown,
     /// The endpoint failed.
@@ -117,6 +119,7 @@
             Self::Overload
             | Self::DeadlineTooShort
             | Self::NoCapacity
+            | Self::UnknownOrigin
             | Self::NoEndpoint
             | Self::TableDown
             | Self::Stopping
--- a/tests/endpoint_pauses.rs
+++ b/tests/endpoint_pauses.rs
@@ -11,6 +11,7 @@
 const CRITERIA: SelectionCriteria<'_> = SelectionCriteria {
     service: "calls",
     target: None,
+    software: None,
     domain: "east",
     prompt_prefix: None,
     excluded: &[],
