Planner: a busy model gets its second replica from the weight store

Cause: a model asked for 1.5 times a second is to have two replicas. One that no request waits for was to wait for an engine with its weights on disk, bounded by the wait of its oldest request; without a waiting request there is no such bound.

Change: without waiting requests such a replica takes a slot of the weight store, unless it is the last.

Measured: load_plans busy_model_without_a_free_copy, which failed before.

--- a/src/gateway/planner/model_loads.rs
+++ b/src/gateway/planner/model_loads.rs
@@ -4,8 +4,8 @@
 
 use super::model_summary::ModelSummary;
 use super::{
-    EngineAction, EngineState, LoadedModel, PlannedAction, Planner, StoreCapacity, TargetDemand,
-    WeightSource, load_time, weight_source,
+    EngineAction, EngineState, LoadedModel, PREFETCH_RESERVED_SLOTS, PlannedAction, Planner,
+    StoreCapacity, TargetDemand, WeightSource, load_time, weight_source,
 };
 
 /// Share of an engine's request slots that one model may fill before it gets another replica.
@@ -107,7 +107,7 @@
         let store_open = capacity.slots > 0 && capacity.tokens > 0;
         let option = self.best_option(model, store_open)?;
         if option.source == WeightSource::Store {
-            if urgent && self.local_copy_expected(model) {
+            if urgent && !self.may_load_from_store(model, *capacity) {
                 return None;
             }
             capacity.slots -= 1;
@@ -158,6 +158,16 @@
         best
     }
 
+    /// Whether a model that needs another replica may take a slot of the weight store now.
+    ///
+    /// Without waiting requests there is no bound on the wait for an engine that has a copy.
+    fn may_load_from_store(&self, model: &str, capacity: StoreCapacity) -> bool {
+        if self.demand(model).waiting == 0 {
+            return capacity.slots > PREFETCH_RESERVED_SLOTS;
+        }
+        !self.local_copy_expected(model)
+    }
+
     /// Whether to wait for an engine that has a copy instead of loading from the weight store.
     ///
     /// Such an engine is expected to become available sooner than the store delivers, until the
--- a/tests/load_plans.rs
+++ b/tests/load_plans.rs
@@ -415,3 +415,47 @@
     assert_eq!(steps[0].engine, "free");
     assert_eq!(decide(&spec(&["a"]), vec![limited], &wants), Vec::new());
 }
+
+/// A busy model with one replica; the only other engine that has its weights is full.
+fn second_replica(capacity: StoreCapacity) -> Vec<PlannedAction> {
+    let mut first = engine("first", &["busy"]);
+    for loaded in first.models.values_mut() {
+        loaded.running = 5;
+    }
+    let mut full = engine("full", &["a", "b", "c"]);
+    full.on_disk.insert("busy".into());
+    for loaded in full.models.values_mut() {
+        loaded.running = 1;
+    }
+    let rate = TargetDemand {
+        request_rate: 5.0,
+        ..TargetDemand::default()
+    };
+    let fleet = Fleet {
+        engines: vec![first, full, engine("empty", &[])],
+        demand: BTreeMap::from([(on("busy", None), rate)]),
+    };
+    let spec = spec(&["busy", "a", "b", "c", "unasked"]);
+    plan(&spec, &fleet, capacity, NOW)
+}
+
+/// Guards against a busy model that stays on one engine for as long as the engine with its weights is
+/// full, while models are loaded that nobody asks for: all its streams ended with that engine.
+#[test]
+fn busy_model_without_a_free_copy() {
+    let steps = second_replica(ROOM);
+    assert_eq!(
+        (steps[0].urgent, swap(&steps[0]).0, swap(&steps[0]).2),
+        (true, "empty", WeightSource::Store)
+    );
+}
+
+/// The last slot of the weight store is left to models that requests wait for.
+#[test]
+fn second_replica_leaves_a_slot() {
+    let last = StoreCapacity {
+        slots: 1,
+        tokens: 10,
+    };
+    assert_eq!(second_replica(last), []);
+}
