Planner: loads for streams that can go on at one software version only

Cause: demand has no software version, so that a replica or a load at another version counted for it.

Change: demand reports name the version of such waiting requests, and the planner loads their models and adapters at engines of that version, from memory or disk. Where none of them has the weights the request is refused at once.

Measured: load_plans pinned_model_from_disk and pinned_adapter_at_its_version, which fail without the pass for pinned targets.

--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -4,6 +4,7 @@
 //! other instance responds with the holder and the configuration that it knows, so that a new
 //! instance can join through any of them.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -18,8 +19,9 @@
 use super::exchange;
 use super::lease::LeaseRow;
 use super::orders::inbox::{DemandInbox, LinkReport};
+use super::protocol::Target;
 use super::servers::EndpointView;
-use super::shared::Gateway;
+use super::shared::{Gateway, ModelDemand, WaitingRequest};
 use super::stream_origins::{OriginNotice, Scope};
 
 mod evidence;
@@ -136,25 +138,10 @@
 #[must_use]
 pub fn demand_report(gateway: &Gateway) -> DemandReport {
     let now = gateway.now();
-    let requested = gateway
-        .demand
-        .take_demand()
-        .into_iter()
-        .map(|((service, target), asked)| {
-            let waiting = || asked.waiting.values();
-            let oldest = waiting().map(|w| w.arrived_at).min().unwrap_or(now);
-            let objective = waiting().map(|w| w.objective).max();
-            let in_time_until = waiting().map(|w| w.arrived_at + w.objective).max();
-            TargetCount {
-                count: u32::try_from(asked.waiting.len()).unwrap_or(u32::MAX),
-                arrivals: asked.arrivals,
-                wait_ms: millis(now.saturating_sub(oldest)),
-                objective_ms: millis(objective.unwrap_or_default()),
-                left_ms: millis(in_time_until.unwrap_or(now).saturating_sub(now)),
-                ..TargetCount::new(&service, &target)
-            }
-        });
-    let requested = requested.collect();
+    let mut requested = Vec::new();
+    for ((service, target), demand) in gateway.demand.take_demand() {
+        requested.extend(target_counts(&service, &target, &demand, now));
+    }
     let mut running = Vec::new();
     let catalog = gateway.catalog();
     for (service, _) in catalog.iter().flat_map(|c| c.engines()) {
@@ -180,6 +167,40 @@
     }
 }
 
+/// Demand for a target, and beside it that of requests which may run at one software version only.
+fn target_counts(
+    service: &str,
+    target: &Target,
+    demand: &ModelDemand,
+    now: Duration,
+) -> Vec<TargetCount> {
+    let mut versions: BTreeMap<Option<&String>, Vec<&WaitingRequest>> =
+        BTreeMap::from([(None, Vec::new())]);
+    for request in demand.waiting.values() {
+        let software = request.software.as_ref();
+        versions.entry(software).or_default().push(request);
+    }
+    let counts = versions.into_iter().map(|(software, waiting)| {
+        let oldest = waiting.iter().map(|w| w.arrived_at).min().unwrap_or(now);
+        let objective = waiting.iter().map(|w| w.objective).max();
+        let in_time_until = waiting.iter().map(|w| w.arrived_at + w.objective).max();
+        TargetCount {
+            count: u32::try_from(waiting.len()).unwrap_or(u32::MAX),
+            arrivals: if software.is_none() {
+                demand.arrivals
+            } else {
+                0
+            },
+            wait_ms: millis(now.saturating_sub(oldest)),
+            objective_ms: millis(objective.unwrap_or_default()),
+            left_ms: millis(in_time_until.unwrap_or(now).saturating_sub(now)),
+            software: software.cloned().unwrap_or_default(),
+            ..TargetCount::new(service, target)
+        }
+    });
+    counts.collect()
+}
+
 /// Takes over where streams began at other instances.
 pub(super) fn apply_origins(gateway: &Gateway, origins: Option<&OriginNotice>) {
     if let Some(notice) = origins {
--- a/src/gateway/link/message.rs
+++ b/src/gateway/link/message.rs
@@ -41,6 +41,9 @@
     /// In demand reports, how long an answer is still in time for one of them, in milliseconds.
     #[prost(uint32, tag = "8")]
     pub left_ms: u32,
+    /// In demand reports, the only software version at which the requests may run; empty for any.
+    #[prost(string, tag = "9")]
+    pub software: String,
 }
 
 impl TargetCount {
--- a/src/gateway/orders/fleet.rs
+++ b/src/gateway/orders/fleet.rs
@@ -1,10 +1,10 @@
 //! Input of the planner: known states of engines and the demand of all instances.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use super::super::link::DemandReport;
-use super::super::planner::{Fleet, TargetDemand};
+use super::super::planner::{Fleet, PinnedTarget, TargetDemand};
 use super::super::protocol::Target;
 use super::OrderController;
 
@@ -31,12 +31,20 @@
                     .request_rate = rate.at(now);
             }
         }
+        let mut pinned = BTreeSet::new();
         let mut running: BTreeMap<&str, BTreeMap<Target, u32>> = BTreeMap::new();
         for demand in self.demands() {
             for count in demand.requested.iter().filter(|c| c.scope == service) {
                 if count.count == 0 {
                     continue;
                 }
+                if !count.software.is_empty() {
+                    pinned.insert(PinnedTarget {
+                        software: count.software.clone(),
+                        target: count.target(),
+                    });
+                    continue;
+                }
                 let since = now.saturating_sub(Duration::from_millis(count.wait_ms.into()));
                 let target_demand = target_demands.entry(count.target()).or_default();
                 target_demand.oldest_arrival = if target_demand.waiting == 0 {
@@ -62,6 +70,7 @@
         Fleet {
             engines: self.records.states(service, running_on, now),
             demand: target_demands,
+            pinned,
         }
     }
 }
--- a/src/gateway/orders/inbox.rs
+++ b/src/gateway/orders/inbox.rs
@@ -84,7 +84,10 @@
 fn add_events(demand: &mut DemandReport, earlier: DemandReport) {
     for count in earlier.requested.into_iter().filter(|c| c.arrivals > 0) {
         let same = demand.requested.iter_mut().find(|c| {
-            c.scope == count.scope && c.model == count.model && c.adapter == count.adapter
+            c.scope == count.scope
+                && c.model == count.model
+                && c.adapter == count.adapter
+                && c.software == count.software
         });
         match same {
             Some(newer) => newer.arrivals += count.arrivals,
--- a/src/gateway/orders/record.rs
+++ b/src/gateway/orders/record.rs
@@ -44,6 +44,8 @@
     pub address: SocketAddr,
     /// Failure domain.
     pub domain: String,
+    /// Version of its software.
+    pub software: String,
     /// Start of the engine, in Unix milliseconds; 0 where unknown.
     pub started_ms: u64,
     /// Models that it holds, each with its adapters.
@@ -87,6 +89,7 @@
             service: endpoint.service.clone(),
             address: endpoint.address,
             domain: endpoint.domain.clone(),
+            software: endpoint.software.clone(),
             started_ms: endpoint.start_ms,
             models: endpoint.models.clone(),
             swap: None,
@@ -296,6 +299,7 @@
         EngineState {
             id: id.to_owned(),
             domain: self.domain.clone(),
+            software: self.software.clone(),
             models: models.collect(),
             loading_adapters: self.pending_adapters.clone(),
             in_memory: self.warm.clone(),
--- a/src/gateway/planner.rs
+++ b/src/gateway/planner.rs
@@ -15,6 +15,7 @@
 mod adapters;
 mod model_loads;
 mod model_summary;
+mod pinned;
 
 use model_summary::{ModelSummary, summarize};
 
@@ -39,6 +40,8 @@
     pub id: String,
     /// Failure domain.
     pub domain: String,
+    /// Version of its software.
+    pub software: String,
     /// Models loaded on it.
     pub models: BTreeMap<String, LoadedModel>,
     /// Adapters being loaded.
@@ -98,6 +101,17 @@
     pub engines: Vec<EngineState>,
     /// Demand per model and adapter.
     pub demand: BTreeMap<Target, TargetDemand>,
+    /// Targets that streams wait for at engines of one software version.
+    pub pinned: BTreeSet<PinnedTarget>,
+}
+
+/// A model or adapter, and the software version of the engines that may serve it.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct PinnedTarget {
+    /// Version of the software.
+    pub software: String,
+    /// Model or adapter.
+    pub target: Target,
 }
 
 /// Storage from which a model's weights are loaded, nearest first.
@@ -176,14 +190,15 @@
     mut capacity: StoreCapacity,
     now: Duration,
 ) -> Vec<PlannedAction> {
+    let mut engines = fleet.engines.clone();
+    let mut actions = pinned::plan(spec, fleet, &mut engines, now);
     let mut planner = Planner {
         spec,
-        engines: fleet.engines.clone(),
+        summaries: summarize(&engines, &fleet.demand),
+        engines,
         demand: &fleet.demand,
-        summaries: summarize(fleet),
         now,
     };
-    let mut actions = Vec::new();
     for model in planner.underreplicated_models() {
         if let Some(action) = planner.plan_model_load(&model, &mut capacity, true) {
             actions.push(action);
--- a/src/gateway/planner/adapters.rs
+++ b/src/gateway/planner/adapters.rs
@@ -24,7 +24,7 @@
         missing.into_iter().map(|(_, target)| target).collect()
     }
 
-    fn held_or_loading(&self, target: &Target) -> bool {
+    pub(super) fn held_or_loading(&self, target: &Target) -> bool {
         let name = target.adapter_name();
         let has_model = |e: &EngineState| e.serves() && e.models.contains_key(&target.model);
         let mut with_model = self.engines.iter().filter(|e| has_model(e));
--- a/src/gateway/planner/model_summary.rs
+++ b/src/gateway/planner/model_summary.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::{Fleet, TargetDemand};
+use super::{EngineState, Target, TargetDemand};
 
 /// Totals of a model over all engines, computed once per plan.
 #[derive(Debug, Clone, Copy, Default)]
@@ -18,9 +18,12 @@
     pub(super) has_copy: bool,
 }
 
-pub(super) fn summarize(fleet: &Fleet) -> BTreeMap<String, ModelSummary> {
+pub(super) fn summarize(
+    engines: &[EngineState],
+    demand: &BTreeMap<Target, TargetDemand>,
+) -> BTreeMap<String, ModelSummary> {
     let mut summaries: BTreeMap<String, ModelSummary> = BTreeMap::new();
-    for (target, demand) in &fleet.demand {
+    for (target, demand) in demand {
         let summary = summaries.entry(target.model.clone()).or_default();
         let total = summary.demand.get_or_insert(TargetDemand {
             oldest_arrival: Duration::MAX,
@@ -34,7 +37,7 @@
             total.in_time_until = total.in_time_until.max(demand.in_time_until);
         }
     }
-    for engine in fleet.engines.iter().filter(|e| e.serves()) {
+    for engine in engines.iter().filter(|e| e.serves()) {
         let rate = |model: &String| {
             let demand = summaries.get(model).and_then(|s| s.demand);
             demand.unwrap_or_default().request_rate
--- a/src/gateway/routing.rs
+++ b/src/gateway/routing.rs
@@ -4,13 +4,14 @@
 
 use super::admission;
 use super::crash_evidence::refusal_for;
+use super::protocol::Target;
 use super::serve::{
     NO_ENDPOINT_RETRY_DELAY, OVERLOAD_RETRY_DELAY, RoutedRequest, STOPPING_RETRY_DELAY, SendHistory,
 };
 use super::servers::{
     LimitedEndpoint, PermitWait, SelectedEndpoint, SelectionCriteria, TRIAL_INTERVAL,
 };
-use super::shared::WaitingRequest;
+use super::shared::{WaitGuard, WaitingRequest};
 use crate::verdict::{Cause, Refusal};
 
 /// Least time before the caller's deadline for sending a call; a refusal still reaches the caller.
@@ -105,11 +106,18 @@
                 }
                 continue;
             };
-            let estimated = self.gateway.ready_estimate(&self.service, target);
+            let pinned = self.pinned_software();
+            if pinned.is_some() && !servers.has_copy(&self.requirements(history)) {
+                return Err(refusal(Cause::NoCapacity));
+            }
+            let estimated = match pinned {
+                Some(_) => None,
+                None => self.gateway.ready_estimate(&self.service, target),
+            };
             let ready_in = estimated.into_iter().chain(held_for).min();
             let unknown_limit = admission::max_unknown_wait(&self.route);
             // When a permit comes is not sure: more urgent requests go first.
-            let is_unsure = estimated.is_none() && paused_for.is_none();
+            let is_unsure = estimated.is_none() && paused_for.is_none() && pinned.is_none();
             let is_long =
                 is_unsure && now > self.arrived_at + unknown_limit && history.possible_runs == 0;
             let too_late = is_long || ready_in.is_some_and(|ready_in| now + ready_in > send_by);
@@ -118,18 +126,9 @@
                 return Err(refusal(Cause::DeadlineTooShort).retry_after(retry_in));
             }
             if waiting.is_none() {
-                let demand_tracker = &self.gateway.demand;
-                let request = WaitingRequest {
-                    arrived_at: self.arrived_at,
-                    objective: self.route.latency_objective,
-                };
-                waiting = Some(demand_tracker.register_wait(&self.service, target, request));
+                waiting = Some(self.register_wait(target, pinned));
                 if limited.is_none() {
-                    log::info!(id = self.head.id.as_str(), service = self.service.as_str(),
-                        model = target.model.as_str(),
-                        adapter = target.adapter_name(),
-                        left_ms = super::link::millis(send_by.saturating_sub(now));
-                        "no endpoint holds the model; waiting");
+                    self.log_wait(target, pinned, send_by.saturating_sub(now));
                 }
             }
             self.join_permit_queue(&mut permit_wait, limited);
@@ -144,6 +143,31 @@
         }
     }
 
+    /// Counts the request as waiting for its model until the guard is dropped.
+    fn register_wait(&self, target: &Target, software: Option<&str>) -> WaitGuard {
+        let request = WaitingRequest {
+            arrived_at: self.arrived_at,
+            objective: self.route.latency_objective,
+            software: software.map(str::to_owned),
+        };
+        let demand = &self.gateway.demand;
+        demand.register_wait(&self.service, target, request)
+    }
+
+    fn log_wait(&self, target: &Target, software: Option<&str>, left: Duration) {
+        log::info!(id = self.head.id.as_str(), service = self.service.as_str(),
+            model = target.model.as_str(), adapter = target.adapter_name(),
+            software = software.unwrap_or_default(), left_ms = super::link::millis(left);
+            "no endpoint holds the model; waiting");
+    }
+
+    /// Software version that the stream has to go on at, where endpoints of others serve beside it.
+    fn pinned_software(&self) -> Option<&str> {
+        let software = self.software.as_deref()?;
+        let ready = |software| self.gateway.servers.ready_count(&self.service, software);
+        (ready(None) > ready(Some(software))).then_some(software)
+    }
+
     /// Waits for a permit of the endpoint with a limit that is expected to have one first, if any.
     fn join_permit_queue(
         &self,
--- a/src/gateway/servers/select.rs
+++ b/src/gateway/servers/select.rs
@@ -80,6 +80,23 @@
         })
     }
 
+    /// Whether an endpoint that may run a request has its model, or weights of it nearby.
+    #[must_use]
+    pub fn has_copy(&self, criteria: &SelectionCriteria<'_>) -> bool {
+        let Some(Target { model, .. }) = criteria.target else {
+            return true;
+        };
+        let state = self.state();
+        state.servers.values().any(|s| {
+            let held = s.models.contains_key(model) || s.endpoint.models.contains_key(model);
+            let stored = [&s.endpoint.memory_models, &s.endpoint.disk_models];
+            s.endpoint.service == criteria.service
+                && s.has_software(criteria.software)
+                && s.accepts_requests()
+                && (held || stored.into_iter().any(|models| models.contains(model)))
+        })
+    }
+
     /// Time until the first endpoint that could run a request ends its pause; none without a pause.
     #[must_use]
     pub fn pause_left(&self, criteria: &SelectionCriteria<'_>, now: Duration) -> Option<Duration> {
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -118,12 +118,14 @@
 }
 
 /// A request that waits for its model.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct WaitingRequest {
     /// When it arrived.
     pub arrived_at: Duration,
     /// Objective for the time to its answer.
     pub objective: Duration,
+    /// Only software version at which it may run, where others serve beside it.
+    pub software: Option<String>,
 }
 
 /// Service, and model or adapter.
--- a/tests/load_plans.rs
+++ b/tests/load_plans.rs
@@ -5,8 +5,8 @@
 
 use brassrack::gateway::catalog::{Engine, Model};
 use brassrack::gateway::planner::{
-    EngineAction, EngineState, Fleet, LoadedModel, PlannedAction, StoreCapacity, TargetDemand,
-    WeightSource, plan,
+    EngineAction, EngineState, Fleet, LoadedModel, PinnedTarget, PlannedAction, StoreCapacity,
+    TargetDemand, WeightSource, plan,
 };
 use brassrack::gateway::protocol::Target;
 
@@ -77,6 +77,7 @@
     let fleet = Fleet {
         engines,
         demand: wants.iter().cloned().collect::<BTreeMap<_, _>>(),
+        ..Fleet::default()
     };
     let steps = plan(spec, &fleet, ROOM, NOW);
     steps.into_iter().filter(|s| s.urgent).collect()
@@ -166,6 +167,7 @@
     let fleet = Fleet {
         engines: vec![engine("1", &["a", "b", "c"])],
         demand: BTreeMap::new(),
+        ..Fleet::default()
     };
     let steps = plan(&spec, &fleet, ROOM, NOW);
     assert!(!steps[0].urgent);
@@ -179,6 +181,7 @@
     let fleet = Fleet {
         engines: vec![engine("1", &["a", "b", "c"])],
         demand: BTreeMap::from([(on("x", None), waiting(1))]),
+        ..Fleet::default()
     };
     let none = StoreCapacity {
         slots: 0,
@@ -237,6 +240,7 @@
         let fleet = Fleet {
             engines,
             demand: wants,
+            ..Fleet::default()
         };
         for step in plan(&spec, &fleet, ROOM, NOW) {
             let at = fleet.engines.iter().find(|e| e.id == step.engine).unwrap();
@@ -434,6 +438,7 @@
     let fleet = Fleet {
         engines: vec![first, full, engine("empty", &[])],
         demand: BTreeMap::from([(on("busy", None), rate)]),
+        ..Fleet::default()
     };
     let spec = spec(&["busy", "a", "b", "c", "unasked"]);
     plan(&spec, &fleet, capacity, NOW)
@@ -459,3 +464,48 @@
     };
     assert_eq!(second_replica(last), []);
 }
+
+/// Streams begun at v1 wait for a model or adapter that an engine of v2 has.
+fn pinned_plan(target: Target, old: EngineState) -> Vec<PlannedAction> {
+    let mut newer = engine("new", &["m"]);
+    newer.software = "v2".into();
+    for loaded in newer.models.values_mut() {
+        loaded.adapters.insert("a1".into(), 0);
+    }
+    let old = EngineState {
+        software: "v1".into(),
+        ..old
+    };
+    let fleet = Fleet {
+        engines: vec![newer, old],
+        pinned: BTreeSet::from([PinnedTarget {
+            software: "v1".into(),
+            target,
+        }]),
+        ..Fleet::default()
+    };
+    let steps = plan(&spec(&["m", "n"]), &fleet, ROOM, NOW);
+    steps.into_iter().filter(|s| s.urgent).collect()
+}
+
+/// Guards against streams of one software version that wait in vain, as a replica at another version
+/// counts for theirs.
+#[test]
+fn pinned_model_from_disk() {
+    let mut old = engine("old", &["n"]);
+    old.on_disk.insert("m".into());
+    let steps = pinned_plan(on("m", None), old);
+    assert_eq!((swap(&steps[0]).0, steps.len()), ("old", 1));
+}
+
+/// A load from the weight store takes longer than callers wait for a stream to go on.
+#[test]
+fn pinned_model_is_not_fetched() {
+    assert_eq!(pinned_plan(on("m", None), engine("old", &["n"])), []);
+}
+
+#[test]
+fn pinned_adapter_at_its_version() {
+    let steps = pinned_plan(on("m", Some("a1")), engine("old", &["m"]));
+    assert_eq!((steps[0].engine.as_str(), steps.len()), ("old", 1));
+}
--- a/tests/order_model/holder.rs
+++ b/tests/order_model/holder.rs
@@ -144,6 +144,7 @@
         let fleet = Fleet {
             engines: self.records.states("writers", |_, _| 0, now),
             demand: self.demand(now),
+            ..Fleet::default()
         };
         let room = StoreCapacity {
             slots: 4,
