--- a/src/gateway/planner/model_loads.rs
+++ b/src/gateway/planner/model_loads.rs
@@ -160,9 +160,9 @@
 
     /// Whether a model that needs another replica may take a slot of the weight store now.
     ///
-    /// Without waiting requests there is no bound on the wait for an engine that has a copy.
+    /// Only requests that wait for a first replica bound the wait for an engine that has a copy.
     fn may_load_from_store(&self, model: &str, capacity: StoreCapacity) -> bool {
-        if self.demand(model).waiting == 0 {
+        if self.replicas(model) > 0 || self.demand(model).waiting == 0 {
             return capacity.slots > PREFETCH_RESERVED_SLOTS;
         }
         !self.local_copy_expected(model)
--- a/tests/load_plans.rs
+++ b/tests/load_plans.rs
@@ -421,7 +421,7 @@
 }
 
 /// A busy model with one replica; the only other engine that has its weights is full.
-fn second_replica(capacity: StoreCapacity) -> Vec<PlannedAction> {
+fn second_replica(capacity: StoreCapacity, waits: &[(Target, TargetDemand)]) -> Vec<PlannedAction> {
     let mut first = engine("first", &["busy"]);
     for loaded in first.models.values_mut() {
         loaded.running = 5;
@@ -437,7 +437,7 @@
     };
     let fleet = Fleet {
         engines: vec![first, full, engine("empty", &[])],
-        demand: BTreeMap::from([(on("busy", None), rate)]),
+        demand: BTreeMap::from_iter([(on("busy", None), rate)].iter().chain(waits).cloned()),
         ..Fleet::default()
     };
     let spec = spec(&["busy", "a", "b", "c", "unasked"]);
@@ -448,7 +448,7 @@
 /// full, while models are loaded that nobody asks for: all its streams ended with that engine.
 #[test]
 fn busy_model_without_a_free_copy() {
-    let steps = second_replica(ROOM);
+    let steps = second_replica(ROOM, &[]);
     assert_eq!(
         (steps[0].urgent, swap(&steps[0]).0, swap(&steps[0]).2),
         (true, "empty", WeightSource::Store)
@@ -462,7 +462,18 @@
         slots: 1,
         tokens: 10,
     };
-    assert_eq!(second_replica(last), []);
+    assert_eq!(second_replica(last, &[]), []);
+}
+
+/// Guards against the same where requests wait for adapters of the model, each for a moment: the
+/// wait for the engine with its weights began anew with each of them.
+#[test]
+fn busy_model_with_waits_for_adapters() {
+    let steps = second_replica(ROOM, &[(on("busy", Some("a1")), waiting(1))]);
+    assert_eq!(
+        (swap(&steps[0]).0, swap(&steps[0]).2),
+        ("empty", WeightSource::Store)
+    );
 }
 
 /// Streams begun at v1 wait for a model or adapter that an engine of v2 has.
