Retries: a connection that cannot be opened spends no retry budget

Cause: the budget bounds what reaches endpoints, but each send counted. A request that was never connected has not arrived anywhere; the limit of sends that did not run still bounds the tries.

--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -189,6 +189,7 @@
                 };
                 servers.record_outcome(selected.key, outcome, now);
                 history.failed_endpoints.push(selected.id.clone());
+                history.unconnected += u32::from(error.fault == SendFault::Connect);
                 if error.fault == SendFault::Closed {
                     self.gateway
                         .crash_suspects()
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -79,6 +79,8 @@
     pub failed_endpoints: Vec<String>,
     /// Number of sends.
     pub sends: u32,
+    /// Number of sends that ended as no connection could be opened.
+    pub unconnected: u32,
     /// Number of failed sends whose request ran or may have run.
     pub possible_runs: u32,
     /// Number of sends whose request certainly did not run.
@@ -298,7 +300,8 @@
         self.route.kind.is_repeatable() && status >= 500
     }
 
-    /// Whether the request may be sent now; every send after the first spends retry budget.
+    /// Whether the request may be sent now; every send after the first one that reached an endpoint
+    /// spends retry budget.
     #[must_use]
     pub fn take_send_permit(&self, history: &SendHistory) -> bool {
         if history.sends == 0 {
@@ -311,6 +314,9 @@
         if history.not_run >= MAX_NOT_RUN_SENDS {
             return false;
         }
+        if history.sends == history.unconnected {
+            return true;
+        }
         let granted = self.gateway.budgets().try_spend(&self.service, self.now());
         if !granted {
             log::info!(id = self.head.id.as_str(), service = self.service.as_str(),
