--- a/tests/load_plans.rs
+++ b/tests/load_plans.rs
@@ -437,7 +437,11 @@
     };
     let fleet = Fleet {
         engines: vec![first, full, engine("empty", &[])],
-        demand: BTreeMap::from_iter([(on("busy", None), rate)].iter().chain(waits).cloned()),
+        demand: [(on("busy", None), rate)]
+            .iter()
+            .chain(waits)
+            .cloned()
+            .collect(),
         ..Fleet::default()
     };
     let spec = spec(&["busy", "a", "b", "c", "unasked"]);
