Detour: an instance without a path to endpoints serves through another one

Cause: an instance had no way to an endpoint but its own connections, and stayed ready, as callers still reached it. Class: a dependency is out of reach from one place, and that place answers for all of it.

Change: connects that fail at several endpoints in a row without one that succeeds show that a service is out of reach; probes, only while that is suspected, find it for all services and find its end. A request is passed on once. A call that may run once is not passed on again after it may have run.

--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -163,6 +163,8 @@
         crashes: crash_report(gateway, false),
         limits: limit_entries(gateway),
         origins: None,
+        address: gateway.settings.peers_addr.to_string(),
+        cut_off: !gateway.cut_services.borrow().is_empty(),
         exchange: None,
     }
 }
@@ -486,6 +488,10 @@
     gateway.record_list_change(update.list_change);
     apply_leaving(gateway, &update.leaving);
     apply_origins(gateway, update.origins.as_ref());
+    if !update.detours.is_empty() {
+        let detours = update.detours.iter().filter_map(|a| a.parse().ok());
+        gateway.detours.send_replace(detours.collect());
+    }
     apply_grants(gateway, &update.limits, update.live_instances);
     gateway.budgets().resize(update.live_instances);
     gateway.crash_suspects().merge_refused(&update.refused);
--- a/src/gateway/link/message.rs
+++ b/src/gateway/link/message.rs
@@ -149,6 +149,12 @@
     /// Where new streams began; none while each service has a single software version.
     #[prost(message, optional, tag = "10")]
     pub origins: Option<OriginNotice>,
+    /// Address at which the instance accepts links.
+    #[prost(string, tag = "11")]
+    pub address: String,
+    /// Whether it has no path to the endpoints of some service.
+    #[prost(bool, tag = "12")]
+    pub cut_off: bool,
     /// What the sender knows, in place of its demand.
     #[prost(message, optional, tag = "20")]
     pub exchange: Option<Knowledge>,
@@ -317,6 +323,9 @@
     /// Where new streams began; none while each service has a single software version.
     #[prost(message, optional, tag = "16")]
     pub origins: Option<OriginNotice>,
+    /// Addresses of instances with a path to endpoints, if the receiver has none to some service.
+    #[prost(string, repeated, tag = "17")]
+    pub detours: Vec<String>,
     /// What the sender knows, in answer to the same of the receiver.
     #[prost(message, optional, tag = "20")]
     pub exchange: Option<Knowledge>,
--- a/src/gateway/orders/publish.rs
+++ b/src/gateway/orders/publish.rs
@@ -4,6 +4,7 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use rand::seq::SliceRandom;
 use tokio::sync::mpsc;
 
 use super::super::catalog::Catalog;
@@ -19,6 +20,8 @@
 
 /// Interval between sends of all views to an instance.
 const FULL_VIEW_INTERVAL: Duration = Duration::from_secs(1);
+/// Most instances with a path to endpoints that one without is told of.
+const MAX_DETOURS: usize = 16;
 /// Longest interval between updates to an instance; they carry the lease holder's clock.
 const MAX_UPDATE_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -51,22 +54,7 @@
         now: Duration,
     ) {
         self.update_loads();
-        let views: Vec<EndpointView> = self
-            .records
-            .iter_mut()
-            .filter(|(_, record)| !record.state_unknown)
-            .map(|(id, record)| EndpointView {
-                id: id.clone(),
-                started_ms: record.started_ms,
-                accepted_orders: record.accepted_count(),
-                models: record.models.clone(),
-                unloading: record.unloading_models(),
-                load: record.load,
-                running: record.running,
-                queued: record.queued,
-                draining: record.leaving,
-            })
-            .collect();
+        let views = self.engine_views();
         let version = self
             .lease
             .lock()
@@ -83,6 +71,9 @@
             parts.notice(now)
         };
         let crash_ids = crashes.ids();
+        let detours = self.detours();
+        let own_detours = detours.iter().filter_map(|a| a.parse().ok()).collect();
+        self.gateway.detours.send_replace(own_detours);
         let live = u32::try_from(self.peers.len() + 1).unwrap_or(u32::MAX);
         self.gateway.servers.apply_views(&views, now);
         self.gateway.budgets().resize(live);
@@ -117,6 +108,11 @@
                 },
                 limits: limits.entries(*number),
                 origins,
+                detours: if peer.demand.cut_off {
+                    detours.clone()
+                } else {
+                    Vec::new()
+                },
                 estimates: peer.relevant_estimates(estimates),
                 refused: if full_due || peer.refused_sent.is_due(&refused) {
                     refused.clone()
@@ -146,6 +142,39 @@
         }
     }
 
+    /// Views of the engines whose state is known.
+    fn engine_views(&mut self) -> Vec<EndpointView> {
+        self.records
+            .iter_mut()
+            .filter(|(_, record)| !record.state_unknown)
+            .map(|(id, record)| EndpointView {
+                id: id.clone(),
+                started_ms: record.started_ms,
+                accepted_orders: record.accepted_count(),
+                models: record.models.clone(),
+                unloading: record.unloading_models(),
+                load: record.load,
+                running: record.running,
+                queued: record.queued,
+                draining: record.leaving,
+            })
+            .collect()
+    }
+
+    /// Addresses of some instances with a path to endpoints, if any instance has none.
+    fn detours(&self) -> Vec<String> {
+        if self.demands().all(|d| !d.cut_off) {
+            return Vec::new();
+        }
+        let open = self
+            .demands()
+            .filter(|d| !d.cut_off && !d.address.is_empty());
+        let mut addresses: Vec<String> = open.map(|d| d.address.clone()).collect();
+        addresses.shuffle(&mut rand::rng());
+        addresses.truncate(MAX_DETOURS);
+        addresses
+    }
+
     /// Sums up the requests that run at each engine, from all instances.
     fn update_loads(&mut self) {
         let mut loads: BTreeMap<String, u32> = BTreeMap::new();
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -198,6 +198,8 @@
     pub last_event: Option<u64>,
     /// Id of the attempt that brought the first event of the stream that this one resumes.
     pub resumes: Option<String>,
+    /// Whether another instance without a path to endpoints passed it here.
+    pub detoured: bool,
 }
 
 /// Values that a request to an endpoint carries in its headers.
@@ -315,6 +317,9 @@
     /// Sets the headers of a request to an endpoint and removes those that callers may not set.
     fn set_dispatch_headers(&self, headers: &mut HeaderMap, dispatch: &DispatchHead);
 
+    /// Sets the headers of a request that is passed to another instance.
+    fn set_detour_headers(&self, headers: &mut HeaderMap, time_left: Duration);
+
     /// Decodes the head of an endpoint's response, and removes what is not for callers.
     fn decode_response_head(&self, head: &mut response::Parts) -> ResponseHead;
 
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -13,7 +13,7 @@
 use super::headers::strip_connection_headers;
 use super::protocol::RequestHead;
 use super::shared::Gateway;
-use super::{crash_evidence, forward, stream};
+use super::{crash_evidence, detour, forward, stream};
 use crate::http::Body;
 use crate::request::{self, discard_body};
 use crate::request_context::RequestLimits;
@@ -196,6 +196,15 @@
         arrived_at,
         deadline,
     };
+    if routed.gateway.is_cut_off(&routed.service) {
+        if routed.head.detoured {
+            let refusal = Refusal::not_run(Cause::NoEndpoint).retry_after(NO_ENDPOINT_RETRY_DELAY);
+            return routed.refuse(&refusal, &SendHistory::default());
+        }
+        if let Some(response) = detour::run(&routed).await {
+            return response;
+        }
+    }
     routed.record_arrival();
     if routed.route.kind.is_stream() {
         stream::run(routed).await
--- a/src/gateway/servers.rs
+++ b/src/gateway/servers.rs
@@ -1,6 +1,7 @@
 //! Registry of the endpoints that this instance knows, with their state and selection.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -120,6 +121,19 @@
         state.servers.values().filter(matches).count()
     }
 
+    /// Addresses of the endpoints that accept new requests, by service.
+    #[must_use]
+    pub fn ready_addresses(&self) -> BTreeMap<String, Vec<SocketAddr>> {
+        let state = self.state();
+        let mut addresses: BTreeMap<String, Vec<SocketAddr>> = BTreeMap::new();
+        for server in state.servers.values().filter(|s| s.accepts_requests()) {
+            let service = server.endpoint.service.clone();
+            let of_service = addresses.entry(service).or_default();
+            of_service.push(server.endpoint.address);
+        }
+        addresses
+    }
+
     /// Services of the known endpoints, each with a software version.
     #[must_use]
     pub fn software_versions(&self) -> BTreeSet<(String, String)> {
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -1,6 +1,6 @@
 //! State shared by all tasks of an instance, and the instance's settings.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -246,6 +246,10 @@
     pub exit_time: watch::Sender<Option<Duration>>,
     /// Whether open connections are closed once their current request ends.
     pub closing_connections: watch::Sender<bool>,
+    /// Services to whose endpoints this instance has no path.
+    pub cut_services: watch::Sender<BTreeSet<String>>,
+    /// Addresses of instances with a path to endpoints, for an instance without one.
+    pub detours: watch::Sender<Vec<SocketAddr>>,
     /// Whether this instance holds the lease and gives orders.
     pub lease_held: watch::Sender<bool>,
     /// When the lease holder's estimate for a cold model arrived, and its time until ready.
@@ -296,6 +300,8 @@
             stopping: watch::Sender::new(false),
             exit_time: watch::Sender::new(None),
             closing_connections: watch::Sender::new(false),
+            cut_services: watch::Sender::new(BTreeSet::new()),
+            detours: watch::Sender::new(Vec::new()),
             lease_held: watch::Sender::new(false),
             ready_estimates: Mutex::default(),
             exchange: Mutex::default(),
--- a/src/outbound.rs
+++ b/src/outbound.rs
@@ -18,9 +18,11 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout};
 
+mod connects;
 mod fault;
 mod meter;
 
+pub use connects::{Connects, LastConnect};
 pub use fault::{SendError, SendFault};
 pub use meter::AnswerBody;
 pub(crate) use meter::is_garbled;
@@ -91,6 +93,7 @@
 pub struct Outbound {
     settings: OutboundSettings,
     idle: Arc<Mutex<BTreeMap<SocketAddr, Vec<Idle>>>>,
+    connects: Arc<Connects>,
 }
 
 /// An open connection that carries no request yet.
@@ -128,6 +131,20 @@
         Self {
             settings,
             idle: Arc::default(),
+            connects: Arc::default(),
+        }
+    }
+
+    /// Outcomes of the last connects.
+    #[must_use]
+    pub const fn connects(&self) -> &Arc<Connects> {
+        &self.connects
+    }
+
+    /// Opens a connection and closes it, to learn whether the address can be reached.
+    pub async fn probe(&self, to: SocketAddr) {
+        if let Err(error) = self.open_stream(to).await {
+            log::debug!(to:% = to, error:% = error; "probe failed");
         }
     }
 
@@ -233,10 +250,7 @@
 
     async fn connect(&self, to: SocketAddr) -> Result<Sender, SendError> {
         let failed = |e: String| SendError::new(SendFault::Connect, to, &e);
-        let stream = timeout(self.settings.connect, TcpStream::connect(to))
-            .await
-            .map_err(|late| failed(late.to_string()))?
-            .map_err(|e| failed(e.to_string()))?;
+        let stream = self.open_stream(to).await?;
         self.tune(&stream).map_err(|e| failed(e.to_string()))?;
         let meter = Meter::default();
         let stream = MeteredStream {
@@ -260,6 +274,16 @@
         })
     }
 
+    async fn open_stream(&self, to: SocketAddr) -> Result<TcpStream, SendError> {
+        let failed = |e: String| SendError::new(SendFault::Connect, to, &e);
+        let opened = match timeout(self.settings.connect, TcpStream::connect(to)).await {
+            Ok(opened) => opened.map_err(|e| failed(e.to_string())),
+            Err(late) => Err(failed(late.to_string())),
+        };
+        self.connects.record(to, opened.is_ok());
+        opened
+    }
+
     fn tune(&self, stream: &TcpStream) -> std::io::Result<()> {
         stream.set_nodelay(true)?;
         let socket = SockRef::from(stream);
