Lease: an instance without a path to engines hands the orders over

Change: a holder that finds all engines out of reach releases the lease if a linked instance has a path, once for each such time; an instance without a path leaves a free lease to others for 10 s.

Measured: partitions::cut_holder_hands_over, which failed before (503 for a model that had to be loaded).

--- a/src/gateway/reach.rs
+++ b/src/gateway/reach.rs
@@ -3,7 +3,7 @@
 //! An instance may be partitioned from all endpoints while callers, the store and other instances
 //! reach it. Failed connects to several endpoints in a row show it, and probes show its end.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -144,11 +144,14 @@
         self.cut_services.borrow().contains(service)
     }
 
-    /// Whether this instance has no path to the endpoints of any service.
+    /// Whether this instance has no path to any engine, so that its orders would reach none.
     #[must_use]
-    pub fn is_cut_off_from_all(&self) -> bool {
-        let services: BTreeMap<String, Vec<SocketAddr>> = self.servers.ready_addresses();
+    pub fn is_cut_off_from_engines(&self) -> bool {
+        let Some(catalog) = self.catalog() else {
+            return false;
+        };
         let cut = self.cut_services.borrow();
-        !services.is_empty() && services.keys().all(|service| cut.contains(service))
+        let mut services = catalog.engines().map(|(service, _)| service).peekable();
+        services.peek().is_some() && services.all(|service| cut.contains(service))
     }
 }
--- a/src/gateway/renewal.rs
+++ b/src/gateway/renewal.rs
@@ -24,6 +24,31 @@
 /// Timeout of a store call; the store normally responds within milliseconds.
 const STORE_TIMEOUT: Duration = Duration::from_millis(1500);
 
+/// Time for which an instance without a path to engines leaves a free lease to others.
+const MAX_CLAIM_DEFERRAL: Duration = Duration::from_secs(10);
+
+/// Since when this instance has had no path to engines.
+#[derive(Debug, Clone, Copy, Default)]
+struct LostPath {
+    since: Option<Duration>,
+    /// Whether the lease was released since then.
+    released: bool,
+}
+
+impl LostPath {
+    fn update(&mut self, is_cut: bool, now: Duration) {
+        if !is_cut {
+            *self = Self::default();
+            return;
+        }
+        self.since.get_or_insert(now);
+    }
+
+    fn defers_claim(&self, now: Duration) -> bool {
+        self.since.is_some_and(|s| now < s + MAX_CLAIM_DEFERRAL)
+    }
+}
+
 /// Task that maintains the lease row.
 #[derive(Debug)]
 pub struct LeaseRenewal {
@@ -44,12 +69,21 @@
     pub async fn run(self) {
         let mut stopping = self.gateway.stopping.subscribe();
         let mut row_stale = false;
+        let mut lost_path = LostPath::default();
         loop {
             if *stopping.borrow() {
                 return self.release().await;
             }
             let now = self.gateway.now();
             let holding = self.lock().fencing_token(now).is_some();
+            lost_path.update(self.gateway.is_cut_off_from_engines(), now);
+            if holding && lost_path.since.is_some() && !lost_path.released && self.has_successor() {
+                lost_path.released = true;
+                log::warn!("no path to engines; another instance is to give the orders");
+                self.release().await;
+                self.sleep_or_stop(&mut stopping, READ_INTERVAL).await;
+                continue;
+            }
             let holder_link = self.holder_link.borrow().clone();
             if let Some(row) = holder_link.lease_row() {
                 self.lock()
@@ -67,7 +101,9 @@
             }
             row_stale = false;
             let action = self.lock().next_action(self.gateway.now());
-            if let LeaseAction::Write(version) = action {
+            if let LeaseAction::Write(version) = action
+                && (holding || !lost_path.defers_claim(now))
+            {
                 row_stale = !self.write(version, &self.own_row).await;
             }
             self.publish();
@@ -82,6 +118,11 @@
         }
     }
 
+    /// Whether a linked instance has a path to engines.
+    fn has_successor(&self) -> bool {
+        !self.gateway.detours.borrow().is_empty()
+    }
+
     async fn sleep_or_stop(&self, stopping: &mut watch::Receiver<bool>, time: Duration) {
         tokio::select! {
             () = sleep(time) => {}
