Endpoints: one that says that it is brittle gets no more than it has room for

Promise of the users' pages: endpoints may say in all answers that they are brittle (Server-Brittle = N); one that turns more than N requests away within a second falls over.

Cause: nothing knew the header.

Change: a brittle endpoint gets from each instance its share of the slots at most (an engine twice that, as the lease holder tells the load of all), and nothing for at least a second after it has turned a request away. Calls wait at the instance for room, no longer than they would in a queue.

--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -75,6 +75,12 @@
         }
     }
 
+    /// Number of live instances.
+    #[must_use]
+    pub const fn instances(&self) -> u32 {
+        self.instances
+    }
+
     /// Adapts the budgets to the number of live instances.
     pub fn resize(&mut self, instances: u32) {
         if self.instances == instances {
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -230,6 +230,8 @@
     pub leaving: bool,
     /// Requests a second that the endpoint takes from all instances together, if it names a limit.
     pub limit: Option<f64>,
+    /// Requests turned away within a second that the endpoint bears, if it says that it is brittle.
+    pub brittle: Option<u32>,
     /// Time for which an endpoint that turned the request away wants nothing from this instance.
     pub pause: Option<Duration>,
 }
--- a/src/gateway/routing.rs
+++ b/src/gateway/routing.rs
@@ -18,6 +18,8 @@
 const MIN_TIME_LEFT: Duration = Duration::from_millis(60);
 /// The same for a request to an engine: covers the prefill of a prompt as well.
 const MIN_ENGINE_TIME_LEFT: Duration = Duration::from_millis(150);
+/// Interval at which the choice is retried while endpoints lack room.
+const ROOM_RECHECK: Duration = Duration::from_millis(50);
 /// Interval at which the choice is retried without a notification of a change.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -32,6 +34,7 @@
             excluded: &history.failed_endpoints,
             priority: self.route.priority,
             waits_at: None,
+            instances: self.gateway.budgets().instances(),
         }
     }
 
@@ -87,7 +90,9 @@
             let limited = servers.limited(&self.requirements(history), now);
             let limited = limited.first();
             let permit_in = limited.map(|endpoint| endpoint.wait);
-            let held_for = paused_for.into_iter().chain(permit_in).min();
+            let lacks_room = servers.lacks_room(&self.requirements(history), now);
+            let room_in = lacks_room.then_some(ROOM_RECHECK);
+            let held_for = paused_for.into_iter().chain(permit_in).chain(room_in).min();
             let Some(target) = &self.head.target else {
                 let Some(left) = held_for else {
                     return Err(refusal(Cause::NoEndpoint).retry_after(NO_ENDPOINT_RETRY_DELAY));
@@ -95,7 +100,8 @@
                 // The end of a trial is nearer than any return of the caller.
                 let max_wait = admission::max_queue_wait(&self.route).max(TRIAL_INTERVAL);
                 let waited = now.saturating_sub(self.arrived_at);
-                let is_held_long = permit_in.is_some() && waited + left > max_wait;
+                let is_held = permit_in.is_some() || lacks_room;
+                let is_held_long = is_held && waited + left > max_wait;
                 if left > max_wait || is_held_long || now + left > send_by {
                     let retry_in = admission::retry_after(left, rand::random());
                     return Err(refusal(Cause::Overload).retry_after(retry_in));
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -8,7 +8,7 @@
 
 use super::protocol::{DispatchHead, ResponseHead};
 use super::serve::{RoutedRequest, SendHistory};
-use super::servers::{LimitAnswer, RequestOutcome, SelectedEndpoint};
+use super::servers::{LimitAnswer, RequestOutcome, SelectedEndpoint, brittle_hold};
 use super::silence::{Awaited, Winner};
 use crate::outbound::{Freshness, Reply, SendError, SendFault};
 use crate::verdict::Verdict;
@@ -226,12 +226,20 @@
                 now,
             };
             servers.record_limit(&selected.id, selected.started_ms, answer);
+            servers.record_brittle(selected.key, response_head.brittle);
         }
         if let Some(pause) = response_head.pause {
             servers.begin_pause(&selected.id, now + pause);
             log::info!(endpoint = selected.id.as_str(),
                 pause_ms = super::link::millis(pause); "endpoint asked for a pause");
         }
+        if let Some(bound) = response_head.brittle
+            && response_head.not_run
+            && status == StatusCode::SERVICE_UNAVAILABLE
+        {
+            let hold = brittle_hold(bound, self.gateway.budgets().instances());
+            servers.begin_pause(&selected.id, now + hold);
+        }
         if response_head.not_run {
             match &self.head.target {
                 // The pause keeps requests away, and the endpoint can run this one after it.
--- a/src/gateway/servers.rs
+++ b/src/gateway/servers.rs
@@ -10,6 +10,7 @@
 
 use super::protocol::{Endpoint, EndpointState, Target};
 
+mod brittle;
 mod copy;
 mod leaving;
 mod limited;
@@ -19,6 +20,7 @@
 mod select;
 mod server;
 
+pub use brittle::brittle_hold;
 pub use copy::{CopiedEndpoint, CopiedMark};
 pub use leaving::{LeavingMark, LeavingMarks};
 pub use limited::{LimitedEndpoint, PermitWait};
@@ -436,6 +438,9 @@
         };
         server.local_load = server.local_load.saturating_sub(1);
         server.fleet_load = server.fleet_load.saturating_sub(1);
+        if server.brittle.is_some() {
+            self.notify_change();
+        }
         let Some(target) = target else {
             return;
         };
--- a/src/gateway/servers/select.rs
+++ b/src/gateway/servers/select.rs
@@ -43,6 +43,8 @@
     pub priority: u8,
     /// Id of the endpoint for whose permit the request waits, if any.
     pub waits_at: Option<&'a str>,
+    /// Live instances, which share the room of an endpoint.
+    pub instances: u32,
 }
 
 impl Servers {
--- a/src/gateway/servers/server.rs
+++ b/src/gateway/servers/server.rs
@@ -74,6 +74,8 @@
     pub(super) consecutive_failures: u32,
     pub(super) ejected_until: Duration,
     pub(super) pause: Pause,
+    /// Requests turned away within a second that it bears, if it said that it is brittle.
+    pub(super) brittle: Option<u32>,
     pub(super) viewed_at: Option<Duration>,
     pub(super) expires_at: Option<Duration>,
     pub(super) seen_prefixes: BTreeMap<String, BTreeSet<String>>,
@@ -97,6 +99,7 @@
             consecutive_failures: 0,
             ejected_until: Duration::ZERO,
             pause: Pause::default(),
+            brittle: None,
             viewed_at: None,
             expires_at: None,
             seen_prefixes: BTreeMap::new(),
@@ -105,6 +108,11 @@
 
     /// Whether it can run a request, but for a pause that it asked for.
     pub(super) fn matches(&self, criteria: &SelectionCriteria<'_>, now: Duration) -> bool {
+        self.could_run(criteria, now) && self.has_room(criteria)
+    }
+
+    /// Whether it can run a request, but for a pause that it asked for and for room.
+    pub(super) fn could_run(&self, criteria: &SelectionCriteria<'_>, now: Duration) -> bool {
         self.endpoint.service == criteria.service
             && self.has_software(criteria.software)
             && self.accepts_requests()
--- a/tests/endpoint_pauses.rs
+++ b/tests/endpoint_pauses.rs
@@ -17,6 +17,7 @@
     excluded: &[],
     priority: 0,
     waits_at: None,
+    instances: 1,
 };
 
 fn listed(id: &str, start_ms: u64) -> Endpoint {
