--- a/src/gateway/servers/brittle.rs
+++ b/src/gateway/servers/brittle.rs
@@ -1,7 +1,7 @@
 //! Endpoints that fall over when they turn too many requests away.
 //!
 //! Such an endpoint gets no more requests than it has room for, as far as this instance knows, and
-//! none for a while after it has turned one away: what waits does so here.
+//! none for a while after it has turned one away; requests wait at the instance instead.
 
 use std::time::Duration;
 
