Detour: a refusal after a possible run is no promise

Found by reading: a request that may be repeated and whose answer from one instance was lost got the next instance's refusal, which says that it did not run. It gets 502 or 504 now; the refusal goes to the caller only where no instance may have run the request. Comments reworded.

--- a/src/gateway/detour.rs
+++ b/src/gateway/detour.rs
@@ -79,7 +79,7 @@
             && !wire.is_signed(reply.response.headers());
         let response = pass_answer(request, reply, at, &mut history).await;
         match response {
-            Some(response) if is_refusal && history.possible_runs == 0 => refused = Some(response),
+            Some(response) if is_refusal => refused = Some(response),
             Some(response) => return Some(response),
             None if request.may_run_after(history.possible_runs) => {}
             None => break,
@@ -88,6 +88,7 @@
     if history.sends == 0 {
         return None;
     }
+    // The refusal says that the request did not run, which holds for all instances only then.
     if let Some(response) = refused.filter(|_| history.possible_runs == 0) {
         return Some(response);
     }
--- a/src/gateway/orders/publish.rs
+++ b/src/gateway/orders/publish.rs
@@ -20,7 +20,7 @@
 
 /// Interval between sends of all views to an instance.
 const FULL_VIEW_INTERVAL: Duration = Duration::from_secs(1);
-/// Most instances with a path to endpoints that one without is told of.
+/// Most addresses of instances with a path to endpoints in an update to one without.
 const MAX_DETOURS: usize = 16;
 /// Longest interval between updates to an instance; they carry the lease holder's clock.
 const MAX_UPDATE_INTERVAL: Duration = Duration::from_millis(300);
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -259,7 +259,7 @@
     crash_suspects: Mutex<CrashSuspects>,
     crash_parts: Mutex<CrashParts>,
     stream_origins: Mutex<StreamOrigins>,
-    /// Notified when another instance has told where streams began.
+    /// Notified when another instance has reported where streams began.
     pub(super) origins_told: Notify,
 }
 
--- a/src/gateway/stream_origins.rs
+++ b/src/gateway/stream_origins.rs
@@ -72,13 +72,13 @@
 struct Stream {
     version: VersionKey,
     begun_at: Duration,
-    /// Number of the record; rises with each change that other instances have to be told.
+    /// Number of the record; rises with each change that other instances do not know.
     number: u64,
     /// Whether it began at this instance.
     is_own: bool,
 }
 
-/// Which streams other instances are told of.
+/// Which streams a notice to other instances names.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Scope {
     /// Those that began at this instance.
@@ -196,7 +196,7 @@
         self.last_number
     }
 
-    /// What another instance has to be told that knows the records up to a number.
+    /// Notice for another instance, which knows the records up to a number.
     ///
     /// None while each service has a single version.
     #[must_use]
@@ -273,7 +273,7 @@
         self.order.insert(self.last_number, key);
     }
 
-    /// Gives the streams of a service new numbers, as no other instance has been told of them.
+    /// Gives the streams of a service new numbers, as no other instance knows of them.
     fn renumber(&mut self, service: &str) {
         let versions = &self.versions;
         let is_due = |s: &Stream| {
