Configuration: client accounts, public routes and the pace of an endpoint are decoded

Cause: the configuration names accounts with keys and quotas, and some endpoints state how long work takes on their machine; both were dropped.

Change: decoded and kept in the catalog and in the response head; nothing uses them yet. Keys are kept as digests, so that no log can show them.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -4,6 +4,7 @@
 //! the platform is behind the traits [`protocol::WireProtocol`], [`protocol::TableFeed`] and
 //! [`crate::table::Table`].
 
+pub mod accounts;
 pub mod admission;
 pub mod budget;
 pub mod catalog;
--- /dev/null
+++ b/src/gateway/accounts.rs
@@ -0,0 +1,148 @@
+//! Client accounts of a configuration, and the keys by which callers prove theirs.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::sync::Arc;
+
+/// What a quota counts.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum QuotaUnit {
+    /// Each request counts as one.
+    #[default]
+    Requests,
+    /// A request counts as its prompt tokens and the most tokens of its answer.
+    Tokens,
+}
+
+/// What an account may use over all instances together.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Quota {
+    /// What is counted.
+    pub unit: QuotaUnit,
+    /// Units a second.
+    pub rate: f64,
+    /// Units that may be used at once after a time without requests.
+    pub burst: f64,
+    /// Units of a request that states no tokens.
+    pub plain_tokens: u32,
+}
+
+impl Quota {
+    /// Units that a request counts as; `tokens` is none where it states none.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use brassrack::gateway::accounts::{Quota, QuotaUnit};
+    ///
+    /// let quota = Quota { unit: QuotaUnit::Tokens, plain_tokens: 200, ..Quota::default() };
+    /// assert_eq!(quota.cost(Some(1540)), 1540.0);
+    /// assert_eq!(quota.cost(None), 200.0);
+    /// assert_eq!(Quota::default().cost(Some(1540)), 1.0);
+    /// ```
+    #[must_use]
+    pub fn cost(&self, tokens: Option<u32>) -> f64 {
+        match self.unit {
+            QuotaUnit::Requests => 1.0,
+            QuotaUnit::Tokens => tokens.unwrap_or(self.plain_tokens).into(),
+        }
+    }
+}
+
+/// A client account.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Account {
+    /// Unique name.
+    pub name: String,
+    /// Priority of its requests, in place of the route's; 0 is the most urgent.
+    pub priority: Option<u8>,
+    /// Limit on its use; none where it has no limit.
+    pub quota: Option<Quota>,
+}
+
+/// Digest of a caller's key; the key itself is not kept.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct KeyDigest([u8; 32]);
+
+impl KeyDigest {
+    /// Digest of a key.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use brassrack::gateway::accounts::KeyDigest;
+    ///
+    /// assert_eq!(KeyDigest::of("k1"), KeyDigest::of("k1"));
+    /// assert!(!format!("{:?}", KeyDigest::of("k1")).contains("k1"));
+    /// ```
+    #[must_use]
+    pub fn of(key: &str) -> Self {
+        Self(blake3::hash(key.as_bytes()).into())
+    }
+
+    /// The bytes of the digest.
+    #[must_use]
+    pub const fn as_bytes(&self) -> &[u8; 32] {
+        &self.0
+    }
+}
+
+impl fmt::Debug for KeyDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("KeyDigest(..)")
+    }
+}
+
+/// The accounts of a configuration, by name and by key.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Accounts {
+    accounts: BTreeMap<String, Arc<Account>>,
+    keys: BTreeMap<KeyDigest, Arc<Account>>,
+}
+
+impl Accounts {
+    /// Adds an account with its keys.
+    pub fn insert(&mut self, account: Account, keys: impl IntoIterator<Item = KeyDigest>) {
+        let account = Arc::new(account);
+        for key in keys {
+            self.keys.insert(key, Arc::clone(&account));
+        }
+        self.accounts.insert(account.name.clone(), account);
+    }
+
+    /// The account that holds a key.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use brassrack::gateway::accounts::{Account, Accounts, KeyDigest};
+    ///
+    /// let mut accounts = Accounts::default();
+    /// let desk = Account { name: "desk".into(), ..Account::default() };
+    /// accounts.insert(desk, [KeyDigest::of("k1")]);
+    /// assert_eq!(accounts.by_key(&KeyDigest::of("k1")).map(|a| a.name.as_str()), Some("desk"));
+    /// assert!(accounts.by_key(&KeyDigest::of("k2")).is_none());
+    /// ```
+    #[must_use]
+    pub fn by_key(&self, key: &KeyDigest) -> Option<&Arc<Account>> {
+        self.keys.get(key)
+    }
+
+    /// The account with a name.
+    #[must_use]
+    pub fn by_name(&self, name: &str) -> Option<&Arc<Account>> {
+        self.accounts.get(name)
+    }
+
+    /// Digests of the keys of the account with a name.
+    pub fn keys_of<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a KeyDigest> {
+        let keys = self.keys.iter();
+        keys.filter_map(move |(key, account)| (account.name == name).then_some(key))
+    }
+
+    /// All accounts, by name.
+    pub fn iter(&self) -> impl Iterator<Item = &Arc<Account>> {
+        self.accounts.values()
+    }
+}
--- a/src/gateway/catalog.rs
+++ b/src/gateway/catalog.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::accounts::Accounts;
+
 /// How a request whose answer is incomplete may be retried.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
@@ -73,6 +75,8 @@
     pub max_attempts: u32,
     /// Objective for the pause between two events of a stream.
     pub gap_objective: Option<Duration>,
+    /// Whether its requests need no key where the configuration has accounts.
+    pub is_public: bool,
 }
 
 impl Route {
@@ -118,6 +122,7 @@
             }],
             max_attempts: 2,
             gap_objective: None,
+            is_public: false,
         }
     }
 }
@@ -202,6 +207,8 @@
     pub services: BTreeMap<String, Service>,
     /// Limits on requests and connections of callers.
     pub limits: Limits,
+    /// Client accounts; none where requests need no key.
+    pub accounts: Option<Accounts>,
     routes: BTreeMap<String, BTreeMap<String, Arc<Route>>>,
 }
 
@@ -225,10 +232,17 @@
             version,
             services,
             limits,
+            accounts: None,
             routes: hosts,
         }
     }
 
+    /// The same configuration with client accounts; none where requests need no key.
+    #[must_use]
+    pub fn with_accounts(self, accounts: Option<Accounts>) -> Self {
+        Self { accounts, ..self }
+    }
+
     /// The route of a host with the longest prefix that matches a path.
     ///
     /// # Examples
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -226,6 +226,9 @@
     pub not_run: bool,
     /// Requests running, requests waiting and slots of the endpoint.
     pub load: Option<(u32, u32, u32)>,
+    /// How long work takes on the endpoint's machine at the moment, relative to the usual time; none
+    /// where it does not say.
+    pub pace: Option<f64>,
     /// Whether the endpoint leaves and is to get no new requests.
     pub leaving: bool,
     /// Requests a second that the endpoint takes from all instances together, if it names a limit.
