Reach: a crash of many endpoints is not taken for a lost path

Cause: three failed connects in a row counted as proof that no endpoint of a service can be reached. The lease holder reads reports on open connections, so after a crash of 35 of 140 engines only failed connects are recorded; it released the lease, claimed it again and released it again.

Above that, bytes from an endpoint on an open connection count as a success, unless twice as many connects failed. One round of probes, at random endpoints, is enough to decide; it starts once a connect takes 200 ms, and a probe takes at most 750 ms. A failed connect counts from its begin, so that one that times out does not outweigh a connection opened meanwhile.

--- a/src/outbound.rs
+++ b/src/outbound.rs
@@ -31,6 +31,11 @@
 /// Shortest time between two keep-alive probes that the operating system takes.
 const PROBE_LEAST: Duration = Duration::from_secs(1);
 
+/// Time from which an attempt to open a connection takes long; most take a few milliseconds.
+const SLOW_CONNECT: Duration = Duration::from_millis(200);
+/// Longest time of a connect that only finds out whether an address can be reached.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(750);
+
 /// Bounds of outgoing connections.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct OutboundSettings {
@@ -143,7 +148,8 @@
 
     /// Opens a connection and closes it, to learn whether the address can be reached.
     pub async fn probe(&self, to: SocketAddr) {
-        if let Err(error) = self.open_stream(to).await {
+        let limit = self.settings.connect.min(PROBE_TIMEOUT);
+        if let Err(error) = self.open_stream(to, limit).await {
             log::debug!(to:% = to, error:% = error; "probe failed");
         }
     }
@@ -250,12 +256,13 @@
 
     async fn connect(&self, to: SocketAddr) -> Result<Sender, SendError> {
         let failed = |e: String| SendError::new(SendFault::Connect, to, &e);
-        let stream = self.open_stream(to).await?;
+        let stream = self.open_stream(to, self.settings.connect).await?;
         self.tune(&stream).map_err(|e| failed(e.to_string()))?;
         let meter = Meter::default();
         let stream = MeteredStream {
             stream,
             meter: meter.clone(),
+            heard: self.connects.last_heard(to),
         };
         let (requests, connection) = Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
@@ -274,13 +281,22 @@
         })
     }
 
-    async fn open_stream(&self, to: SocketAddr) -> Result<TcpStream, SendError> {
+    async fn open_stream(&self, to: SocketAddr, limit: Duration) -> Result<TcpStream, SendError> {
         let failed = |e: String| SendError::new(SendFault::Connect, to, &e);
-        let opened = match timeout(self.settings.connect, TcpStream::connect(to)).await {
+        let began = Instant::now();
+        let connect = TcpStream::connect(to);
+        tokio::pin!(connect);
+        let opened = if let Ok(opened) = timeout(SLOW_CONNECT.min(limit), &mut connect).await {
+            Ok(opened)
+        } else {
+            self.connects.record_slow(began);
+            timeout(limit.saturating_sub(SLOW_CONNECT), connect).await
+        };
+        let opened = match opened {
             Ok(opened) => opened.map_err(|e| failed(e.to_string())),
             Err(late) => Err(failed(late.to_string())),
         };
-        self.connects.record(to, opened.is_ok());
+        self.connects.record(to, opened.is_ok(), began);
         opened
     }
 
--- a/src/outbound/meter.rs
+++ b/src/outbound/meter.rs
@@ -15,6 +15,8 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use super::connects::LastHeard;
+
 /// Most bytes of a head, and of each read.
 pub(super) const MAX_HEAD_BYTES: usize = 64 << 10;
 /// Most bytes without a part of an answer: two reads may be under way when a part is delivered.
@@ -36,6 +38,7 @@
 pub(super) struct MeteredStream {
     pub(super) stream: TcpStream,
     pub(super) meter: Meter,
+    pub(super) heard: LastHeard,
 }
 
 impl AsyncRead for MeteredStream {
@@ -52,6 +55,9 @@
         ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
         let count = buf.filled().len() - before;
         self.meter.0.fetch_add(count, Ordering::Relaxed);
+        if count > 0 {
+            self.heard.record();
+        }
         Poll::Ready(Ok(()))
     }
 }
