Accounts: the log tells a removed key from an unknown one

Cause: an operator who follows a refused request has to tell a key that some version removed from one that never was.

Change: the accounts of a version remember up to 4,096 removed keys by digest with the version that removed each; only the log line 'key refused' uses it. The line 'configuration in force' counts the accounts. The text of the configuration, which has the keys, is left out of debug output.

--- a/src/gateway/accounts.rs
+++ b/src/gateway/accounts.rs
@@ -99,22 +99,32 @@
 }
 
 /// Why no account holds what a request shows.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
-#[strum(serialize_all = "kebab-case")]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub enum KeyFault {
     /// The request has no key, or several.
+    #[error("no key, or several")]
     NoKey,
     /// No account holds the key.
+    #[error("unknown key")]
     UnknownKey,
+    /// No account holds the key since this version.
+    #[error("key removed by version {0}")]
+    RemovedKey(u64),
     /// The proof of a detour was made with no key of the account that it names.
+    #[error("proof of a detour without a key of its account")]
     BadProof,
 }
 
+/// Most removed keys that are remembered for logs; about a day of changes that each remove some.
+const MAX_REMOVED_KEYS: usize = 4096;
+
 /// The accounts of a configuration, by name and by key.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Accounts {
-    accounts: BTreeMap<String, Entry>,
+    entries: BTreeMap<String, Entry>,
     keys: BTreeMap<KeyDigest, Arc<Account>>,
+    /// Keys that no account holds any more, and the version that removed each.
+    removed: BTreeMap<KeyDigest, u64>,
 }
 
 #[derive(Debug, Clone, PartialEq)]
@@ -132,7 +142,41 @@
             self.keys.insert(*key, Arc::clone(&account));
         }
         let name = account.name.clone();
-        self.accounts.insert(name, Entry { account, keys });
+        self.entries.insert(name, Entry { account, keys });
+    }
+
+    /// Takes over which keys were removed up to `version`, which follows that of `previous`.
+    ///
+    /// Only logs depend on this; the oldest are forgotten.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use brassrack::gateway::accounts::{Account, Accounts, KeyDigest, KeyFault, ProvedRequest};
+    ///
+    /// let (mut before, mut after) = (Accounts::default(), Accounts::default());
+    /// before.insert(Account::default(), [KeyDigest::of("k1")]);
+    /// after.record_removed(&before, 7);
+    /// let request = ProvedRequest { id: "", method: "GET", path: "/" };
+    /// let held = after.holder(Some(&KeyDigest::of("k1")), None, request);
+    /// assert_eq!(held, Err(KeyFault::RemovedKey(7)));
+    /// ```
+    pub fn record_removed(&mut self, previous: &Self, version: u64) {
+        let earlier = previous.removed.iter().map(|(key, by)| (*key, *by));
+        let now = previous.keys.keys().map(|key| (*key, version));
+        let removed = earlier.chain(now);
+        self.removed = removed
+            .filter(|(key, _)| !self.keys.contains_key(key))
+            .collect();
+        let excess = self.removed.len().saturating_sub(MAX_REMOVED_KEYS);
+        if excess > 0 {
+            let mut oldest: Vec<(u64, KeyDigest)> =
+                self.removed.iter().map(|(key, by)| (*by, *key)).collect();
+            oldest.sort_unstable();
+            for (_, key) in &oldest[..excess] {
+                self.removed.remove(key);
+            }
+        }
     }
 
     /// The account that holds a key.
@@ -156,12 +200,12 @@
     /// The account with a name.
     #[must_use]
     pub fn by_name(&self, name: &str) -> Option<&Arc<Account>> {
-        self.accounts.get(name).map(|entry| &entry.account)
+        self.entries.get(name).map(|entry| &entry.account)
     }
 
     /// Digests of the keys of the account with a name.
     pub fn keys_of(&self, name: &str) -> impl Iterator<Item = &KeyDigest> {
-        let entry = self.accounts.get(name);
+        let entry = self.entries.get(name);
         entry.into_iter().flat_map(|entry| &entry.keys)
     }
 
@@ -193,7 +237,10 @@
         request: ProvedRequest<'_>,
     ) -> Result<&Arc<Account>, KeyFault> {
         if let Some(key) = key {
-            return self.by_key(key).ok_or(KeyFault::UnknownKey);
+            let removed_by = || self.removed.get(key).copied();
+            return self
+                .by_key(key)
+                .ok_or_else(|| removed_by().map_or(KeyFault::UnknownKey, KeyFault::RemovedKey));
         }
         let proof = proof.ok_or(KeyFault::NoKey)?;
         let mut keys = self.keys_of(&proof.account);
@@ -204,6 +251,6 @@
 
     /// All accounts, by name.
     pub fn iter(&self) -> impl Iterator<Item = &Arc<Account>> {
-        self.accounts.values().map(|entry| &entry.account)
+        self.entries.values().map(|entry| &entry.account)
     }
 }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -1,6 +1,7 @@
 //! State shared by all tasks of an instance, and the instance's settings.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -100,14 +101,22 @@
 }
 
 /// The configuration in force, with the text that it was decoded from.
-#[derive(Debug, Clone, Default)]
+#[derive(Clone, Default)]
 pub struct ActiveConfig {
     /// Decoded configuration.
     pub catalog: Arc<Catalog>,
-    /// Text as the operator wrote it.
+    /// Text as the operator wrote it, with the keys of accounts.
     pub text: Arc<str>,
 }
 
+impl fmt::Debug for ActiveConfig {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("ActiveConfig")
+            .field("catalog", &self.catalog)
+            .finish_non_exhaustive()
+    }
+}
+
 /// Demand for a model or adapter of a service.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct ModelDemand {
@@ -398,7 +407,7 @@
 
     /// Puts a configuration in force, unless the same or a newer version already is.
     pub fn activate_config(&self, text: &str, from: &'static str) {
-        let catalog = match self.platform.wire.decode_catalog(text) {
+        let mut catalog = match self.platform.wire.decode_catalog(text) {
             Ok(catalog) => catalog,
             Err(error) => {
                 log::error!(from = from, error:% = error;
@@ -414,8 +423,13 @@
             if known.is_some_and(|v| v >= version) {
                 return false;
             }
-            log::info!(from = from, version = version, before = known.unwrap_or_default();
-                "configuration in force");
+            let before = active.as_ref().and_then(|f| f.catalog.accounts.as_ref());
+            if let (Some(accounts), Some(before)) = (&mut catalog.accounts, before) {
+                accounts.record_removed(before, version);
+            }
+            let accounts = catalog.accounts.as_ref().map_or(0, |a| a.iter().count());
+            log::info!(from = from, version = version, before = known.unwrap_or_default(),
+                accounts = accounts; "configuration in force");
             *active = Some(ActiveConfig {
                 catalog: Arc::new(catalog),
                 text: Arc::from(text),
