Places: requests that can wait leave slots to more urgent ones

Cause: a burst of requests with an objective of seconds fills the slots and queues of the engines that hold its model; urgent requests for it are then refused at once, as the expected wait exceeds their objective.

The account's priority decides.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -36,3 +36,4 @@
 pub mod stats;
 pub mod stream;
 pub mod stream_origins;
+pub mod urgency;
--- a/src/gateway/routing.rs
+++ b/src/gateway/routing.rs
@@ -13,6 +13,7 @@
     LimitedEndpoint, PermitWait, SelectedEndpoint, SelectionCriteria, TRIAL_INTERVAL,
 };
 use super::shared::{WaitGuard, WaitingRequest};
+use super::urgency::slot_share;
 use crate::verdict::{Cause, Refusal};
 
 /// Least time before the caller's deadline for sending a call; a refusal still reaches the caller.
@@ -36,9 +37,23 @@
             priority: self.priority(),
             waits_at: None,
             instances: self.gateway.budgets().instances(),
+            slot_share: self.slot_share(),
         }
     }
 
+    /// Share of an engine's slots beyond which the request leaves the rest to more urgent ones.
+    fn slot_share(&self) -> Option<f64> {
+        if self.account.is_none() || self.head.target.is_none() {
+            return None;
+        }
+        let (priority, now) = (self.priority(), self.now());
+        let urgency = self.gateway.urgency();
+        let more_urgent = urgency.more_urgent(&self.service, priority, now);
+        drop(urgency);
+        let waited = now.saturating_sub(self.arrived_at);
+        slot_share(more_urgent, self.route.latency_objective, waited)
+    }
+
     /// Chooses an endpoint for the request; waits while none holds its model.
     ///
     /// # Errors
@@ -128,7 +143,7 @@
             }
             if waiting.is_none() {
                 waiting = Some(self.register_wait(target, pinned));
-                if limited.is_none() {
+                if limited.is_none() && !lacks_room {
                     self.log_wait(target, pinned, send_by.saturating_sub(now));
                 }
             }
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -289,6 +289,10 @@
 impl RoutedRequest {
     fn record_arrival(&self) {
         self.gateway.budgets().record_request(&self.service);
+        if self.account.is_some() && self.head.target.is_some() {
+            let (priority, now) = (self.priority(), self.now());
+            self.gateway.urgency().record(&self.service, priority, now);
+        }
         if let Some(target) = &self.head.target {
             self.gateway.demand.record_arrival(&self.service, target);
         }
--- a/src/gateway/servers/brittle.rs
+++ b/src/gateway/servers/brittle.rs
@@ -31,8 +31,15 @@
 }
 
 impl Server {
-    /// Whether it has room for one more request, if it is brittle.
+    /// Whether it has room for one more request, if it is brittle or the request leaves slots to others.
     pub(super) fn has_room(&self, criteria: &SelectionCriteria<'_>) -> bool {
+        if let Some(share) = criteria.slot_share {
+            let (running, queued) = self.engine_load;
+            let load = self.fleet_load.max(running + queued);
+            if f64::from(load) >= f64::from(self.endpoint.slots) * share {
+                return false;
+            }
+        }
         if self.brittle.is_none() {
             return true;
         }
@@ -61,7 +68,7 @@
         }
     }
 
-    /// Whether a brittle endpoint could run a request if it had room.
+    /// Whether an endpoint could run a request if it had room for it.
     #[must_use]
     pub fn lacks_room(&self, criteria: &SelectionCriteria<'_>, now: Duration) -> bool {
         let state = self.state();
--- a/src/gateway/servers/select.rs
+++ b/src/gateway/servers/select.rs
@@ -45,6 +45,8 @@
     pub waits_at: Option<&'a str>,
     /// Live instances, which share the room of an endpoint.
     pub instances: u32,
+    /// Share of an endpoint's slots from which it has no room for the request; none without a bound.
+    pub slot_share: Option<f64>,
 }
 
 impl Servers {
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -18,6 +18,7 @@
 use super::servers::Servers;
 use super::stats::Stats;
 use super::stream_origins::StreamOrigins;
+use super::urgency::UrgencyMix;
 use crate::clock::Clock;
 use crate::metrics::MetricsError;
 use crate::outbound::{Outbound, OutboundSettings};
@@ -268,6 +269,7 @@
     crash_suspects: Mutex<CrashSuspects>,
     crash_parts: Mutex<CrashParts>,
     stream_origins: Mutex<StreamOrigins>,
+    urgency: Mutex<UrgencyMix>,
     /// Notified when another instance has reported where streams began.
     pub(super) origins_told: Notify,
 }
@@ -321,6 +323,7 @@
             crash_suspects: Mutex::default(),
             crash_parts: Mutex::default(),
             stream_origins: Mutex::default(),
+            urgency: Mutex::default(),
             origins_told: Notify::new(),
             settings,
         }))
@@ -405,6 +408,11 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Recent arrivals by priority.
+    pub fn urgency(&self) -> MutexGuard<'_, UrgencyMix> {
+        self.urgency.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Puts a configuration in force, unless the same or a newer version already is.
     pub fn activate_config(&self, text: &str, from: &'static str) {
         let mut catalog = match self.platform.wire.decode_catalog(text) {
--- a/tests/endpoint_pauses.rs
+++ b/tests/endpoint_pauses.rs
@@ -18,6 +18,7 @@
     priority: 0,
     waits_at: None,
     instances: 1,
+    slot_share: None,
 };
 
 fn listed(id: &str, start_ms: u64) -> Endpoint {
