Orders: a load goes on when the record of its engine is dropped

Cause: a new term of the lease and a server list that leaves an engine out once drop the record of the engine; the change in flight ends `stale`. The engine carries out a load that it has accepted, but the new record did not know of it, so the planner ordered the model at another engine. After a new term the number of running store loads was also taken for zero, and more were started beside those that went on.

Change: the loads of dropped records that the engine has accepted are handed to the next record of the same start of the engine. The planner counts the model as being loaded there until a report, requested late enough to know of the load, shows that no order or another holder's is carried out. The number of running store loads is counted from the records. Revoked permissions stay revoked: the old change sends no further order.

A holder on another instance does not know of the load: reports name no model.

--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -187,7 +187,7 @@
             self.drop_lost_term();
             return;
         };
-        if self.records.enter_term(fencing_token) {
+        if self.records.enter_term(fencing_token, now) {
             self.clear_published();
         }
         let Some(catalog) = self.gateway.catalog() else {
@@ -204,7 +204,8 @@
         for (service, engine) in catalog.engines() {
             self.sync_records(service, now);
             let fleet = self.fleet(service, now);
-            let capacity = self.store_loads.capacity(engine, now);
+            let running = self.records.store_loads();
+            let capacity = self.store_loads.capacity(engine, running, now);
             for step in planner::plan(engine, &fleet, capacity, now) {
                 self.start_change(engine, step, &fleet, fencing_token, now);
             }
@@ -250,15 +251,14 @@
         let lease = self.lease.lock().unwrap_or_else(PoisonError::into_inner);
         let held = lease.term();
         drop(lease);
-        if self.records.leave_lost_term(held) {
+        if self.records.leave_lost_term(held, self.gateway.now()) {
             self.peers.clear();
             self.clear_published();
         }
     }
 
-    /// Forgets the loads and the published views of an earlier term.
+    /// Forgets what was published in an earlier term.
     fn clear_published(&mut self) {
-        self.store_loads.clear();
         self.limit_ledger.clear();
         self.views = EngineViews::default();
         for peer in self.peers.values_mut() {
@@ -275,6 +275,7 @@
         fencing_token: u64,
         now: Duration,
     ) {
+        let loads_running = self.records.store_loads();
         let Some(record) = self.records.get_mut(&step.engine) else {
             return;
         };
@@ -290,7 +291,7 @@
                 };
                 load_time = planner::load_time(properties, *source);
                 if *source == WeightSource::Store {
-                    load_time = self.store_loads.start(load_time, now);
+                    load_time = self.store_loads.start(load_time, loads_running, now);
                 }
                 let demand = fleet.demand.iter().find(|(t, _)| t.model == *model);
                 log::info!(engine = step.engine.as_str(), model = model.as_str(),
--- a/src/gateway/orders/engine_events.rs
+++ b/src/gateway/orders/engine_events.rs
@@ -96,14 +96,15 @@
             model,
             ..
         } = &ended.change
+            && ended.result.outcome == Outcome::Done
         {
             let catalog = self.gateway.catalog();
             let cold = catalog
                 .iter()
                 .flat_map(|c| c.engines())
                 .find_map(|(_, e)| e.models.get(model).map(|m| m.cold_load));
-            self.store_loads
-                .finish(ended.took, cold, ended.result.outcome == Outcome::Done);
+            let were_running = self.records.store_loads();
+            self.store_loads.finish(ended.took, cold, were_running);
         }
         let outcome = ended.result.outcome;
         let known = self.records.get_mut(&ended.engine).is_some_and(|record| {
--- a/src/gateway/orders/publish.rs
+++ b/src/gateway/orders/publish.rs
@@ -196,6 +196,7 @@
         now: Duration,
     ) -> Vec<TargetCount> {
         let mut estimates = Vec::new();
+        let loads_running = self.records.store_loads();
         for (service, engine) in catalog.engines() {
             let mut queued = 0;
             for (target, demand) in demands.get(service).into_iter().flatten() {
@@ -217,7 +218,7 @@
                     None if has_copy => continue,
                     None => {
                         queued += 1;
-                        self.store_loads.queue_time(queued, cold)
+                        self.store_loads.queue_time(queued, loads_running, cold)
                     }
                 };
                 estimates.push(TargetCount {
--- a/src/gateway/orders/record.rs
+++ b/src/gateway/orders/record.rs
@@ -4,9 +4,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::super::planner::{EngineAction, EngineState, LoadedModel};
+use super::super::planner::{EngineAction, EngineState, LoadedModel, WeightSource};
 use super::super::protocol::{Endpoint, HeldModels, Report, Target};
-use super::send::{MAX_FAILED_CONNECTS, Outcome, is_current};
+use super::send::{MAX_FAILED_CONNECTS, Outcome, REPORT_CATCH_UP, is_current};
 use super::sequence::{OrderSequence, OrderTicket};
 
 /// Time constant of the average arrival rate for a model: as long as a few swaps take.
@@ -26,6 +26,37 @@
     pub expected_end: Duration,
 }
 
+/// Time after the expected end of a load from which it is no longer expected without a report.
+const CARRIED_LOAD_GRACE: Duration = Duration::from_secs(30);
+
+/// A load that an engine carries out although the record that it was ordered on was dropped.
+///
+/// An engine ends a load that it has accepted, whoever holds the lease. Without this the model would
+/// be ordered a second time, at another engine.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct CarriedLoad {
+    started_ms: u64,
+    model: String,
+    source: WeightSource,
+    expected_end: Duration,
+    /// When the record was dropped.
+    dropped_at: Duration,
+    /// Number of orders that the engine had accepted by then.
+    accepted: u64,
+}
+
+impl CarriedLoad {
+    pub(super) fn is_expected(&self, now: Duration) -> bool {
+        now < self.expected_end + CARRIED_LOAD_GRACE
+    }
+
+    /// Whether a report that was requested at a given time leaves open that the load goes on.
+    fn is_shown_by(&self, report: &Report, requested: Duration) -> bool {
+        requested < self.dropped_at + REPORT_CATCH_UP
+            || (report.executing && report.accepted_orders <= self.accepted)
+    }
+}
+
 /// How a change ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ChangeResult {
@@ -52,6 +83,8 @@
     pub models: HeldModels,
     /// Swap that is being carried out.
     pub swap: Option<ActiveSwap>,
+    /// Load that was ordered on an earlier record and goes on.
+    pub(super) carried: Option<CarriedLoad>,
     /// Whether it accepts no new requests.
     pub leaving: bool,
     /// Whether it asked this instance for a pause.
@@ -93,6 +126,7 @@
             started_ms: endpoint.start_ms,
             models: endpoint.models.clone(),
             swap: None,
+            carried: None,
             leaving: false,
             paused: false,
             limit: None,
@@ -115,6 +149,47 @@
         }
     }
 
+    /// The load of a model that goes on at the engine if this record is dropped.
+    pub(super) fn ongoing_load(&mut self, now: Duration) -> Option<CarriedLoad> {
+        let accepted = self.accepted_count();
+        let Some(ActiveSwap {
+            change: EngineAction::LoadModel { model, source, .. },
+            expected_end,
+        }) = &self.swap
+        else {
+            return self.carried.take();
+        };
+        self.sequence.is_loading().then(|| CarriedLoad {
+            started_ms: self.started_ms,
+            model: model.clone(),
+            source: *source,
+            expected_end: *expected_end,
+            dropped_at: now,
+            accepted,
+        })
+    }
+
+    /// Takes over a load of an earlier record, unless the engine, listed with a start, has restarted.
+    pub(super) fn carry(&mut self, load: CarriedLoad, started_ms: u64) {
+        if load.started_ms != started_ms && load.started_ms != 0 && started_ms != 0 {
+            return;
+        }
+        log::info!(model = load.model.as_str(), address:% = self.address, source:% = load.source;
+            "load goes on under a new record of its engine");
+        self.carried = Some(load);
+    }
+
+    /// Whether the engine loads a model from the weight store.
+    #[must_use]
+    pub fn loads_from_store(&self) -> bool {
+        let swap = self.swap.as_ref().map(|s| &s.change);
+        let carried = self.carried.as_ref().map(|load| load.source);
+        match swap {
+            Some(EngineAction::LoadModel { source, .. }) => *source == WeightSource::Store,
+            _ => carried == Some(WeightSource::Store),
+        }
+    }
+
     /// Number of accepted orders; the last reading while an order is being sent.
     pub fn accepted_count(&mut self) -> u64 {
         if let Some(accepted) = self.sequence.accepted() {
@@ -175,7 +250,11 @@
                 }
             }
         }
-        self.sequence.ticket()
+        let ticket = self.sequence.ticket();
+        if matches!(change, EngineAction::LoadModel { .. }) {
+            ticket.set_loading(false);
+        }
+        ticket
     }
 
     /// Records the end of a change; returns false if it belongs to an earlier record.
@@ -261,6 +340,8 @@
             return;
         }
         self.last_accepted = report.accepted_orders;
+        self.carried
+            .take_if(|load| !load.is_shown_by(&report, requested));
         // The engine runs an order of another holder: nothing may be loaded until its result is
         // known.
         self.state_unknown = report.executing;
@@ -296,6 +377,7 @@
             };
             (model.clone(), loaded_model)
         });
+        let carried = self.carried.as_ref().filter(|load| load.is_expected(now));
         EngineState {
             id: id.to_owned(),
             domain: self.domain.clone(),
@@ -304,11 +386,11 @@
             loading_adapters: self.pending_adapters.clone(),
             in_memory: self.warm.clone(),
             on_disk: self.disk.clone(),
-            loading_model: self.swap.as_ref().and_then(|s| match &s.change {
-                EngineAction::LoadModel { model, .. } => Some(model.clone()),
-                EngineAction::LoadAdapter { .. } => None,
-            }),
-            busy: !self.is_idle() || self.state_unknown || self.paused,
+            loading_model: match self.swap.as_ref().map(|s| &s.change) {
+                Some(EngineAction::LoadModel { model, .. }) => Some(model.clone()),
+                _ => carried.map(|load| load.model.clone()),
+            },
+            busy: !self.is_idle() || self.state_unknown || self.paused || carried.is_some(),
             draining: self.leaving,
             unreachable: self.is_unreachable(),
             limit: self.limit,
--- a/src/gateway/orders/records.rs
+++ b/src/gateway/orders/records.rs
@@ -6,12 +6,14 @@
 use super::super::planner::EngineState;
 use super::super::protocol::{Endpoint, Target};
 use super::super::servers::ListedEndpoint;
-use super::record::{EngineRecord, RATE_WINDOW};
+use super::record::{CarriedLoad, EngineRecord, RATE_WINDOW};
 
 /// Engines by id of their incarnation.
 #[derive(Debug, Default)]
 pub struct EngineRecords {
     engines: BTreeMap<String, EngineRecord>,
+    /// Loads that go on at engines whose records were dropped.
+    carried: BTreeMap<String, CarriedLoad>,
     /// Fencing token of the term that the records belong to.
     term: Option<u64>,
 }
@@ -19,11 +21,12 @@
 impl EngineRecords {
     /// Starts or continues the term of a fencing token; returns whether it is a new term.
     ///
-    /// A new term begins without records: another instance may have sent orders in between.
-    pub fn enter_term(&mut self, fencing_token: u64) -> bool {
+    /// A new term begins without records: another instance may have sent orders in between. Loads
+    /// that engines had accepted go on.
+    pub fn enter_term(&mut self, fencing_token: u64, now: Duration) -> bool {
         let is_new = self.term != Some(fencing_token);
         if is_new {
-            self.clear();
+            self.clear(now);
             self.term = Some(fencing_token);
         }
         is_new
@@ -33,10 +36,10 @@
     ///
     /// A term whose token is temporarily invalid keeps its records: its changes are still
     /// in flight, and no other instance has sent orders.
-    pub fn leave_lost_term(&mut self, held: Option<u64>) -> bool {
+    pub fn leave_lost_term(&mut self, held: Option<u64>, now: Duration) -> bool {
         let is_lost = self.term.is_some() && held != self.term;
         if is_lost {
-            self.clear();
+            self.clear(now);
             self.term = None;
         }
         is_lost
@@ -54,8 +57,10 @@
         now: Duration,
     ) {
         let ids: BTreeSet<&str> = listed.iter().map(|e| e.id.as_str()).collect();
-        self.engines
-            .retain(|id, r| r.service != service || ids.contains(id.as_str()));
+        let gone =
+            |id: &String, r: &mut EngineRecord| r.service == service && !ids.contains(id.as_str());
+        let gone: Vec<_> = self.engines.extract_if(.., gone).collect();
+        self.keep_loads(gone, now);
         for entry in listed {
             let is_new = match self.engines.get(&entry.id) {
                 None => true,
@@ -65,8 +70,11 @@
                 }
             };
             if is_new && let Some(endpoint) = describe(&entry.id) {
-                self.engines
-                    .insert(entry.id.clone(), EngineRecord::new(&endpoint));
+                let mut record = EngineRecord::new(&endpoint);
+                if let Some(load) = self.carried.remove(&entry.id) {
+                    record.carry(load, entry.started_ms);
+                }
+                self.engines.insert(entry.id.clone(), record);
             }
             if let Some(record) = self.engines.get_mut(&entry.id) {
                 if record.started_ms == 0 {
@@ -108,8 +116,29 @@
     }
 
     /// Drops all records, and with them the permission of all changes in flight.
-    fn clear(&mut self) {
-        self.engines.clear();
+    fn clear(&mut self, now: Duration) {
+        let dropped = std::mem::take(&mut self.engines);
+        self.keep_loads(dropped, now);
+    }
+
+    /// Remembers the loads that engines carry out whose records were dropped.
+    fn keep_loads(
+        &mut self,
+        dropped: impl IntoIterator<Item = (String, EngineRecord)>,
+        now: Duration,
+    ) {
+        self.carried.retain(|_, load| load.is_expected(now));
+        for (id, mut record) in dropped {
+            let load = record.ongoing_load(now);
+            self.carried.extend(load.map(|load| (id, load)));
+        }
+    }
+
+    /// Number of loads from the weight store in progress.
+    #[must_use]
+    pub fn store_loads(&self) -> u32 {
+        let loads = self.engines.values().filter(|r| r.loads_from_store());
+        u32::try_from(loads.count()).unwrap_or(u32::MAX)
     }
 
     /// States of the engines of a service for the planner.
--- a/src/gateway/orders/send.rs
+++ b/src/gateway/orders/send.rs
@@ -45,7 +45,7 @@
 /// Age of engine reports; the platform's documentation gives some hundred milliseconds.
 const REPORT_LAG: Duration = Duration::from_millis(150);
 /// Time after the end of an order from which a requested report reflects it.
-const REPORT_CATCH_UP: Duration = Duration::from_millis(400);
+pub(super) const REPORT_CATCH_UP: Duration = Duration::from_millis(400);
 /// Multiple of [`REPORT_CATCH_UP`] after which a lower order count is taken as true: the engine
 /// lost some.
 const LOST_COUNT_FACTOR: u32 = 4;
@@ -132,7 +132,15 @@
         };
         let mut outcome = self.issue(Action::Load, target.clone()).await;
         if outcome == Outcome::Accepted {
+            let is_model = target.adapter.is_none();
+            if is_model {
+                self.ticket.set_loading(true);
+            }
             outcome = self.wait_loaded(&target, load_time).await;
+            // A load whose record was dropped goes on at the engine.
+            if is_model && outcome != Outcome::Stale {
+                self.ticket.set_loading(false);
+            }
         }
         ChangeResult { outcome, unloaded }
     }
--- a/src/gateway/orders/sequence.rs
+++ b/src/gateway/orders/sequence.rs
@@ -6,7 +6,7 @@
 //! carried out in between.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use tokio::sync::{Mutex, MutexGuard};
 
@@ -16,6 +16,8 @@
     accepted: Mutex<u64>,
     /// Increases whenever the changes in flight lose their basis.
     epoch: AtomicU64,
+    /// Whether the engine carries out the load of a model.
+    loading: AtomicBool,
 }
 
 /// Orders that one incarnation of an engine has accepted; dropping it revokes all tickets.
@@ -52,6 +54,12 @@
         Arc::ptr_eq(&self.shared, &ticket.shared)
     }
 
+    /// Whether the engine has accepted the load of a model that has not ended.
+    #[must_use]
+    pub fn is_loading(&self) -> bool {
+        self.shared.loading.load(Ordering::Acquire)
+    }
+
     /// Number of accepted orders; `None` while an order is being sent.
     #[must_use]
     pub fn accepted(&self) -> Option<u64> {
@@ -89,6 +97,11 @@
         self.shared.epoch.load(Ordering::Acquire) == self.epoch
     }
 
+    /// Records whether the engine carries out the load of a model.
+    pub fn set_loading(&self, loading: bool) {
+        self.shared.loading.store(loading, Ordering::Release);
+    }
+
     /// Waits for the order that is being sent; returns the count, or `None` once revoked.
     pub async fn lock(&self) -> Option<MutexGuard<'_, u64>> {
         let accepted = self.shared.accepted.lock().await;
--- a/src/gateway/orders/store_loads.rs
+++ b/src/gateway/orders/store_loads.rs
@@ -12,12 +12,14 @@
 /// Slowdown from which loads are taken to share the store's bandwidth; report lag adds less.
 const CONTENTION_SLOWDOWN: f64 = 1.25;
 
-/// Loads that are running and starts within the rate limit's window.
+/// Starts of loads within the rate limit's window, and how many loads run at full speed.
+///
+/// The number of running loads is passed in: the records of the engines have it, also of loads that
+/// were ordered in an earlier term.
 #[derive(Debug)]
 pub(super) struct StoreLoads {
     window: Duration,
     recent_starts: VecDeque<Duration>,
-    running: u32,
     parallel_limit: u32,
 }
 
@@ -26,18 +28,17 @@
         Self {
             window,
             recent_starts: VecDeque::new(),
-            running: 0,
             parallel_limit: INITIAL_PARALLEL_LOADS,
         }
     }
 
-    /// Forgets the running loads when another instance issues the orders.
-    pub(super) fn clear(&mut self) {
-        self.running = 0;
-    }
-
-    /// Loads that may start now.
-    pub(super) fn capacity(&mut self, engine: &Engine, now: Duration) -> StoreCapacity {
+    /// Loads that may start beside `running` ones now.
+    pub(super) fn capacity(
+        &mut self,
+        engine: &Engine,
+        running: u32,
+        now: Duration,
+    ) -> StoreCapacity {
         while self
             .recent_starts
             .front()
@@ -53,23 +54,21 @@
         let max_starts = (engine.load_rate * self.window.as_secs_f64()) as u32;
         let started = u32::try_from(self.recent_starts.len()).unwrap_or(u32::MAX);
         StoreCapacity {
-            slots: self.parallel_limit.saturating_sub(self.running),
+            slots: self.parallel_limit.saturating_sub(running),
             tokens: max_starts.saturating_sub(started),
         }
     }
 
-    /// Records the start of a load and returns its expected duration.
-    pub(super) fn start(&mut self, cold: Duration, now: Duration) -> Duration {
+    /// Records the start of a load beside `running` ones and returns its expected duration.
+    pub(super) fn start(&mut self, cold: Duration, running: u32, now: Duration) -> Duration {
         self.recent_starts.push_back(now);
-        self.running += 1;
-        cold * self.running.div_ceil(self.parallel_limit.max(1))
+        cold * (running + 1).div_ceil(self.parallel_limit.max(1))
     }
 
-    /// Records the end of a load and adapts the limit of parallel loads to its slowdown.
-    pub(super) fn finish(&mut self, took: Duration, cold: Option<Duration>, done: bool) {
-        let were_running = self.running;
-        self.running = self.running.saturating_sub(1);
-        let Some(cold) = cold.filter(|c| done && !c.is_zero()) else {
+    /// Adapts the limit of parallel loads to the slowdown of a load that has ended, one of
+    /// `were_running`.
+    pub(super) fn finish(&mut self, took: Duration, cold: Option<Duration>, were_running: u32) {
+        let Some(cold) = cold.filter(|c| !c.is_zero()) else {
             return;
         };
         let slowdown = took.as_secs_f64() / cold.as_secs_f64();
@@ -80,8 +79,9 @@
         }
     }
 
-    /// Time until the load at a position in the queue ends; positions start at 1.
-    pub(super) fn queue_time(&self, position: u32, cold: Duration) -> Duration {
-        cold * (self.running + position).div_ceil(self.parallel_limit.max(1))
+    /// Time until the load at a position in the queue ends, behind `running` ones; positions start
+    /// at 1.
+    pub(super) fn queue_time(&self, position: u32, running: u32, cold: Duration) -> Duration {
+        cold * (running + position).div_ceil(self.parallel_limit.max(1))
     }
 }
--- a/tests/order_model/holder.rs
+++ b/tests/order_model/holder.rs
@@ -135,10 +135,10 @@
             (lease.fencing_token(now), lease.term())
         };
         let Some(token) = token else {
-            self.records.leave_lost_term(held);
+            self.records.leave_lost_term(held, now);
             return;
         };
-        self.records.enter_term(token);
+        self.records.enter_term(token, now);
         self.sync(now);
         self.request_reports(now);
         let fleet = Fleet {
--- a/tests/order_terms.rs
+++ b/tests/order_terms.rs
@@ -60,7 +60,7 @@
 /// Records of a term in which engine `e` has begun a swap.
 fn swapping() -> (EngineRecords, OrderTicket) {
     let mut records = EngineRecords::default();
-    records.enter_term(1);
+    records.enter_term(1, NOW);
     sync(&mut records, &[listed("e", 1)]);
     let record = records.get_mut("e").unwrap();
     record.state_unknown = false;
@@ -73,8 +73,8 @@
 #[test]
 fn token_away_for_an_instant() {
     let (mut records, ticket) = swapping();
-    assert!(!records.leave_lost_term(Some(1)));
-    assert!(!records.enter_term(1));
+    assert!(!records.leave_lost_term(Some(1), NOW));
+    assert!(!records.enter_term(1, NOW));
     assert!(ticket.is_valid());
     assert!(records.get_mut("e").unwrap().swap.is_some());
 }
@@ -82,14 +82,14 @@
 #[test]
 fn lost_term_ends_its_changes() {
     let (mut records, ticket) = swapping();
-    assert!(records.leave_lost_term(None));
+    assert!(records.leave_lost_term(None, NOW));
     assert!(!ticket.is_valid());
 }
 
 #[test]
 fn lapse_and_return() {
     let (mut records, ticket) = swapping();
-    assert!(records.enter_term(2));
+    assert!(records.enter_term(2, NOW));
     assert!(!ticket.is_valid());
     assert!(records.is_empty());
 }
@@ -159,6 +159,64 @@
     assert!(record.swap.is_some());
 }
 
+/// Model that the planner counts as being loaded on engine `e`.
+fn loading(records: &EngineRecords, now: Duration) -> Option<String> {
+    let states = records.states("writers", |_, _| 0, now);
+    assert!(states[0].busy || states[0].loading_model.is_none());
+    states[0].loading_model.clone()
+}
+
+/// Guards against a model that is ordered at a second engine while the first one loads it, as the
+/// lease was away for an instant or the server list left the engine out once.
+#[test]
+fn load_goes_on_under_a_new_record() {
+    let list_gap = |records: &mut EngineRecords| sync(records, &[]);
+    let new_term = |records: &mut EngineRecords| {
+        assert!(records.leave_lost_term(None, NOW));
+        assert!(records.enter_term(2, NOW));
+    };
+    for drop_record in [list_gap as fn(&mut EngineRecords), new_term] {
+        let (mut records, ticket) = swapping();
+        ticket.set_loading(true);
+        drop_record(&mut records);
+        sync(&mut records, &[listed("e", 1)]);
+        assert!(!ticket.is_valid());
+        assert_eq!(loading(&records, NOW).as_deref(), Some("new"));
+        assert_eq!(records.store_loads(), 0);
+        // A report that was on its way does not know of the load yet; later ones show its end.
+        for (after_ms, executing, known) in
+            [(100, false, true), (900, true, true), (1800, false, false)]
+        {
+            let now = NOW + Duration::from_millis(after_ms);
+            let record = records.get_mut("e").unwrap();
+            record.apply_report(report(0, executing, &[]), now);
+            assert_eq!(loading(&records, now).is_some(), known, "{after_ms} ms");
+        }
+    }
+}
+
+/// A load that no engine carries out must not count as one.
+#[test]
+fn load_is_not_carried_over() {
+    let (mut records, _ticket) = swapping();
+    sync(&mut records, &[]);
+    sync(&mut records, &[listed("e", 1)]);
+    assert_eq!(loading(&records, NOW), None, "not accepted");
+    let (mut records, ticket) = swapping();
+    ticket.set_loading(true);
+    sync(&mut records, &[]);
+    sync(&mut records, &[listed("e", 2)]);
+    assert_eq!(loading(&records, NOW), None, "restarted");
+    let (mut records, ticket) = swapping();
+    ticket.set_loading(true);
+    sync(&mut records, &[]);
+    sync(&mut records, &[listed("e", 1)]);
+    let now = NOW + Duration::from_secs(1);
+    let record = records.get_mut("e").unwrap();
+    record.apply_report(report(3, true, &[]), now);
+    assert_eq!(loading(&records, now), None, "order of another holder");
+}
+
 /// An engine that gives scripted answers and counts what it is sent.
 #[derive(Debug, Default)]
 struct Scripted {
