Orders: two loads from the weight store at first, and no more than were fast

Cause: four loads started at once until the first ended, and after slow loads the limit sank by one for each load that ended, then rose again with each fast one. Loads of a store that serves two took three to four times as long.

Change, in a configuration with accounts: two loads at first; one slow round lowers the limit once; a number that was too slow is tried again after 300 s. Elsewhere the numbers stay as they were.

--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -25,7 +25,7 @@
 pub mod records;
 pub mod send;
 pub mod sequence;
-mod store_loads;
+pub mod store_loads;
 pub mod throttle;
 pub mod views;
 
@@ -200,6 +200,7 @@
         self.own_demand = own;
         self.peers.retain(|_, p| now < p.heard_at + PEER_TIMEOUT);
         self.rates.retain(|_, r| r.at(now) > MIN_RATE_PER_S);
+        self.store_loads.set_cautious(catalog.accounts.is_some());
         let mut demands = BTreeMap::new();
         for (service, engine) in catalog.engines() {
             self.sync_records(service, now);
--- a/src/gateway/orders/engine_events.rs
+++ b/src/gateway/orders/engine_events.rs
@@ -104,7 +104,7 @@
                 .flat_map(|c| c.engines())
                 .find_map(|(_, e)| e.models.get(model).map(|m| m.cold_load));
             let were_running = self.records.store_loads();
-            self.store_loads.finish(ended.took, cold, were_running);
+            self.store_loads.finish(ended.took, cold, were_running, now);
         }
         let outcome = ended.result.outcome;
         let known = self.records.get_mut(&ended.engine).is_some_and(|record| {
