Planner: replicas follow demand, and the most valuable load goes first

Cause: a model got a further replica once its running and waiting requests filled 0.4 of the slots of those it had. On engines of 12 slots callers were refused by then, while a quarter of the engines ran nothing. Refused requests were no demand, a model in demand could be evicted for a rare one, and among models that lack a replica the longest wait decided.

Change, in a configuration with accounts (`Fleet::follows_demand`): - the required replicas follow from the rate, the time of a stream and room for a burst; a replica is to run 0.3 of the slots of one model, less where its streams are late (`TargetDemand::late_share`, 0 until it is known); - instances report requests refused for want of room; a refused caller counts as one, at two attempts on average (an assumption); - a further replica goes to an engine with the weights nearby, the least busy first, and only if it serves more requests within 8 s than its swap delays; - a model in demand keeps the replicas that it requires, unless requests have waited longer than their objective for a model that no engine has; - a swap costs the requests that arrive for the engine's models meanwhile, so that swaps for rare models gather on engines without demand; - loads are ordered by requests per second of load time, weighed by the wait in objectives; requests that can be in time go first, as before. The log line `load decided` has the figures; the counter `brassrack_gateway_loads` has the labels source and further.

Not run on a fleet.

--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -193,6 +193,11 @@
             } else {
                 0
             },
+            refused: if software.is_none() {
+                demand.refused
+            } else {
+                0
+            },
             wait_ms: millis(now.saturating_sub(oldest)),
             objective_ms: millis(objective.unwrap_or_default()),
             left_ms: millis(in_time_until.unwrap_or(now).saturating_sub(now)),
--- a/src/gateway/link/message.rs
+++ b/src/gateway/link/message.rs
@@ -45,6 +45,9 @@
     /// In demand reports, the only software version at which the requests may run; empty for any.
     #[prost(string, tag = "9")]
     pub software: String,
+    /// In demand reports, requests refused for want of room since the last report.
+    #[prost(uint32, tag = "10")]
+    pub refused: u32,
 }
 
 impl TargetCount {
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -69,6 +69,8 @@
     dirty: bool,
     views: EngineViews,
     rates: BTreeMap<DemandKey, ArrivalRate>,
+    /// Requests that were refused for want of room.
+    refusals: BTreeMap<DemandKey, ArrivalRate>,
     records: EngineRecords,
     store_loads: StoreLoads,
     limit_ledger: LimitLedger,
@@ -100,6 +102,7 @@
                 dirty: false,
                 views: EngineViews::default(),
                 rates: BTreeMap::new(),
+                refusals: BTreeMap::new(),
                 records: EngineRecords::default(),
                 store_loads: StoreLoads::new(window),
                 limit_ledger: LimitLedger::default(),
@@ -140,6 +143,11 @@
             let key = (count.scope.clone(), count.target());
             self.rates.entry(key).or_default().add(count.arrivals, now);
         }
+        for count in demand.requested.iter().filter(|c| c.refused > 0) {
+            let key = (count.scope.clone(), count.target());
+            let refusals = self.refusals.entry(key).or_default();
+            refusals.add(count.refused, now);
+        }
         let mut suspicion = self.gateway.crash_suspects();
         for fingerprint in &demand.aborted {
             suspicion.record_break(*fingerprint, now);
@@ -200,11 +208,12 @@
         self.own_demand = own;
         self.peers.retain(|_, p| now < p.heard_at + PEER_TIMEOUT);
         self.rates.retain(|_, r| r.at(now) > MIN_RATE_PER_S);
+        self.refusals.retain(|_, r| r.at(now) > MIN_RATE_PER_S);
         self.store_loads.set_cautious(catalog.accounts.is_some());
         let mut demands = BTreeMap::new();
         for (service, engine) in catalog.engines() {
             self.sync_records(service, now);
-            let fleet = self.fleet(service, now);
+            let fleet = self.fleet(service, &catalog, now);
             let running = self.records.store_loads();
             let capacity = self.store_loads.capacity(engine, running, now);
             for step in planner::plan(engine, &fleet, capacity, now) {
@@ -295,9 +304,16 @@
                     load_time = self.store_loads.start(load_time, loads_running, now);
                 }
                 let demand = fleet.demand.iter().find(|(t, _)| t.model == *model);
+                self.gateway
+                    .stats
+                    .record_load((*source).into(), step.replicas > 1);
                 log::info!(engine = step.engine.as_str(), model = model.as_str(),
                     out = evict.join(","), source:% = source, urgent = step.urgent,
-                    waiting = demand.map_or(0, |(_, d)| d.waiting), fence = fencing_token,
+                    waiting = demand.map_or(0, |(_, d)| d.waiting),
+                    rate = demand.map_or(0.0, |(_, d)| d.request_rate),
+                    refused_rate = demand.map_or(0.0, |(_, d)| d.refused_rate),
+                    late_share = demand.map_or(0.0, |(_, d)| d.late_share),
+                    replicas = step.replicas, required = step.required, fence = fencing_token,
                     accepted = record.accepted_count(); "load decided");
             }
             EngineAction::LoadAdapter { evict, target } => {
--- a/src/gateway/orders/fleet.rs
+++ b/src/gateway/orders/fleet.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use super::super::catalog::Catalog;
 use super::super::link::DemandReport;
 use super::super::planner::{Fleet, PinnedTarget, TargetDemand};
 use super::super::protocol::Target;
@@ -21,7 +22,7 @@
         peers.chain(std::iter::once(&self.own_demand))
     }
 
-    pub(super) fn fleet(&self, service: &str, now: Duration) -> Fleet {
+    pub(super) fn fleet(&self, service: &str, catalog: &Catalog, now: Duration) -> Fleet {
         let mut target_demands: BTreeMap<Target, TargetDemand> = BTreeMap::new();
         for ((scope, target), rate) in &self.rates {
             if scope == service {
@@ -31,6 +32,14 @@
                     .request_rate = rate.at(now);
             }
         }
+        for ((scope, target), rate) in &self.refusals {
+            if scope == service {
+                target_demands
+                    .entry(target.clone())
+                    .or_default()
+                    .refused_rate = rate.at(now);
+            }
+        }
         let mut pinned = BTreeSet::new();
         let mut running: BTreeMap<&str, BTreeMap<Target, u32>> = BTreeMap::new();
         for demand in self.demands() {
@@ -71,6 +80,8 @@
             engines: self.records.states(service, running_on, now),
             demand: target_demands,
             pinned,
+            follows_demand: catalog.accounts.is_some(),
+            stream_time: self.gateway.servers.run_time(),
         }
     }
 }
--- a/src/gateway/orders/inbox.rs
+++ b/src/gateway/orders/inbox.rs
@@ -82,7 +82,8 @@
 
 /// Adds the events of an earlier report that no later report carries again.
 fn add_events(demand: &mut DemandReport, earlier: DemandReport) {
-    for count in earlier.requested.into_iter().filter(|c| c.arrivals > 0) {
+    let has_events = |c: &TargetCount| c.arrivals > 0 || c.refused > 0;
+    for count in earlier.requested.into_iter().filter(has_events) {
         let same = demand.requested.iter_mut().find(|c| {
             c.scope == count.scope
                 && c.model == count.model
@@ -90,7 +91,10 @@
                 && c.software == count.software
         });
         match same {
-            Some(newer) => newer.arrivals += count.arrivals,
+            Some(newer) => {
+                newer.arrivals += count.arrivals;
+                newer.refused += count.refused;
+            }
             None => demand.requested.push(TargetCount {
                 count: 0,
                 wait_ms: 0,
--- a/src/gateway/planner.rs
+++ b/src/gateway/planner.rs
@@ -13,6 +13,7 @@
 use super::protocol::Target;
 
 mod adapters;
+pub mod demand;
 mod model_loads;
 mod model_summary;
 mod pinned;
@@ -79,6 +80,10 @@
     pub oldest_arrival: Duration,
     /// Recent arrival rate, in requests per second.
     pub request_rate: f64,
+    /// Part of that rate that was refused for want of room.
+    pub refused_rate: f64,
+    /// Share of its streams that are late; 0 where unknown.
+    pub late_share: f64,
     /// Latency objective of the waiting requests, the longest one.
     pub objective: Duration,
     /// Time until which an answer is in time for at least one of the waiting requests.
@@ -103,6 +108,10 @@
     pub demand: BTreeMap<Target, TargetDemand>,
     /// Targets that streams wait for at engines of one software version.
     pub pinned: BTreeSet<PinnedTarget>,
+    /// Whether replicas are ordered ahead of refusals, from the rate and the time of streams.
+    pub follows_demand: bool,
+    /// Time that a stream takes on average.
+    pub stream_time: Duration,
 }
 
 /// A model or adapter, and the software version of the engines that may serve it.
@@ -158,6 +167,10 @@
     pub action: EngineAction,
     /// Whether requests wait for it; false for prefetching.
     pub urgent: bool,
+    /// Number of replicas of the model with this one; 0 for an adapter.
+    pub replicas: u32,
+    /// Number of replicas that the demand requires; 0 for an adapter.
+    pub required: u32,
 }
 
 /// Nearest storage from which an engine can load a model.
@@ -197,8 +210,12 @@
         summaries: summarize(&engines, &fleet.demand),
         engines,
         demand: &fleet.demand,
+        follows_demand: fleet.follows_demand,
+        stream_time: fleet.stream_time,
+        swap_delays: Vec::new(),
         now,
     };
+    planner.prepare();
     for model in planner.underreplicated_models() {
         if let Some(action) = planner.plan_model_load(&model, &mut capacity, true) {
             actions.push(action);
@@ -228,6 +245,10 @@
     engines: Vec<EngineState>,
     demand: &'a BTreeMap<Target, TargetDemand>,
     summaries: BTreeMap<String, ModelSummary>,
+    follows_demand: bool,
+    stream_time: Duration,
+    /// Requests that a swap delays, by engine; only where replicas follow demand.
+    swap_delays: Vec<f64>,
     now: Duration,
 }
 
--- a/src/gateway/planner/adapters.rs
+++ b/src/gateway/planner/adapters.rs
@@ -55,6 +55,8 @@
                 target: target.clone(),
             },
             urgent: true,
+            replicas: 0,
+            required: 0,
         })
     }
 
--- a/src/gateway/planner/model_loads.rs
+++ b/src/gateway/planner/model_loads.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::demand;
 use super::model_summary::ModelSummary;
 use super::{
     EngineAction, EngineState, LoadedModel, PREFETCH_RESERVED_SLOTS, PlannedAction, Planner,
@@ -15,6 +16,9 @@
 /// Time for which a newly loaded model is not evicted, so that its waiting requests reach it.
 const MIN_RESIDENCE: Duration = Duration::from_millis(800);
 
+/// Rate of refused requests from which a further replica may take the last slot of the weight store.
+const MIN_REFUSED_RATE_PER_S: f64 = 0.5;
+
 /// Time that a swap takes beyond the load: orders, the unload, and noticing the end.
 const SWAP_OVERHEAD: Duration = Duration::from_millis(250);
 /// Wait after which late requests go first again, in multiples of their objective.
@@ -26,6 +30,8 @@
     /// Whether the engine names a limit; any other one goes before it.
     limited: bool,
     source: WeightSource,
+    /// Requests running on the engine, where a further replica is to relieve others; otherwise 0.
+    load: u32,
     evict: Vec<String>,
     cost: f64,
 }
@@ -33,6 +39,10 @@
 impl Planner<'_> {
     /// Number of replicas that the demand for a model requires.
     fn required_replicas(&self, summary: &ModelSummary, demand: &TargetDemand) -> u32 {
+        if self.follows_demand {
+            let running = summary.running;
+            return demand::required_replicas(self.spec.slots, running, demand, self.stream_time);
+        }
         let slots_per_replica = (f64::from(self.spec.slots) * SLOT_SHARE_PER_REPLICA).max(1.0);
         let by_load = (f64::from(summary.running + demand.waiting) / slots_per_replica).ceil();
         let minimum = if demand.request_rate >= REDUNDANT_RATE_PER_S {
@@ -63,15 +73,70 @@
             && self.now < demand.oldest_arrival + demand.objective * OVERDUE_OBJECTIVES
     }
 
+    /// Counts the required replicas of all models, and what a swap delays on each engine, once.
+    pub(super) fn prepare(&mut self) {
+        let required = self.summaries.iter().map(|(name, summary)| {
+            let demand = summary.demand.as_ref();
+            let required = demand.map_or(0, |demand| self.required_replicas(summary, demand));
+            (name.clone(), required)
+        });
+        for (name, required) in required.collect::<Vec<_>>() {
+            self.summaries.entry(name).or_default().required = required;
+        }
+        if self.follows_demand {
+            let engines = self.engines.iter();
+            self.swap_delays = engines.map(|engine| self.swap_delay(engine)).collect();
+        }
+    }
+
+    /// Requests that a swap on an engine delays: those that arrive for its models in the meantime.
+    ///
+    /// It concentrates the swaps for rare models on engines without models in demand.
+    fn swap_delay(&self, engine: &EngineState) -> f64 {
+        let rate = |name: &String| {
+            let summary = self.summary(name);
+            let rate = summary.demand.map_or(0.0, |demand| demand.request_rate);
+            rate / f64::from(summary.replicas.max(1))
+        };
+        engine.models.keys().map(rate).sum::<f64>() * SWAP_OVERHEAD.as_secs_f64()
+    }
+
+    /// Models that need another replica where replicas follow demand: those whose requests can be in
+    /// time first, then by the value of the load per second of its time.
+    fn most_urgent_models(&self) -> Vec<String> {
+        let mut lacking: Vec<(bool, f64, &String)> = Vec::new();
+        for (name, summary) in &self.summaries {
+            let (Some(demand), Some(model)) = (&summary.demand, self.spec.models.get(name)) else {
+                continue;
+            };
+            if summary.replicas >= summary.required {
+                continue;
+            }
+            let source = if summary.has_copy {
+                WeightSource::Disk
+            } else {
+                WeightSource::Store
+            };
+            let time = load_time(model, source) + SWAP_OVERHEAD;
+            let urgency = demand::urgency(summary.replicas, demand, time, self.now);
+            lacking.push((self.is_too_late(name, demand), urgency, name));
+        }
+        lacking.sort_by(|a, b| a.0.cmp(&b.0).then(b.1.total_cmp(&a.1)));
+        lacking.into_iter().map(|(.., name)| name.clone()).collect()
+    }
+
     /// Models that need another replica: those without any first, then those whose requests can be
     /// in time, then by longest wait.
     pub(super) fn underreplicated_models(&self) -> Vec<String> {
+        if self.follows_demand {
+            return self.most_urgent_models();
+        }
         let mut underreplicated: Vec<(bool, bool, Duration, &String)> = Vec::new();
         for (name, summary) in &self.summaries {
             let Some(demand) = &summary.demand else {
                 continue;
             };
-            let lacking = summary.replicas < self.required_replicas(summary, demand);
+            let lacking = summary.replicas < summary.required;
             if lacking && self.spec.models.contains_key(name) {
                 let too_late = self.is_too_late(name, demand);
                 underreplicated.push((summary.replicas > 0, too_late, demand.oldest_arrival, name));
@@ -106,6 +171,9 @@
     ) -> Option<PlannedAction> {
         let store_open = capacity.slots > 0 && capacity.tokens > 0;
         let option = self.best_option(model, store_open)?;
+        if !self.is_worth_its_price(model, &option) {
+            return None;
+        }
         if option.source == WeightSource::Store {
             if urgent && !self.may_load_from_store(model, *capacity) {
                 return None;
@@ -120,7 +188,10 @@
                 summary.replicas = summary.replicas.saturating_sub(1);
             }
         }
-        self.summaries.entry(model.to_owned()).or_default().replicas += 1;
+        let summary = self.summaries.entry(model.to_owned()).or_default();
+        summary.replicas += 1;
+        let (replicas, required) = (summary.replicas, summary.required);
+        let engine = &mut self.engines[option.engine];
         engine.busy = true;
         engine.loading_model = Some(model.to_owned());
         Some(PlannedAction {
@@ -131,9 +202,22 @@
                 source: option.source,
             },
             urgent,
+            replicas,
+            required,
         })
     }
 
+    /// Whether a further replica serves more requests in time than its swap makes wait.
+    fn is_worth_its_price(&self, model: &str, option: &LoadOption) -> bool {
+        let summary = self.summary(model);
+        if !self.follows_demand || summary.replicas == 0 {
+            return true;
+        }
+        let demand = summary.demand.unwrap_or_default();
+        let gain = demand::replica_gain(summary.replicas, summary.required, &demand);
+        gain >= 1.0 && gain > option.cost
+    }
+
     /// Option without a limit, then with the nearest weights, and among equally near ones the lowest eviction cost.
     fn best_option(&self, model: &str, store_open: bool) -> Option<LoadOption> {
         let mut best: Option<LoadOption> = None;
@@ -149,7 +233,8 @@
                 continue;
             };
             let is_better = |b: &LoadOption| {
-                (option.limited, option.source, option.cost) < (b.limited, b.source, b.cost)
+                (option.limited, option.source, option.load, option.cost)
+                    < (b.limited, b.source, b.load, b.cost)
             };
             if best.as_ref().is_none_or(is_better) {
                 best = Some(option);
@@ -162,6 +247,10 @@
     ///
     /// Only requests that wait for a first replica bound the wait for an engine that has a copy.
     fn may_load_from_store(&self, model: &str, capacity: StoreCapacity) -> bool {
+        let refused = self.demand(model).refused_rate;
+        if self.follows_demand && refused >= MIN_REFUSED_RATE_PER_S {
+            return true;
+        }
         if self.replicas(model) > 0 || self.demand(model).waiting == 0 {
             return capacity.slots > PREFETCH_RESERVED_SLOTS;
         }
@@ -195,6 +284,7 @@
             .models
             .iter()
             .filter(|(name, loaded)| self.evictable(name, loaded))
+            .filter(|(name, _)| !self.is_protected(name, model))
             .map(|(name, _)| (self.eviction_cost(engine, name), name.as_str()))
             .collect();
         evictable.sort_by(|a, b| a.0.total_cmp(&b.0));
@@ -216,8 +306,9 @@
             engine: index,
             limited: engine.limit.is_some(),
             source: weight_source(engine, model),
+            load: self.relieving_load(model, engine),
             evict,
-            cost: cost + tie_break,
+            cost: cost + self.swap_delays.get(index).copied().unwrap_or_default() + tie_break,
         })
     }
 
@@ -227,6 +318,33 @@
             && (self.demand(name).waiting == 0 || self.replicas(name) > 1)
     }
 
+    /// Whether a model is kept from eviction for another one, as its own streams would be refused.
+    ///
+    /// A model in demand keeps the replicas that it requires, unless requests have waited for the
+    /// other one for longer than their objective and no engine has it.
+    fn is_protected(&self, name: &str, other: &str) -> bool {
+        if !self.follows_demand {
+            return false;
+        }
+        let summary = self.summary(name);
+        if summary.replicas > summary.required || summary.required <= 1 {
+            return false;
+        }
+        let waiting = self.demand(other);
+        let is_overdue = waiting.waiting > 0
+            && self.replicas(other) == 0
+            && self.now > waiting.oldest_arrival + waiting.objective;
+        !is_overdue
+    }
+
+    /// Requests running on an engine, for a further replica where replicas follow demand.
+    fn relieving_load(&self, model: &str, engine: &EngineState) -> u32 {
+        if !self.follows_demand || self.replicas(model) == 0 {
+            return 0;
+        }
+        engine.models.values().map(|loaded| loaded.running).sum()
+    }
+
     /// Cost of unloading a model: the requests that would wait for it to be loaded again.
     ///
     /// The cost falls with the square of the number of replicas.
--- a/src/gateway/planner/model_summary.rs
+++ b/src/gateway/planner/model_summary.rs
@@ -14,6 +14,8 @@
     pub(super) replicas: u32,
     /// Requests running on these engines.
     pub(super) running: u32,
+    /// Replicas that the demand requires.
+    pub(super) required: u32,
     /// Whether an engine that serves requests has loaded, loads or stores a copy.
     pub(super) has_copy: bool,
 }
@@ -30,7 +32,10 @@
             ..TargetDemand::default()
         });
         total.waiting += demand.waiting;
+        total.late_share += (demand.late_share - total.late_share) * demand.request_rate
+            / (total.request_rate + demand.request_rate).max(f64::MIN_POSITIVE);
         total.request_rate += demand.request_rate;
+        total.refused_rate += demand.refused_rate;
         if demand.waiting > 0 {
             total.oldest_arrival = total.oldest_arrival.min(demand.oldest_arrival);
             total.objective = total.objective.max(demand.objective);
--- a/src/gateway/planner/pinned.rs
+++ b/src/gateway/planner/pinned.rs
@@ -29,6 +29,9 @@
             summaries: summarize(&own, &fleet.demand),
             engines: own,
             demand: &fleet.demand,
+            follows_demand: false,
+            stream_time: fleet.stream_time,
+            swap_delays: Vec::new(),
             now,
         };
         for pinned in fleet.pinned.iter().filter(|p| p.software == *software) {
--- a/src/gateway/routing.rs
+++ b/src/gateway/routing.rs
@@ -260,6 +260,9 @@
         }
         log::info!(id = self.head.id.as_str(), endpoint = selected.id.as_str(),
             wait_ms = super::link::millis(selected.expected_wait); "engines are full");
+        if let Some(target) = &self.head.target {
+            self.gateway.demand.record_refusal(&self.service, target);
+        }
         let retry = admission::retry_after(selected.expected_wait, rand::random());
         Err(Refusal::not_run(Cause::Overload).retry_after(retry))
     }
--- a/src/gateway/servers.rs
+++ b/src/gateway/servers.rs
@@ -398,6 +398,12 @@
         state.run_time = Some(before.mul_f64(1.0 - TIMING_WEIGHT) + time.mul_f64(TIMING_WEIGHT));
     }
 
+    /// Time that a stream takes on average; a default until one has been measured.
+    #[must_use]
+    pub fn run_time(&self) -> Duration {
+        self.state().run_time.unwrap_or(DEFAULT_RUN_TIME)
+    }
+
     /// Counts a request at an endpoint until the guard is dropped.
     #[must_use]
     pub fn begin_request(
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -126,6 +126,8 @@
     pub waiting: BTreeMap<u64, WaitingRequest>,
     /// Requests that arrived since the last report to the lease holder.
     pub arrivals: u32,
+    /// Requests that were refused for want of room since then.
+    pub refused: u32,
 }
 
 /// A request that waits for its model.
@@ -162,6 +164,12 @@
         self.lock().entry(key).or_default().arrivals += 1;
     }
 
+    /// Counts a request that was refused for want of room.
+    pub fn record_refusal(&self, service: &str, target: &Target) {
+        let key = (service.to_owned(), target.clone());
+        self.lock().entry(key).or_default().refused += 1;
+    }
+
     /// Registers a request that waits, until the guard is dropped.
     pub fn register_wait(
         self: &Arc<Self>,
@@ -200,6 +208,7 @@
         let snapshot = demand.clone();
         demand.retain(|_, a| {
             a.arrivals = 0;
+            a.refused = 0;
             !a.waiting.is_empty()
         });
         snapshot
--- a/src/gateway/stats.rs
+++ b/src/gateway/stats.rs
@@ -16,6 +16,7 @@
     sends: Counter<u64>,
     beside: Counter<u64>,
     orders: Counter<u64>,
+    loads: Counter<u64>,
     store: Counter<u64>,
     first_response: Histogram<f64>,
     total: Histogram<f64>,
@@ -38,6 +39,7 @@
             sends: meter.u64_counter("brassrack_gateway_sends").build(),
             beside: meter.u64_counter("brassrack_gateway_beside").build(),
             orders: meter.u64_counter("brassrack_gateway_orders").build(),
+            loads: meter.u64_counter("brassrack_gateway_loads").build(),
             store: meter.u64_counter("brassrack_gateway_store_calls").build(),
             first_response: crate::metrics::seconds(
                 &meter,
@@ -107,6 +109,15 @@
         self.orders.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Records that the lease holder ordered the load of a model, as a further replica or a first one.
+    pub fn record_load(&self, source: &'static str, further: bool) {
+        let labels = [
+            KeyValue::new("source", source),
+            KeyValue::new("further", further),
+        ];
+        self.loads.add(1, &labels);
+    }
+
     /// Records the duration of one planning round of the lease holder.
     pub fn record_plan(&self, took: Duration) {
         self.plan.record(took.as_secs_f64(), &[]);
--- a/tests/holder_inbox.rs
+++ b/tests/holder_inbox.rs
@@ -65,6 +65,21 @@
     assert!(inbox.take().reports.is_empty());
 }
 
+/// Guards against refused requests that are no demand, as a newer report replaced theirs.
+#[test]
+fn refused_requests_are_joined() {
+    let refused = |refused| TargetCount {
+        refused,
+        ..count("m", 0, 0)
+    };
+    let inbox = DemandInbox::default();
+    inbox.report(1, report(vec![refused(3)], &[], 10));
+    inbox.report(1, report(vec![refused(1)], &[], 20));
+    inbox.report(1, report(Vec::new(), &[], 30));
+    let pending = inbox.take();
+    assert_eq!(pending.reports[&1].demand.requested, [refused(4)]);
+}
+
 /// Guards against endpoints that leave and are unknown to a new holder, which is behind: only the
 /// first report of a link has all of them.
 #[test]
