Orders: a successor knows which engines load from the weight store

Cause: reports of engines do not say which model they load. A holder that took over in the middle of a plan saw an engine that carries out an order, and ordered the same model at another engine, beside the load that went on.

Change: the lease holder tells all instances the loads from the weight store whenever they change (a few, of 10 s and more each); a successor hands them to the records that it makes, where a report ends them.

--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -26,12 +26,14 @@
 
 mod evidence;
 mod limits;
+mod loads;
 mod message;
 
 use crate::peers::codec::{Frames, frames};
 pub use evidence::{BlamedPart, BrokenRequest, CrashEvidence, EndpointDeath, SoundAnswer};
 pub(super) use limits::apply_grants;
 pub use limits::{apply_limits, limit_entries};
+pub use loads::{EngineLoad, LoadsNotice, ToldLoads};
 pub use message::{
     DemandReport, EngineView, FleetUpdate, LeavingEndpoint, LimitEntry, ModelView, TargetCount,
 };
@@ -505,6 +507,10 @@
     if let Some(notice) = &update.crashes {
         gateway.crash_parts().apply_notice(notice, gateway.now());
     }
+    if let Some(notice) = update.loads {
+        let heard_at = gateway.now();
+        *gateway.told_loads() = ToldLoads { notice, heard_at };
+    }
     for estimate in update.estimates {
         let ready_in = Duration::from_millis(estimate.wait_ms.into());
         gateway.set_estimate((estimate.scope.clone(), estimate.target()), ready_in);
--- a/src/gateway/link/message.rs
+++ b/src/gateway/link/message.rs
@@ -10,6 +10,7 @@
 use super::super::servers::{EndpointView, LeavingMark, LimitNotice};
 use super::super::stream_origins::OriginNotice;
 use super::evidence::CrashEvidence;
+use super::loads::LoadsNotice;
 use super::millis;
 
 /// Request counts and wait time of a model or adapter.
@@ -335,4 +336,7 @@
     /// What the sender knows, in answer to the same of the receiver.
     #[prost(message, optional, tag = "20")]
     pub exchange: Option<Knowledge>,
+    /// Loads from the weight store, if the sender holds the lease; none if unchanged.
+    #[prost(message, optional, tag = "40")]
+    pub loads: Option<LoadsNotice>,
 }
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -196,6 +196,7 @@
             return;
         };
         if self.records.enter_term(fencing_token, now) {
+            self.records.adopt(&self.gateway.told_loads(), now);
             self.clear_published();
         }
         let Some(catalog) = self.gateway.catalog() else {
--- a/src/gateway/orders/publish.rs
+++ b/src/gateway/orders/publish.rs
@@ -42,6 +42,8 @@
     refused_sent: LastSent,
     /// Digests in the evidence about prompt parts that it was sent last.
     crashes_sent: LastSent,
+    /// Digests of the loads that it was sent last.
+    loads_sent: LastSent,
 }
 
 impl OrderController {
@@ -71,6 +73,8 @@
             parts.notice(now)
         };
         let crash_ids = crashes.ids();
+        let loads = self.records.loads_in_progress(now);
+        let load_ids = loads.ids();
         let detours = self.detours();
         let own_detours = detours.iter().filter_map(|a| a.parse().ok()).collect();
         self.gateway.detours.send_replace(own_detours);
@@ -121,6 +125,7 @@
                 },
                 crashes: (full_due || peer.crashes_sent.is_due(&crash_ids))
                     .then(|| crashes.clone()),
+                loads: peer.loads_sent.is_due(&load_ids).then(|| loads.clone()),
                 ..FleetUpdate::default()
             };
             let update_due = now >= peer.last_sent + MAX_UPDATE_INTERVAL;
@@ -138,6 +143,7 @@
                 peer.sent_version = if sent { self.views.version() } else { 0 };
                 peer.refused_sent.record(&refused, sent);
                 peer.crashes_sent.record(&crash_ids, sent);
+                peer.loads_sent.record(&load_ids, sent);
             }
         }
     }
@@ -247,6 +253,7 @@
             origins_sent: 0,
             refused_sent: LastSent::default(),
             crashes_sent: LastSent::default(),
+            loads_sent: LastSent::default(),
         }
     }
 
@@ -266,6 +273,7 @@
         || !update.config.is_empty()
         || !update.refused.is_empty()
         || update.crashes.is_some()
+        || update.loads.is_some()
         || update.limits.iter().any(|l| l.granted > 0)
         || update
             .origins
--- a/src/gateway/orders/record.rs
+++ b/src/gateway/orders/record.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::super::link::{self, EngineLoad};
 use super::super::planner::{EngineAction, EngineState, LoadedModel, WeightSource};
 use super::super::protocol::{Endpoint, HeldModels, Report, Target};
 use super::send::{MAX_FAILED_CONNECTS, Outcome, REPORT_CATCH_UP, is_current};
@@ -46,6 +47,33 @@
 }
 
 impl CarriedLoad {
+    /// A load that an earlier holder told at a time.
+    pub(super) fn told(load: &EngineLoad, heard_at: Duration, now: Duration) -> Self {
+        Self {
+            started_ms: load.started_ms,
+            model: load.model.clone(),
+            source: WeightSource::Store,
+            expected_end: heard_at + Duration::from_millis(load.left_ms.into()),
+            dropped_at: now,
+            accepted: load.accepted_orders,
+        }
+    }
+
+    /// The load as told to a successor.
+    pub(super) fn tell(&self, engine: &str, now: Duration) -> EngineLoad {
+        EngineLoad {
+            engine: engine.to_owned(),
+            started_ms: self.started_ms,
+            model: self.model.clone(),
+            accepted_orders: self.accepted,
+            left_ms: link::millis(self.expected_end.saturating_sub(now)),
+        }
+    }
+
+    pub(super) const fn is_from_store(&self) -> bool {
+        matches!(self.source, WeightSource::Store)
+    }
+
     pub(super) fn is_expected(&self, now: Duration) -> bool {
         now < self.expected_end + CARRIED_LOAD_GRACE
     }
@@ -149,7 +177,7 @@
         }
     }
 
-    /// The load of a model that goes on at the engine if this record is dropped.
+    /// The load of a model that goes on at the engine whoever holds the lease.
     pub(super) fn ongoing_load(&mut self, now: Duration) -> Option<CarriedLoad> {
         let accepted = self.accepted_count();
         let Some(ActiveSwap {
@@ -157,7 +185,7 @@
             expected_end,
         }) = &self.swap
         else {
-            return self.carried.take();
+            return self.carried.clone();
         };
         self.sequence.is_loading().then(|| CarriedLoad {
             started_ms: self.started_ms,
--- a/src/gateway/orders/records.rs
+++ b/src/gateway/orders/records.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use super::super::link::{LoadsNotice, ToldLoads};
 use super::super::planner::EngineState;
 use super::super::protocol::{Endpoint, Target};
 use super::super::servers::ListedEndpoint;
@@ -83,6 +84,7 @@
                 record.leaving |= !entry.ready;
                 record.paused = entry.paused;
                 record.limit = entry.limit;
+                record.carried.take_if(|load| !load.is_expected(now));
                 record.loaded_at.retain(|_, at| now < *at + RATE_WINDOW);
             }
         }
@@ -134,6 +136,28 @@
         }
     }
 
+    /// Takes over the loads that an earlier holder told, for records that are still to be made.
+    pub fn adopt(&mut self, told: &ToldLoads, now: Duration) {
+        for load in &told.notice.loads {
+            let carried = CarriedLoad::told(load, told.heard_at, now);
+            if carried.is_expected(now) && !self.engines.contains_key(&load.engine) {
+                self.carried.entry(load.engine.clone()).or_insert(carried);
+            }
+        }
+    }
+
+    /// Loads from the weight store that engines carry out, for a successor of this holder.
+    #[must_use]
+    pub fn loads_in_progress(&mut self, now: Duration) -> LoadsNotice {
+        let loads = self.engines.iter_mut().filter_map(|(id, record)| {
+            let load = record.ongoing_load(now)?;
+            (load.is_from_store() && load.is_expected(now)).then(|| load.tell(id, now))
+        });
+        LoadsNotice {
+            loads: loads.collect(),
+        }
+    }
+
     /// Number of loads from the weight store in progress.
     #[must_use]
     pub fn store_loads(&self) -> u32 {
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -15,6 +15,7 @@
 use super::crash_suspects::CrashSuspects;
 use super::exchange::ExchangeState;
 use super::lease::LeaseTiming;
+use super::link::ToldLoads;
 use super::protocol::{TableFeed, Target, WireProtocol};
 use super::servers::Servers;
 use super::stats::Stats;
@@ -280,6 +281,7 @@
     crash_parts: Mutex<CrashParts>,
     stream_origins: Mutex<StreamOrigins>,
     urgency: Mutex<UrgencyMix>,
+    told_loads: Mutex<ToldLoads>,
     /// Notified when another instance has reported where streams began.
     pub(super) origins_told: Notify,
 }
@@ -334,6 +336,7 @@
             crash_parts: Mutex::default(),
             stream_origins: Mutex::default(),
             urgency: Mutex::default(),
+            told_loads: Mutex::default(),
             origins_told: Notify::new(),
             settings,
         }))
@@ -423,6 +426,13 @@
         self.urgency.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Loads from the weight store, as the lease holder told last.
+    pub fn told_loads(&self) -> MutexGuard<'_, ToldLoads> {
+        self.told_loads
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Puts a configuration in force, unless the same or a newer version already is.
     pub fn activate_config(&self, text: &str, from: &'static str) {
         let mut catalog = match self.platform.wire.decode_catalog(text) {
--- a/tests/order_terms.rs
+++ b/tests/order_terms.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use brassrack::BoxFuture;
+use brassrack::gateway::link::ToldLoads;
 use brassrack::gateway::orders::port::{EnginePort, NoReport, OrderAnswer};
 use brassrack::gateway::orders::record::ChangeResult;
 use brassrack::gateway::orders::records::EngineRecords;
@@ -195,6 +196,37 @@
     }
 }
 
+/// Guards against a load that is ordered a second time, as the holder is lost in the middle of a plan
+/// and engines do not report which model they load: the holder has told its successor.
+#[test]
+fn successor_knows_of_a_load() {
+    let mut records = EngineRecords::default();
+    records.enter_term(1, NOW);
+    sync(&mut records, &[listed("e", 1)]);
+    let load = EngineAction::LoadModel {
+        evict: Vec::new(),
+        model: "new".into(),
+        source: WeightSource::Store,
+    };
+    let ticket = records.get_mut("e").unwrap().begin_change(&load, NOW);
+    assert!(records.loads_in_progress(NOW).loads.is_empty());
+    ticket.set_loading(true);
+    let told = ToldLoads {
+        notice: records.loads_in_progress(NOW),
+        heard_at: NOW,
+    };
+    let after = |now| {
+        let mut successor = EngineRecords::default();
+        successor.enter_term(2, now);
+        successor.adopt(&told, now);
+        sync(&mut successor, &[listed("e", 1)]);
+        loading(&successor, now)
+    };
+    let soon = NOW + Duration::from_secs(2);
+    assert_eq!(after(soon).as_deref(), Some("new"));
+    assert_eq!(after(NOW + Duration::from_mins(2)), None);
+}
+
 /// A load that no engine carries out must not count as one.
 #[test]
 fn load_is_not_carried_over() {
