Servers: belief about the pace of each endpoint's machine

Cause: endpoints that share machines with other work state how long work takes there; the figure was decoded and dropped.

Change: stated paces are smoothed over 1 s, bounded and aged out, relative to the mean of the service. The time to the answer of calls is seen and goes before what is stated. `Servers::reports_pace(service, now)` tells whether an endpoint of the service has stated a pace within 30 s. Nothing is chosen by it yet.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -143,11 +143,12 @@
     history: &mut SendHistory,
 ) -> Option<Answer> {
     let limit = request.time_left();
+    let sent_at = request.now();
     let checked = match request.send(selected, history, None, limit).await {
         SendOutcome::Answered(checked) => checked,
         SendOutcome::NotRun | SendOutcome::MayHaveRun => return None,
     };
-    let CheckedReply { reply, .. } = *checked;
+    let CheckedReply { reply, head } = *checked;
     let read = reply.read(&request.gateway.outbound, MAX_BUFFERED_BYTES);
     let answer = match timeout(request.time_left(), read).await {
         Ok(Ok(answer)) => answer,
@@ -164,6 +165,10 @@
     };
     if answer.head.status.is_success() {
         request.record_begun(selected);
+        let now = request.now();
+        let took = now.saturating_sub(sent_at);
+        let servers = &request.gateway.servers;
+        servers.record_call_time(selected.key, took, head.load, now);
     }
     let health = if answer.head.status.is_server_error() {
         RequestOutcome::Failure
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -228,6 +228,7 @@
             };
             servers.record_limit(&selected.id, selected.started_ms, answer);
             servers.record_brittle(selected.key, response_head.brittle);
+            servers.record_pace(selected.key, response_head.pace, now);
         }
         if let Some(pause) = response_head.pause {
             servers.begin_pause(&selected.id, now + pause);
--- a/src/gateway/servers.rs
+++ b/src/gateway/servers.rs
@@ -15,6 +15,7 @@
 mod leaving;
 mod limited;
 mod limits;
+mod pace;
 mod pause;
 mod permits;
 mod select;
@@ -25,6 +26,7 @@
 pub use leaving::{LeavingMark, LeavingMarks};
 pub use limited::{LimitedEndpoint, PermitWait};
 pub use limits::{EndpointLimits, LimitAnswer, LimitNotice};
+pub use pace::Pace;
 pub use pause::Pause;
 pub(crate) use pause::TRIAL_INTERVAL;
 pub use permits::{Grant, Permits, Wanted, permit_ttl};
@@ -62,6 +64,8 @@
     keys: BTreeMap<String, ServerKey>,
     leaving: LeavingMarks,
     limits: EndpointLimits,
+    /// Paces of the services whose endpoints have stated one.
+    paces: BTreeMap<String, pace::ServicePace>,
     /// Start and sequence number of the last description of removed endpoints, by id.
     removed: BTreeMap<String, (u64, u64)>,
 }
--- a/src/gateway/servers/server.rs
+++ b/src/gateway/servers/server.rs
@@ -5,7 +5,7 @@
 
 use super::super::protocol::{Endpoint, EndpointState, HeldModels, Target};
 use super::super::selection::Candidate;
-use super::{Pause, SelectionCriteria};
+use super::{Pace, Pause, SelectionCriteria};
 
 /// Age up to which the lease holder's view of an endpoint takes precedence over the server list.
 const VIEW_TTL: Duration = Duration::from_secs(1);
@@ -74,6 +74,10 @@
     pub(super) consecutive_failures: u32,
     pub(super) ejected_until: Duration,
     pub(super) pause: Pause,
+    /// Belief about the pace of its machine.
+    pub(super) pace: Pace,
+    /// Requests running and waiting there as it last stated, and when.
+    pub(super) stated_load: Option<(u32, Duration)>,
     /// Requests turned away within a second that it bears, if it said that it is brittle.
     pub(super) brittle: Option<u32>,
     pub(super) viewed_at: Option<Duration>,
@@ -99,6 +103,8 @@
             consecutive_failures: 0,
             ejected_until: Duration::ZERO,
             pause: Pause::default(),
+            pace: Pace::default(),
+            stated_load: None,
             brittle: None,
             viewed_at: None,
             expires_at: None,
