Choice: expected late streams at services that state paces

Cause: streams pause as other streams start on their engine, more on a busy one, on one with several models and on a slow machine; the choice counted requests over slots only.

Change: the share of streams with a pause is learnt by streams running, models and starts a second, with the measured table as prior. A choice minimizes the expected late streams, the new one and those that run there, by the pace of the machine; for a call, the time to its answer. Views carry the models running and the pace that an engine states with its report. "request ended" says what was expected. Services without paces keep their costs.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -22,6 +22,7 @@
 pub mod link;
 pub mod listener;
 pub mod orders;
+pub mod pauses;
 pub mod planner;
 pub mod protocol;
 pub mod reach;
--- a/src/gateway/link/message.rs
+++ b/src/gateway/link/message.rs
@@ -224,6 +224,12 @@
     /// Whether it accepts no new requests.
     #[prost(bool, tag = "8")]
     pub draining: bool,
+    /// Distinct models among the running requests, from all instances; 0 where unknown.
+    #[prost(uint32, tag = "20")]
+    pub models_running: u32,
+    /// Stated pace of its machine in percent of the usual time; 0 where unknown.
+    #[prost(uint32, tag = "21")]
+    pub pace_percent: u32,
 }
 
 impl EngineView {
@@ -253,6 +259,8 @@
             running: view.running,
             queued: view.queued,
             draining: view.draining,
+            models_running: view.models_running,
+            pace_percent: view.pace_percent,
         }
     }
 
@@ -273,6 +281,8 @@
             running: self.running,
             queued: self.queued,
             draining: self.draining,
+            models_running: self.models_running,
+            pace_percent: self.pace_percent,
         }
     }
 }
--- a/src/gateway/orders/port.rs
+++ b/src/gateway/orders/port.rs
@@ -232,6 +232,9 @@
                 let is_own = self.listed().is_some_and(|e| e.start_ms == report.start_ms);
                 if is_own {
                     self.record_limit(report.start_ms, response.limit);
+                    let (start_ms, now) = (report.start_ms, self.gateway.now());
+                    let servers = &self.gateway.servers;
+                    servers.record_report_pace(&self.engine, start_ms, response.pace, now);
                     if response.leaving {
                         self.mark_leaving(report.start_ms);
                     }
--- a/src/gateway/orders/publish.rs
+++ b/src/gateway/orders/publish.rs
@@ -1,6 +1,6 @@
 //! Publishes engine views and estimated waits to all instances.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::PoisonError;
 use std::time::Duration;
 
@@ -56,7 +56,7 @@
         now: Duration,
     ) {
         self.update_loads();
-        let views = self.engine_views();
+        let views = self.engine_views(now);
         let version = self
             .lease
             .lock()
@@ -149,7 +149,8 @@
     }
 
     /// Views of the engines whose state is known.
-    fn engine_views(&mut self) -> Vec<EndpointView> {
+    fn engine_views(&mut self, now: Duration) -> Vec<EndpointView> {
+        let servers = &self.gateway.servers;
         self.records
             .iter_mut()
             .filter(|(_, record)| !record.state_unknown)
@@ -163,6 +164,8 @@
                 running: record.running,
                 queued: record.queued,
                 draining: record.leaving,
+                models_running: record.models_running,
+                pace_percent: servers.report_pace_percent(id, now),
             })
             .collect()
     }
@@ -183,14 +186,18 @@
 
     /// Sums up the requests that run at each engine, from all instances.
     fn update_loads(&mut self) {
-        let mut loads: BTreeMap<String, u32> = BTreeMap::new();
+        let mut loads: BTreeMap<String, (u32, BTreeSet<String>)> = BTreeMap::new();
         for demand in self.demands() {
             for count in &demand.running {
-                *loads.entry(count.scope.clone()).or_default() += count.count;
+                let (load, models) = loads.entry(count.scope.clone()).or_default();
+                *load += count.count;
+                models.insert(count.model.clone());
             }
         }
         for (id, record) in self.records.iter_mut() {
-            record.load = loads.get(id).copied().unwrap_or_default();
+            let (load, models) = loads.get(id).map_or((0, 0), |(l, m)| (*l, m.len()));
+            record.load = load;
+            record.models_running = u32::try_from(models).unwrap_or(u32::MAX);
         }
     }
 
--- a/src/gateway/orders/record.rs
+++ b/src/gateway/orders/record.rs
@@ -137,6 +137,8 @@
     pub(super) running: u32,
     pub(super) queued: u32,
     pub(super) load: u32,
+    /// Distinct models among the running requests, from all instances.
+    pub(super) models_running: u32,
     pub(super) change_ended: Duration,
     /// Time of the last report request.
     pub(super) report_requested: Duration,
@@ -171,6 +173,7 @@
             running: 0,
             queued: 0,
             load: 0,
+            models_running: 0,
             change_ended: Duration::ZERO,
             report_requested: Duration::ZERO,
             report_jitter: Duration::ZERO,
--- a/src/gateway/routing.rs
+++ b/src/gateway/routing.rs
@@ -38,6 +38,10 @@
             waits_at: None,
             instances: self.gateway.budgets().instances(),
             slot_share: self.slot_share(),
+            gap_objective: self
+                .route
+                .gap_objective
+                .filter(|_| self.route.kind.is_stream()),
         }
     }
 
--- a/src/gateway/selection.rs
+++ b/src/gateway/selection.rs
@@ -19,6 +19,9 @@
     pub slowness: f64,
     /// Whether it is temporarily ejected after consecutive failures.
     pub ejected: bool,
+    /// Cost of its load where its service states paces: expected late streams, or time to the
+    /// answer of a call in multiples of the usual one; none where its load alone counts.
+    pub expected: Option<f64>,
 }
 
 /// Cost of leaving the failure domain, as a share of an endpoint's slots.
@@ -49,7 +52,8 @@
         let load = f64::from(self.load) / slots;
         let queued = f64::from((self.load + 1).saturating_sub(self.slots)) / slots;
         let flag = |on: bool, cost: f64| if on { cost } else { 0.0 };
-        load + queued * QUEUED_COST_SLOTS
+        self.expected.unwrap_or(load)
+            + queued * QUEUED_COST_SLOTS
             + flag(!self.same_domain, CROSS_DOMAIN_COST_SHARE)
             + flag(!self.prefix_cached, UNCACHED_COST_SHARE)
             + self.failure_rate * FAILING_COST_SHARE
@@ -72,7 +76,7 @@
 ///
 /// let idle = Candidate {
 ///     index: 0, load: 0, slots: 6, same_domain: true, prefix_cached: false,
-///     failure_rate: 0.0, slowness: 1.0, ejected: false,
+///     failure_rate: 0.0, slowness: 1.0, ejected: false, expected: None,
 /// };
 /// let busy = Candidate { index: 1, load: 6, ..idle };
 /// assert_eq!(choose(&[busy, idle], 0), Some(0));
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -58,6 +58,7 @@
         head_timeout: Duration,
     ) -> SendOutcome {
         history.sends += 1;
+        history.expected = selected.expected;
         let limit = self
             .gateway
             .servers
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -14,6 +14,7 @@
 use super::crash_suspects::{Fingerprint, fingerprint};
 use super::headers::strip_connection_headers;
 use super::protocol::RequestHead;
+use super::servers::Expected;
 use super::shared::Gateway;
 use super::{crash_evidence, detour, forward, key_check, stream};
 use crate::http::Body;
@@ -93,6 +94,10 @@
     pub in_flight: bool,
     /// Longest gap between two reads of a stream's events.
     pub longest_gap: Duration,
+    /// Whether the first event came after the route's objective.
+    pub first_late: bool,
+    /// What the last choice expected of its endpoint.
+    pub expected: Option<Expected>,
 }
 
 impl SendHistory {
@@ -397,11 +402,13 @@
         self.gateway
             .stats
             .record_request(&self.route.name, outcome, took);
+        let expected = history.expected.unwrap_or_default();
         log::info!(id = self.head.id.as_str(), route = self.route.name.as_str(),
             kind:% = self.route.kind, version = self.version, endpoint = endpoint,
             model = self.head.target.as_ref().map_or("", |t| t.model.as_str()),
             status = status, sends = history.sends, ran = history.possible_runs, outcome = outcome,
             pause_ms = super::link::millis(history.longest_gap),
-            total_ms = super::link::millis(took); "request ended");
+            expected = expected.cost, pace = expected.pace, beside = expected.situation.running,
+            models = expected.situation.models, total_ms = super::link::millis(took); "request ended");
     }
 }
--- a/src/gateway/servers.rs
+++ b/src/gateway/servers.rs
@@ -8,6 +8,7 @@
 use slotmap::SlotMap;
 use tokio::sync::watch;
 
+use super::pauses::PauseTable;
 use super::protocol::{Endpoint, EndpointState, Target};
 
 mod brittle;
@@ -15,6 +16,7 @@
 mod leaving;
 mod limited;
 mod limits;
+mod outlook;
 mod pace;
 mod pause;
 mod permits;
@@ -26,6 +28,7 @@
 pub use leaving::{LeavingMark, LeavingMarks};
 pub use limited::{LimitedEndpoint, PermitWait};
 pub use limits::{EndpointLimits, LimitAnswer, LimitNotice};
+pub use outlook::Expected;
 pub use pace::Pace;
 pub use pause::Pause;
 pub(crate) use pause::TRIAL_INTERVAL;
@@ -66,6 +69,8 @@
     limits: EndpointLimits,
     /// Paces of the services whose endpoints have stated one.
     paces: BTreeMap<String, pace::ServicePace>,
+    /// Shares of streams with a pause, learnt at services whose endpoints state paces.
+    pauses: PauseTable,
     /// Start and sequence number of the last description of removed endpoints, by id.
     removed: BTreeMap<String, (u64, u64)>,
 }
@@ -341,10 +346,14 @@
                 server.unloading.clone_from(&view.unloading);
                 server.fleet_load = view.load;
                 server.engine_load = (view.running, view.queued);
+                server.models_running = view.models_running;
                 server.recent_sends = 0;
                 if view.draining {
                     server.endpoint.state = EndpointState::Draining;
                 }
+                if let (Some(key), true) = (key, view.pace_percent > 0) {
+                    state.record_pace(key, f64::from(view.pace_percent) / 100.0, now);
+                }
             }
         }
         self.notify_change();
--- a/src/gateway/servers/pace.rs
+++ b/src/gateway/servers/pace.rs
@@ -6,14 +6,14 @@
 
 use std::time::Duration;
 
-use super::{ServerKey, Servers, TIMING_WEIGHT};
+use super::{ServerKey, Servers, State, TIMING_WEIGHT};
 
 /// Slowest and fastest pace that is believed; the platform drops stated figures outside it.
 const PACE_BOUNDS: (f64, f64) = (0.25, 10.0);
-/// Smoothing time of paces: the figure changes many times a second, a request takes up to 2 s.
-const SMOOTHING_TIME: Duration = Duration::from_secs(1);
-/// Largest weight of one figure, so that a single absurd one moves the belief by half at most.
-const MAX_WEIGHT: f64 = 0.5;
+/// Smoothing time of paces: the figure changes many times a second, and a stream runs for about 2 s.
+const SMOOTHING_TIME: Duration = Duration::from_secs(2);
+/// Largest weight of one figure, so that a single absurd one moves the belief by a quarter at most.
+const MAX_WEIGHT: f64 = 0.25;
 /// Smallest weight of one figure, for figures that arrive at the same moment.
 const MIN_WEIGHT: f64 = 0.05;
 /// Time constant with which a stated pace fades: a few views of the lease holder.
@@ -23,6 +23,8 @@
 const SEEN_FADE: Duration = Duration::from_secs(10);
 /// Time for which a service counts as one whose endpoints state a pace after the last figure.
 const REPORT_TTL: Duration = Duration::from_secs(30);
+/// Age up to which the lease holder tells the pace of an engine's report: a few reports.
+const REPORT_PACE_TTL: Duration = Duration::from_secs(3);
 
 /// A smoothed pace; 1 is usual.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
@@ -61,11 +63,11 @@
 ///
 /// let now = Duration::from_secs(9);
 /// let mut pace = Pace::default();
-/// pace.record_stated(3.0, 1.0, now);
+/// pace.record_stated(5.0, 1.0, now);
 /// assert_eq!(pace.relative(1.0, now), 2.0);
 /// // What is seen goes before what is stated.
 /// pace.record_seen(0.5, now);
-/// assert!(pace.relative(1.0, now) < 1.5);
+/// assert!(pace.relative(1.0, now) < 2.0);
 /// ```
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Pace {
@@ -97,13 +99,6 @@
         let stated = self.stated.at(usual, STATED_FADE, now) / bounded(usual);
         bounded(self.seen.at(stated, SEEN_FADE, now))
     }
-
-    /// Stated pace of the machine, unless the last figure is old.
-    #[must_use]
-    pub fn stated(&self, now: Duration) -> Option<f64> {
-        let (value, at) = self.stated.latest?;
-        (now < at + STATED_FADE).then_some(value)
-    }
 }
 
 /// What the endpoints of a service that state a pace have in common.
@@ -157,25 +152,24 @@
 
     /// Records the pace that an endpoint stated in a response, if it stated any.
     pub fn record_pace(&self, key: ServerKey, pace: Option<f64>, now: Duration) {
-        let Some(pace) = pace.filter(|p| p.is_finite()).map(bounded) else {
-            return;
-        };
-        let state = &mut *self.state();
-        let Some(server) = state.servers.get_mut(key) else {
+        if let Some(pace) = pace {
+            self.state().record_pace(key, pace, now);
+        }
+    }
+
+    /// Records the pace that an engine stated with its report to the lease holder, if it stated any.
+    pub fn record_report_pace(&self, id: &str, started_ms: u64, pace: Option<f64>, now: Duration) {
+        let mut state = self.state();
+        let (Some(pace), Some(key)) = (pace, state.keys.get(id).copied()) else {
             return;
         };
-        let service = server.endpoint.service.as_str();
-        let usual = if let Some(known) = state.paces.get_mut(service) {
-            known.usual += TIMING_WEIGHT * (pace - known.usual);
-            known.stated_at = now;
-            known.usual
-        } else {
-            log::info!(service = service; "endpoints of a service state their pace");
-            let first = ServicePace::new(pace, now);
-            state.paces.insert(service.to_owned(), first);
-            pace
-        };
-        server.pace.record_stated(pace, usual, now);
+        if let Some(server) = state.servers.get_mut(key)
+            && server.endpoint.start_ms == started_ms
+            && pace.is_finite()
+        {
+            server.report_pace = Some((bounded(pace), now));
+            state.record_pace(key, pace, now);
+        }
     }
 
     /// Records the time to the answer of a call, where the endpoint's service states paces.
@@ -216,18 +210,47 @@
         }
     }
 
-    /// Stated pace of an endpoint, in percent of the usual time; 0 where none was stated lately.
+    /// Pace that an engine stated with its last report, in percent; 0 where that is old.
+    ///
+    /// Paces from views do not count, or a figure that stops arriving would be told for ever.
     #[must_use]
-    pub fn stated_pace_percent(&self, id: &str, now: Duration) -> u32 {
+    pub fn report_pace_percent(&self, id: &str, now: Duration) -> u32 {
         let state = self.state();
         let server = state.keys.get(id).and_then(|k| state.servers.get(*k));
-        let pace = server.and_then(|s| s.pace.stated(now)).unwrap_or_default();
+        let Some((pace, at)) = server.and_then(|s| s.report_pace) else {
+            return 0;
+        };
         #[expect(
             clippy::cast_possible_truncation,
             clippy::cast_sign_loss,
-            reason = "bounded to 25 to 1000 percent, or 0"
+            reason = "bounded to 25 to 1000 percent"
         )]
         let percent = (pace * 100.0).round() as u32;
-        percent
+        if now < at + REPORT_PACE_TTL {
+            percent
+        } else {
+            0
+        }
+    }
+}
+
+impl State {
+    pub(super) fn record_pace(&mut self, key: ServerKey, pace: f64, now: Duration) {
+        let Some(server) = self.servers.get_mut(key).filter(|_| pace.is_finite()) else {
+            return;
+        };
+        let pace = bounded(pace);
+        let service = server.endpoint.service.as_str();
+        let usual = if let Some(known) = self.paces.get_mut(service) {
+            known.usual += TIMING_WEIGHT * (pace - known.usual);
+            known.stated_at = now;
+            known.usual
+        } else {
+            log::info!(service = service; "endpoints of a service state their pace");
+            let first = ServicePace::new(pace, now);
+            self.paces.insert(service.to_owned(), first);
+            pace
+        };
+        server.pace.record_stated(pace, usual, now);
     }
 }
--- a/src/gateway/servers/select.rs
+++ b/src/gateway/servers/select.rs
@@ -5,10 +5,11 @@
 
 use super::super::protocol::Target;
 use super::super::selection::{Candidate, choose};
+use super::outlook::{Expected, Outlook};
 use super::{DEFAULT_RUN_TIME, Server, ServerKey, Servers};
 
 /// An endpoint selected for a request.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct SelectedEndpoint {
     /// Key in the registry.
     pub key: ServerKey,
@@ -22,6 +23,8 @@
     pub address: SocketAddr,
     /// Expected time in the endpoint's queue.
     pub expected_wait: Duration,
+    /// What the choice expected there; none where the service states no paces.
+    pub expected: Option<Expected>,
 }
 
 /// Requirements and preferences of a request for its endpoint.
@@ -47,6 +50,8 @@
     pub instances: u32,
     /// Share of an endpoint's slots from which it has no room for the request; none without a bound.
     pub slot_share: Option<f64>,
+    /// Longest gap between two events of a stream that is in time, if the request is a stream.
+    pub gap_objective: Option<Duration>,
 }
 
 impl Servers {
@@ -56,6 +61,17 @@
         &self,
         criteria: &SelectionCriteria<'_>,
         now: Duration,
+    ) -> Option<SelectedEndpoint> {
+        self.select_with(criteria, now, rand::random::<u16>().into())
+    }
+
+    /// The same with a random number that is passed in.
+    #[must_use]
+    pub fn select_with(
+        &self,
+        criteria: &SelectionCriteria<'_>,
+        now: Duration,
+        random: usize,
     ) -> Option<SelectedEndpoint> {
         let state = self.state();
         let is_open = |s: &Server| {
@@ -68,12 +84,13 @@
             |s: &Server| s.matches(criteria, now) && s.pause.left(now).is_none() && is_open(s);
         let matching: Vec<(ServerKey, &Server)> =
             state.servers.iter().filter(|(_, s)| matches(s)).collect();
+        let outlook = Outlook::new(&state, criteria, now);
         let candidates: Vec<Candidate> = matching
             .iter()
             .enumerate()
-            .map(|(at, (_, s))| s.candidate(at, criteria, state.event_interval, now))
+            .map(|(at, (_, s))| s.candidate(at, criteria, &outlook, now))
             .collect();
-        let (key, server) = matching.get(choose(&candidates, rand::random::<u16>().into())?)?;
+        let (key, server) = matching.get(choose(&candidates, random)?)?;
         Some(SelectedEndpoint {
             key: *key,
             id: server.endpoint.id.clone(),
@@ -81,6 +98,7 @@
             software: server.endpoint.software.clone(),
             address: server.endpoint.address,
             expected_wait: server.expected_wait(state.run_time.unwrap_or(DEFAULT_RUN_TIME)),
+            expected: outlook.of(server, criteria, now),
         })
     }
 
--- a/src/gateway/servers/server.rs
+++ b/src/gateway/servers/server.rs
@@ -5,12 +5,13 @@
 
 use super::super::protocol::{Endpoint, EndpointState, HeldModels, Target};
 use super::super::selection::Candidate;
+use super::outlook::Outlook;
 use super::{Pace, Pause, SelectionCriteria};
 
 /// Age up to which the lease holder's view of an endpoint takes precedence over the server list.
 const VIEW_TTL: Duration = Duration::from_secs(1);
 /// Age up to which an endpoint's event interval counts; expiry lets a slow endpoint be tried again.
-const INTERVAL_TTL: Duration = Duration::from_secs(4);
+pub(super) const INTERVAL_TTL: Duration = Duration::from_secs(4);
 
 /// Outcome of a request, as evidence of the endpoint's health.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -45,6 +46,10 @@
     pub queued: u32,
     /// Whether it is draining.
     pub draining: bool,
+    /// Distinct models among the running requests, from all instances; 0 where unknown.
+    pub models_running: u32,
+    /// Stated pace of its machine in percent; 0 where unknown.
+    pub pace_percent: u32,
 }
 
 /// An endpoint and its state as known to this instance.
@@ -76,8 +81,12 @@
     pub(super) pause: Pause,
     /// Belief about the pace of its machine.
     pub(super) pace: Pace,
+    /// Pace that it stated with its last report to this instance as lease holder, and when.
+    pub(super) report_pace: Option<(f64, Duration)>,
     /// Requests running and waiting there as it last stated, and when.
     pub(super) stated_load: Option<(u32, Duration)>,
+    /// Distinct models among the running requests, from the last view.
+    pub(super) models_running: u32,
     /// Requests turned away within a second that it bears, if it said that it is brittle.
     pub(super) brittle: Option<u32>,
     pub(super) viewed_at: Option<Duration>,
@@ -104,7 +113,9 @@
             ejected_until: Duration::ZERO,
             pause: Pause::default(),
             pace: Pace::default(),
+            report_pace: None,
             stated_load: None,
+            models_running: 0,
             brittle: None,
             viewed_at: None,
             expires_at: None,
@@ -197,16 +208,12 @@
         &self,
         index: usize,
         criteria: &SelectionCriteria<'_>,
-        usual_interval: Duration,
+        outlook: &Outlook<'_>,
         now: Duration,
     ) -> Candidate {
         let (near, prompt_prefix) = (criteria.domain, criteria.prompt_prefix);
-        let measured = self
-            .event_interval
-            .filter(|(_, at)| now < *at + INTERVAL_TTL);
-        let interval = measured
-            .map_or(usual_interval, |(interval, _)| interval)
-            .as_secs_f64();
+        let slowness = self.slowness(outlook.usual_interval, now);
+        let expected = outlook.expected(self, criteria, slowness, now);
         let cached = prompt_prefix
             .is_some_and(|prefix| self.seen_prefixes.values().any(|s| s.contains(prefix)));
         Candidate {
@@ -216,12 +223,9 @@
             same_domain: self.endpoint.domain == near,
             prefix_cached: cached,
             failure_rate: self.failure_rate,
-            slowness: if usual_interval.is_zero() {
-                1.0
-            } else {
-                interval / usual_interval.as_secs_f64()
-            },
+            slowness: slowness.unwrap_or(1.0),
             ejected: self.ejected_until > now,
+            expected: expected.map(|e| e.cost),
         }
     }
 }
--- a/src/gateway/stats.rs
+++ b/src/gateway/stats.rs
@@ -8,6 +8,18 @@
 use super::silence::{Awaited, Winner};
 use crate::metrics::{MetricsError, Registered};
 
+/// Whether a stream was in time, and by what it was late.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Lateness {
+    /// First event and gaps within their objectives.
+    InTime,
+    /// The first event was late.
+    FirstEvent,
+    /// A gap between two events was longer than its objective.
+    Pause,
+}
+
 /// Metric instruments of an instance's gateway.
 #[derive(Debug, Clone)]
 pub struct Stats {
@@ -23,6 +35,7 @@
     plan: Histogram<f64>,
     feed_gap: Histogram<f64>,
     restores: Counter<u64>,
+    streams: Counter<u64>,
 }
 
 impl Stats {
@@ -64,6 +77,7 @@
             restores: meter
                 .u64_counter("brassrack_gateway_store_restores")
                 .build(),
+            streams: meter.u64_counter("brassrack_gateway_streams").build(),
             registered,
         })
     }
@@ -140,6 +154,16 @@
         self.restores.add(1, &[KeyValue::new("table", table)]);
     }
 
+    /// Records the end of a stream at a service whose endpoints state paces.
+    pub fn record_lateness(&self, service: &str, lateness: Lateness) {
+        let lateness: &'static str = lateness.into();
+        let labels = [
+            KeyValue::new("service", service.to_owned()),
+            KeyValue::new("lateness", lateness),
+        ];
+        self.streams.add(1, &labels);
+    }
+
     /// All metrics in the Prometheus text format.
     ///
     /// # Errors
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -12,7 +12,8 @@
 use super::detour;
 use super::headers::strip_connection_headers;
 use super::serve::{RoutedRequest, SendHistory};
-use super::servers::RequestOutcome;
+use super::servers::{RequestOutcome, SelectedEndpoint};
+use super::stats::Lateness;
 use crate::http::Body;
 use crate::relay::{CallerStream, StreamEnd};
 use crate::verdict::{Cause, Refusal};
@@ -54,6 +55,7 @@
             let mut head = (*stream.head).clone();
             strip_connection_headers(&mut head.headers);
             let took = request.now().saturating_sub(request.arrived_at);
+            history.first_late = took > request.route.latency_objective;
             request
                 .gateway
                 .stats
@@ -121,6 +123,7 @@
                     running,
                     ..
                 } = stream;
+                record_stream_end(&request, &history, &selected);
                 drop(running);
                 request
                     .gateway
@@ -160,6 +163,33 @@
     }
 }
 
+/// Records whether a stream was in time, where its service states paces.
+fn record_stream_end(request: &RoutedRequest, history: &SendHistory, selected: &SelectedEndpoint) {
+    let gateway = &request.gateway;
+    let Some(gap_objective) = request.route.gap_objective else {
+        return;
+    };
+    if !gateway
+        .servers
+        .reports_pace(&request.service, request.now())
+    {
+        return;
+    }
+    let paused = history.longest_gap > gap_objective;
+    // A gap around a break or a move says nothing about what runs on the engine.
+    if let Some(expected) = selected.expected.filter(|_| history.sends == 1) {
+        gateway
+            .servers
+            .record_pauses(selected.key, &expected, paused);
+    }
+    let lateness = match (history.first_late, paused) {
+        (true, _) => Lateness::FirstEvent,
+        (false, true) => Lateness::Pause,
+        (false, false) => Lateness::InTime,
+    };
+    gateway.stats.record_lateness(&request.service, lateness);
+}
+
 /// Relays events until the stream ends or breaks.
 async fn relay_events(
     request: &mut RoutedRequest,
--- a/tests/endpoint_pauses.rs
+++ b/tests/endpoint_pauses.rs
@@ -19,6 +19,7 @@
     waits_at: None,
     instances: 1,
     slot_share: None,
+    gap_objective: None,
 };
 
 fn listed(id: &str, start_ms: u64) -> Endpoint {
