Reports: share of late streams of each model

Cause: the planner cannot tell a model whose streams are late from one that is served well.

Change: at services that state paces, instances report for each model the streams that ended and those that were late since the last report (`TargetCount` tags 20 and 21). The lease holder smooths the share and fills `TargetDemand::late_share`; the planner does not read it yet.

--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -188,18 +188,16 @@
         let oldest = waiting.iter().map(|w| w.arrived_at).min().unwrap_or(now);
         let objective = waiting.iter().map(|w| w.objective).max();
         let in_time_until = waiting.iter().map(|w| w.arrived_at + w.objective).max();
+        let (arrivals, refused, ended, late) = match software {
+            None => (demand.arrivals, demand.refused, demand.ended, demand.late),
+            Some(_) => (0, 0, 0, 0),
+        };
         TargetCount {
             count: u32::try_from(waiting.len()).unwrap_or(u32::MAX),
-            arrivals: if software.is_none() {
-                demand.arrivals
-            } else {
-                0
-            },
-            refused: if software.is_none() {
-                demand.refused
-            } else {
-                0
-            },
+            arrivals,
+            refused,
+            ended,
+            late,
             wait_ms: millis(now.saturating_sub(oldest)),
             objective_ms: millis(objective.unwrap_or_default()),
             left_ms: millis(in_time_until.unwrap_or(now).saturating_sub(now)),
--- a/src/gateway/link/message.rs
+++ b/src/gateway/link/message.rs
@@ -49,6 +49,12 @@
     /// In demand reports, requests refused for want of room since the last report.
     #[prost(uint32, tag = "10")]
     pub refused: u32,
+    /// In demand reports, streams that ended since the last report, at services that state paces.
+    #[prost(uint32, tag = "20")]
+    pub ended: u32,
+    /// In demand reports, those of them that were late, by their first event or by a pause.
+    #[prost(uint32, tag = "21")]
+    pub late: u32,
 }
 
 impl TargetCount {
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -17,6 +17,7 @@
 mod fleet;
 pub mod inbox;
 pub mod last_sent;
+pub mod late_share;
 pub mod limit_ledger;
 mod limits;
 pub mod port;
@@ -31,6 +32,7 @@
 
 use engine_events::ChangeEnded;
 use inbox::DemandInbox;
+use late_share::LateShare;
 use limit_ledger::LimitLedger;
 use port::PlatformEngine;
 use publish::Peer;
@@ -71,6 +73,7 @@
     rates: BTreeMap<DemandKey, ArrivalRate>,
     /// Requests that were refused for want of room.
     refusals: BTreeMap<DemandKey, ArrivalRate>,
+    late_shares: BTreeMap<DemandKey, LateShare>,
     records: EngineRecords,
     store_loads: StoreLoads,
     limit_ledger: LimitLedger,
@@ -103,6 +106,7 @@
                 views: EngineViews::default(),
                 rates: BTreeMap::new(),
                 refusals: BTreeMap::new(),
+                late_shares: BTreeMap::new(),
                 records: EngineRecords::default(),
                 store_loads: StoreLoads::new(window),
                 limit_ledger: LimitLedger::default(),
@@ -148,6 +152,11 @@
             let refusals = self.refusals.entry(key).or_default();
             refusals.add(count.refused, now);
         }
+        for count in demand.requested.iter().filter(|c| c.ended > 0) {
+            let key = (count.scope.clone(), count.target());
+            let share = self.late_shares.entry(key).or_default();
+            share.add(count.ended, count.late, now);
+        }
         let mut suspicion = self.gateway.crash_suspects();
         for fingerprint in &demand.aborted {
             suspicion.record_break(*fingerprint, now);
@@ -211,6 +220,7 @@
         self.rates.retain(|_, r| r.at(now) > MIN_RATE_PER_S);
         self.refusals.retain(|_, r| r.at(now) > MIN_RATE_PER_S);
         self.store_loads.set_cautious(catalog.accounts.is_some());
+        self.late_shares.retain(|_, share| !share.is_old(now));
         let mut demands = BTreeMap::new();
         for (service, engine) in catalog.engines() {
             self.sync_records(service, now);
--- a/src/gateway/orders/fleet.rs
+++ b/src/gateway/orders/fleet.rs
@@ -40,6 +40,13 @@
                     .refused_rate = rate.at(now);
             }
         }
+        for ((scope, target), share) in &self.late_shares {
+            if scope == service
+                && let Some(demand) = target_demands.get_mut(target)
+            {
+                demand.late_share = share.at(now);
+            }
+        }
         let mut pinned = BTreeSet::new();
         let mut running: BTreeMap<&str, BTreeMap<Target, u32>> = BTreeMap::new();
         for demand in self.demands() {
--- a/src/gateway/orders/inbox.rs
+++ b/src/gateway/orders/inbox.rs
@@ -82,7 +82,7 @@
 
 /// Adds the events of an earlier report that no later report carries again.
 fn add_events(demand: &mut DemandReport, earlier: DemandReport) {
-    let has_events = |c: &TargetCount| c.arrivals > 0 || c.refused > 0;
+    let has_events = |c: &TargetCount| c.arrivals > 0 || c.refused > 0 || c.ended > 0;
     for count in earlier.requested.into_iter().filter(has_events) {
         let same = demand.requested.iter_mut().find(|c| {
             c.scope == count.scope
@@ -94,6 +94,8 @@
             Some(newer) => {
                 newer.arrivals += count.arrivals;
                 newer.refused += count.refused;
+                newer.ended += count.ended;
+                newer.late += count.late;
             }
             None => demand.requested.push(TargetCount {
                 count: 0,
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -129,6 +129,10 @@
     pub arrivals: u32,
     /// Requests that were refused for want of room since then.
     pub refused: u32,
+    /// Streams that ended since that report, at services whose endpoints state paces.
+    pub ended: u32,
+    /// Those of them that were late.
+    pub late: u32,
 }
 
 /// A request that waits for its model.
@@ -171,6 +175,15 @@
         self.lock().entry(key).or_default().refused += 1;
     }
 
+    /// Counts a stream that ended, at a service whose endpoints state paces.
+    pub fn record_stream_end(&self, service: &str, target: &Target, late: bool) {
+        let key = (service.to_owned(), target.clone());
+        let mut demand = self.lock();
+        let of_target = demand.entry(key).or_default();
+        of_target.ended += 1;
+        of_target.late += u32::from(late);
+    }
+
     /// Registers a request that waits, until the guard is dropped.
     pub fn register_wait(
         self: &Arc<Self>,
@@ -208,8 +221,7 @@
         let mut demand = self.lock();
         let snapshot = demand.clone();
         demand.retain(|_, a| {
-            a.arrivals = 0;
-            a.refused = 0;
+            (a.arrivals, a.refused, a.ended, a.late) = (0, 0, 0, 0);
             !a.waiting.is_empty()
         });
         snapshot
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -188,6 +188,12 @@
         (false, false) => Lateness::InTime,
     };
     gateway.stats.record_lateness(&request.service, lateness);
+    if let Some(target) = &request.head.target {
+        let late = lateness != Lateness::InTime;
+        gateway
+            .demand
+            .record_stream_end(&request.service, target, late);
+    }
 }
 
 /// Relays events until the stream ends or breaks.
--- a/tests/endpoint_pace.rs
+++ b/tests/endpoint_pace.rs
@@ -3,7 +3,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use brassrack::gateway::link::EngineView;
+use brassrack::gateway::link::{EngineView, TargetCount};
+use brassrack::gateway::orders::late_share::LateShare;
 use brassrack::gateway::pauses::{EngineSituation, PauseTable};
 use brassrack::gateway::protocol::{Endpoint, EndpointState, Target};
 use brassrack::gateway::servers::{
@@ -218,6 +219,17 @@
     assert!(table.share(during(3.0)) > 0.8);
 }
 
+/// Failure: a model served by few streams counts as late, or a late one stays so for ever.
+#[test]
+fn late_share_is_smoothed() {
+    let mut share = LateShare::default();
+    share.add(1, 1, NOW);
+    assert!(share.at(NOW) < 0.25);
+    share.add(200, 100, NOW);
+    assert!(share.at(NOW) > 0.45);
+    assert!(share.is_old(NOW + Duration::from_mins(10)));
+}
+
 /// Failure: figures of a view or of a report are lost on the way.
 #[test]
 fn messages_carry_the_figures() {
@@ -227,6 +239,10 @@
         ..view("a", 4)
     };
     assert_eq!(EngineView::from_view(&told).to_view(), told);
+    assert_eq!(
+        (TargetCount::default().ended, TargetCount::default().late),
+        (0, 0)
+    );
     let (servers, _, _) = pair().unwrap();
     servers.apply_views(&[told], NOW);
     assert!(servers.reports_pace("calls", NOW));
