Planner: replicas follow demand also where the endpoints of a service state a pace

Cause: the planner's switch knew only configurations with accounts.

Change: a service whose endpoints have stated a pace lately is planned by demand and by the share of late streams too; all others as before.

--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -219,7 +219,9 @@
         self.peers.retain(|_, p| now < p.heard_at + PEER_TIMEOUT);
         self.rates.retain(|_, r| r.at(now) > MIN_RATE_PER_S);
         self.refusals.retain(|_, r| r.at(now) > MIN_RATE_PER_S);
-        self.store_loads.set_cautious(catalog.accounts.is_some());
+        let mut engines = catalog.engines();
+        let is_cautious = engines.any(|(name, _)| self.follows_demand(name, &catalog, now));
+        self.store_loads.set_cautious(is_cautious);
         self.late_shares.retain(|_, share| !share.is_old(now));
         let mut demands = BTreeMap::new();
         for (service, engine) in catalog.engines() {
--- a/src/gateway/orders/fleet.rs
+++ b/src/gateway/orders/fleet.rs
@@ -22,6 +22,12 @@
         peers.chain(std::iter::once(&self.own_demand))
     }
 
+    /// Whether the replicas of a service follow demand: its endpoints state a pace, or callers compete
+    /// for room by accounts.
+    pub(super) fn follows_demand(&self, service: &str, catalog: &Catalog, now: Duration) -> bool {
+        catalog.accounts.is_some() || self.gateway.servers.reports_pace(service, now)
+    }
+
     pub(super) fn fleet(&self, service: &str, catalog: &Catalog, now: Duration) -> Fleet {
         let mut target_demands: BTreeMap<Target, TargetDemand> = BTreeMap::new();
         for ((scope, target), rate) in &self.rates {
@@ -87,7 +93,7 @@
             engines: self.records.states(service, running_on, now),
             demand: target_demands,
             pinned,
-            follows_demand: catalog.accounts.is_some(),
+            follows_demand: self.follows_demand(service, catalog, now),
             stream_time: self.gateway.servers.run_time(),
         }
     }
