--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -25,6 +25,7 @@
 pub mod pauses;
 pub mod planner;
 pub mod protocol;
+pub mod quotas;
 pub mod reach;
 pub mod renewal;
 pub mod routing;
