Quotas: credit over the links, and 429 above the quota

Cause: the ledger has to answer within the wait of a request, and the planner may take 100 ms.

Change: reports carry use and credit asked for; the link's task answers them at once from the ledger, which grants nothing without the lease. A request takes credit before its body is read, and gives it back if it ends without a run. Above the quota it gets 429 with cause over-quota, one log line and metrics. Without accounts the new fields are absent from messages.

--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -20,6 +20,7 @@
 use super::lease::LeaseRow;
 use super::orders::inbox::{DemandInbox, LinkReport};
 use super::protocol::Target;
+use super::quotas::message::QuotaReport;
 use super::servers::EndpointView;
 use super::shared::{Gateway, ModelDemand, WaitingRequest};
 use super::stream_origins::{OriginNotice, Scope};
@@ -167,6 +168,7 @@
         origins: None,
         address: gateway.settings.peers_addr.to_string(),
         cut_off: !gateway.cut_services.borrow().is_empty(),
+        quotas: None,
         exchange: None,
     }
 }
@@ -318,8 +320,15 @@
                     }
                     return;
                 }
+                let quotas = report.quotas.take();
+                let is_whole = quotas.as_ref().is_none_or(|q| !q.only);
+                if let Some(quotas) = quotas {
+                    gateway.quotas.serve(&gateway, link_id, &report.instance, &quotas, &outgoing);
+                }
                 let known = holder_info.borrow().clone();
-                if known.holding {
+                if !is_whole {
+                    None
+                } else if known.holding {
                     inbox.report(link_id, LinkReport {
                         demand: report,
                         updates: outgoing.clone(),
@@ -343,6 +352,7 @@
         }
     }
     inbox.close(link_id);
+    gateway.quotas.close(link_id, gateway.now());
 }
 
 pub(super) async fn send(link: &mut Frames, message: &impl Message) -> Option<()> {
@@ -400,8 +410,10 @@
     let mut last_update = Instant::now();
     let mut clock_echo = 0;
     let (origins, mut origins_sent) = new_origins(gateway, 0, Scope::Own);
+    gateway.quotas.credit().begin_link();
     let first = DemandReport {
         origins,
+        quotas: gateway.quotas.report(gateway),
         crashes: crash_report(gateway, true),
         leaving: all_leaving(gateway),
         ..demand_report(gateway)
@@ -413,6 +425,10 @@
         tokio::select! {
             frame = link.next() => {
                 let update = FleetUpdate::decode(frame?.ok()?).ok()?;
+                if let Some(quotas) = &update.quotas {
+                    gateway.quotas.apply(gateway, quotas);
+                    continue;
+                }
                 last_update = Instant::now();
                 clock_echo = update.clock_ms;
                 let holding = update.holding;
@@ -445,6 +461,12 @@
                 sleep(REPORT_DELAY).await;
                 report_due = true;
             }
+            () = gateway.quotas.urgent.notified() => {
+                sleep(REPORT_DELAY).await;
+                if let Some(urgent) = quota_report(gateway) {
+                    send(&mut link, &urgent).await?;
+                }
+            }
             () = tokio::time::sleep_until(next_report) => report_due = true,
             changed = holder_info.changed() => {
                 changed.ok()?;
@@ -463,6 +485,7 @@
             let report = DemandReport {
                 clock_echo,
                 origins,
+                quotas: gateway.quotas.report(gateway),
                 ..demand_report(gateway)
             };
             send(&mut link, &report).await?;
@@ -471,6 +494,19 @@
     }
 }
 
+/// A report about quotas alone, sent as soon as a request waits for credit.
+fn quota_report(gateway: &Gateway) -> Option<DemandReport> {
+    let quotas = gateway.quotas.report(gateway)?;
+    Some(DemandReport {
+        instance: gateway.settings.name.clone(),
+        quotas: Some(QuotaReport {
+            only: true,
+            ..quotas
+        }),
+        ..DemandReport::default()
+    })
+}
+
 /// Where streams began since a number of their records, and the number of the last one.
 pub(super) fn new_origins(
     gateway: &Gateway,
@@ -492,6 +528,10 @@
     if !update.holding {
         return;
     }
+    gateway
+        .quotas
+        .credit()
+        .hear(update.clock_ms, update.live_instances, gateway.now());
     gateway.record_list_change(update.list_change);
     apply_leaving(gateway, &update.leaving);
     apply_origins(gateway, update.origins.as_ref());
--- a/src/gateway/link/message.rs
+++ b/src/gateway/link/message.rs
@@ -7,6 +7,7 @@
 
 use super::super::exchange::Knowledge;
 use super::super::protocol::{HeldModels, Target};
+use super::super::quotas::message::{QuotaReport, QuotaUpdate};
 use super::super::servers::{EndpointView, LeavingMark, LimitNotice};
 use super::super::stream_origins::OriginNotice;
 use super::evidence::CrashEvidence;
@@ -166,6 +167,9 @@
     /// Whether it has no path to the endpoints of some service.
     #[prost(bool, tag = "12")]
     pub cut_off: bool,
+    /// Use of quotas and credit asked for; none where no account has a quota.
+    #[prost(message, optional, tag = "13")]
+    pub quotas: Option<QuotaReport>,
     /// What the sender knows, in place of its demand.
     #[prost(message, optional, tag = "20")]
     pub exchange: Option<Knowledge>,
@@ -349,6 +353,9 @@
     /// Addresses of instances with a path to endpoints, if the receiver has none to some service.
     #[prost(string, repeated, tag = "17")]
     pub detours: Vec<String>,
+    /// Credit granted, in place of everything else, in answer to a report about quotas.
+    #[prost(message, optional, tag = "18")]
+    pub quotas: Option<QuotaUpdate>,
     /// What the sender knows, in answer to the same of the receiver.
     #[prost(message, optional, tag = "20")]
     pub exchange: Option<Knowledge>,
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -191,6 +191,8 @@
     pub prompt_tokens: u32,
     /// Largest number of tokens of the response.
     pub max_tokens: u32,
+    /// Both numbers together; none where the request does not state them.
+    pub stated_tokens: Option<u32>,
     /// Id of the prompt prefix, which several requests may share.
     pub prefix_id: Option<String>,
     /// Ids of the prompt's parts in order, without the last one, which is the request's own.
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -59,6 +59,9 @@
     ) -> SendOutcome {
         history.sends += 1;
         history.expected = selected.expected;
+        if let Some(charged) = &self.charged {
+            charged.set_spent(true);
+        }
         let limit = self
             .gateway
             .servers
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -14,6 +14,7 @@
 use super::crash_suspects::{Fingerprint, fingerprint};
 use super::headers::strip_connection_headers;
 use super::protocol::RequestHead;
+use super::quotas::admission::{self, Charged, QuotaRequest};
 use super::servers::Expected;
 use super::shared::Gateway;
 use super::{crash_evidence, detour, forward, key_check, stream};
@@ -69,6 +70,8 @@
     pub fingerprint: Fingerprint,
     /// Digests of the prompt's parts, without the last one.
     pub parts: Vec<PartId>,
+    /// Credit taken out of the account's quota.
+    pub charged: Option<Charged>,
     /// When the head had been received.
     pub arrived_at: Duration,
     /// When the response has to be complete.
@@ -163,6 +166,19 @@
             return refuse(&gateway, &refusal, &id, &route, arrived_at);
         }
     };
+    let quota = QuotaRequest {
+        id: &id,
+        account: account.as_ref(),
+        tokens: head.stated_tokens,
+        objective: route.latency_objective,
+    };
+    let charged = match admission::admit(&gateway, quota).await {
+        Ok(charged) => charged,
+        Err(refusal) => {
+            discard_body(body, &RequestLimits::default()).await;
+            return refuse(&gateway, &refusal, &id, &route.name, arrived_at);
+        }
+    };
     let bounds = RequestLimits {
         body_bytes: catalog.limits.body_bytes,
         body_timeout: route.timeout,
@@ -203,6 +219,7 @@
         body,
         fingerprint,
         parts: prompt_parts,
+        charged,
         arrived_at,
         deadline,
     };
@@ -361,6 +378,9 @@
     #[must_use]
     pub fn refuse(&self, refusal: &Refusal, history: &SendHistory) -> Response<Body> {
         let took = self.now().saturating_sub(self.arrived_at);
+        if let Some(charged) = &self.charged {
+            charged.set_spent(history.verdict() != Verdict::NotRun);
+        }
         let (id, route) = (self.head.id.as_str(), self.route.name.as_str());
         record_refusal(&self.gateway, id, route, refusal, took, history);
         if let Some(attempt) = &self.head.resumes {
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -17,6 +17,7 @@
 use super::lease::LeaseTiming;
 use super::link::ToldLoads;
 use super::protocol::{TableFeed, Target, WireProtocol};
+use super::quotas::Quotas;
 use super::servers::Servers;
 use super::stats::Stats;
 use super::stream_origins::StreamOrigins;
@@ -294,6 +295,8 @@
     stream_origins: Mutex<StreamOrigins>,
     urgency: Mutex<UrgencyMix>,
     told_loads: Mutex<ToldLoads>,
+    /// Quotas of client accounts.
+    pub quotas: Quotas,
     /// Notified when another instance has reported where streams began.
     pub(super) origins_told: Notify,
 }
@@ -349,6 +352,7 @@
             stream_origins: Mutex::default(),
             urgency: Mutex::default(),
             told_loads: Mutex::default(),
+            quotas: Quotas::new(rand::random()),
             origins_told: Notify::new(),
             settings,
         }))
--- a/src/gateway/stats.rs
+++ b/src/gateway/stats.rs
@@ -36,6 +36,9 @@
     feed_gap: Histogram<f64>,
     restores: Counter<u64>,
     streams: Counter<u64>,
+    quota_requests: Counter<u64>,
+    quota_units: Counter<u64>,
+    quota_granted: Counter<u64>,
 }
 
 impl Stats {
@@ -78,6 +81,11 @@
                 .u64_counter("brassrack_gateway_store_restores")
                 .build(),
             streams: meter.u64_counter("brassrack_gateway_streams").build(),
+            quota_requests: meter
+                .u64_counter("brassrack_gateway_quota_requests")
+                .build(),
+            quota_units: meter.u64_counter("brassrack_gateway_quota_units").build(),
+            quota_granted: meter.u64_counter("brassrack_gateway_quota_granted").build(),
             registered,
         })
     }
@@ -164,6 +172,22 @@
         self.streams.add(1, &labels);
     }
 
+    /// Records the quota check of a request; accounts are bounded by the configuration.
+    pub fn record_quota(&self, account: &str, units: u32, refused: bool) {
+        let label = KeyValue::new("account", account.to_owned());
+        if !refused {
+            self.quota_units
+                .add(units.into(), std::slice::from_ref(&label));
+        }
+        self.quota_requests
+            .add(1, &[label, KeyValue::new("refused", refused)]);
+    }
+
+    /// Records units of credit that the lease holder granted to this instance.
+    pub fn record_credit(&self, units: u64) {
+        self.quota_granted.add(units, &[]);
+    }
+
     /// All metrics in the Prometheus text format.
     ///
     /// # Errors
--- a/src/verdict.rs
+++ b/src/verdict.rs
@@ -68,6 +68,8 @@
     KeyReused,
     /// The tenant exceeds its rate limit.
     RateLimit,
+    /// The client account exceeds its quota.
+    OverQuota,
     /// The tenant exceeds its concurrency limit.
     ConcurrencyLimit,
     /// The instance holds its maximum number of requests or queued writes.
@@ -116,7 +118,7 @@
             Self::InProgress => 409,
             Self::TooLarge => 413,
             Self::KeyReused | Self::CrashSuspect => 422,
-            Self::RateLimit | Self::ConcurrencyLimit => 429,
+            Self::RateLimit | Self::OverQuota | Self::ConcurrencyLimit => 429,
             Self::EndpointFailed | Self::OutcomeUnknown => 502,
             Self::Overload
             | Self::DeadlineTooShort
