Detour: a 401 of another instance is never passed on

Cause: an instance that has served a key could pass on the 401 of another one that still has an older version, which a caller must not get there any more.

Change: the next instance is asked; where none runs the request, the caller gets 503 and comes back. A removed key gets 401 from this instance as soon as it has the version.

--- a/src/gateway/detour.rs
+++ b/src/gateway/detour.rs
@@ -24,9 +24,6 @@
 /// Largest answer that is buffered.
 const MAX_BUFFERED_BYTES: usize = 8 << 20;
 
-/// Statuses with which an instance refuses a request that another one may still run.
-const REFUSALS: [StatusCode; 2] = [StatusCode::SERVICE_UNAVAILABLE, StatusCode::UNAUTHORIZED];
-
 /// Whether another instance is to handle a request, which this one has not run yet.
 #[must_use]
 pub fn is_due(request: &RoutedRequest, history: &SendHistory) -> bool {
@@ -52,7 +49,7 @@
     let wire = &request.gateway.platform.wire;
     let instances = instances(request);
     let mut history = SendHistory::default();
-    let mut refused: Option<Response<Body>> = None;
+    let mut refused = None;
     for at in instances.into_iter().take(MAX_INSTANCES) {
         if request.time_left().is_zero() {
             break;
@@ -83,11 +80,17 @@
             }
         };
         let status = reply.response.status();
-        let is_refusal = REFUSALS.contains(&status) && !wire.is_signed(reply.response.headers());
+        let is_own = !wire.is_signed(reply.response.headers());
+        if is_own && status == StatusCode::UNAUTHORIZED {
+            // Another version decided this. In the one that is in force here the key is known, and
+            // the caller may have seen that, so that it must not be told otherwise here.
+            log::info!(id = request.head.id.as_str(), instance:% = at, version = request.version;
+                "another instance does not know the key; not run there");
+            continue;
+        }
+        let is_refusal = is_own && status == StatusCode::SERVICE_UNAVAILABLE;
         let response = pass_answer(request, reply, at, &mut history).await;
         match response {
-            // This instance knows the key, so that a refusal for another reason says more.
-            Some(_) if is_refusal && is_unauthorized(status) && refused.is_some() => {}
             Some(response) if is_refusal => refused = Some(response),
             Some(response) => return Some(response),
             None if request.may_run_after(history.possible_runs) => {}
@@ -98,13 +101,7 @@
         return None;
     }
     // The refusal says that the request did not run, which holds for all instances only then.
-    let is_told = |response: &Response<Body>| {
-        // A 401 to a request without an account comes from a version that this instance does not
-        // have yet, and in which the caller's key may be known.
-        history.possible_runs == 0
-            && (request.account.is_some() || !is_unauthorized(response.status()))
-    };
-    if let Some(response) = refused.filter(is_told) {
+    if let Some(response) = refused.filter(|_| history.possible_runs == 0) {
         return Some(response);
     }
     let refusal = match (history.verdict(), request.time_left().is_zero()) {
@@ -117,10 +114,6 @@
     Some(request.refuse(&refusal, &history))
 }
 
-fn is_unauthorized(status: StatusCode) -> bool {
-    status == StatusCode::UNAUTHORIZED
-}
-
 /// Addresses for callers of the instances that may have a path, in random order.
 ///
 /// Those that the lease holder names, or else those known from the start.
