Quotas: model judges refusals against the use admitted; metrics by account

Cause: the model compared with a bucket that is full at the start and drained by other requests than the admitted ones.

The bound of 1 in 200 is as before. Bytes of the messages are printed. Granted units are counted by account.

--- a/src/gateway/quotas.rs
+++ b/src/gateway/quotas.rs
@@ -88,7 +88,9 @@
     /// Takes over what the holder grants to this instance.
     pub(super) fn apply(&self, gateway: &Gateway, update: &QuotaUpdate) {
         let granted = self.credit().apply(update, gateway.now());
-        gateway.stats.record_credit(granted);
+        for (account, units) in granted {
+            gateway.stats.record_credit(account, units);
+        }
         self.granted.notify_waiters();
     }
 
--- a/src/gateway/quotas/credit.rs
+++ b/src/gateway/quotas/credit.rs
@@ -260,20 +260,23 @@
         age
     }
 
-    /// Takes over what the holder grants; returns the units that it granted anew.
+    /// Takes over what the holder grants; returns the units that it granted anew, by account.
     ///
     /// Credit in an update that was long on the way, as to a frozen instance, has lapsed.
-    pub fn apply(&mut self, update: &QuotaUpdate, now: Duration) -> u64 {
+    pub fn apply(&mut self, update: &QuotaUpdate, now: Duration) -> Vec<(String, u64)> {
         let age = self.hear(update.clock_ms, update.instances, now);
         let sent = now.saturating_sub(age);
-        let mut anew = 0;
+        let mut granted = Vec::new();
         for grant in &update.grants {
             let Some(pool) = self.pools.get_mut(&grant.account) else {
                 continue;
             };
-            anew += pool.apply(grant, sent, now);
+            let anew = pool.apply(grant, sent, now);
+            if anew > 0 {
+                granted.push((grant.account.clone(), anew));
+            }
         }
-        anew
+        granted
     }
 
     /// The report to the holder: accounts with changed figures, or all of them on a new link.
--- a/src/gateway/stats.rs
+++ b/src/gateway/stats.rs
@@ -184,8 +184,9 @@
     }
 
     /// Records units of credit that the lease holder granted to this instance.
-    pub fn record_credit(&self, units: u64) {
-        self.quota_granted.add(units, &[]);
+    pub fn record_credit(&self, account: String, units: u64) {
+        self.quota_granted
+            .add(units, &[KeyValue::new("account", account)]);
     }
 
     /// All metrics in the Prometheus text format.
--- a/tests/quotas.rs
+++ b/tests/quotas.rs
@@ -8,6 +8,7 @@
 use brassrack::gateway::quotas::credit::{Charge, Credit, Decision};
 use brassrack::gateway::quotas::ledger::Ledger;
 use brassrack::gateway::quotas::message::{QuotaReport, QuotaUpdate};
+use prost::Message;
 
 /// Seeds that CI plays; `QUOTA_SEEDS`, such as `0-299`, selects others.
 const SEEDS: RangeInclusive<u64> = 0..=23;
@@ -183,6 +184,8 @@
     sends: Vec<VecDeque<(u64, f64)>>,
     /// Requests by account: time, units, and whether it was admitted.
     requests: Vec<Vec<(u64, f64, bool)>>,
+    /// Bytes of messages to and from the holder.
+    bytes: (usize, usize),
 }
 
 fn at(millis: u64) -> Duration {
@@ -263,6 +266,7 @@
             ledger: Ledger::default(),
             links: BTreeMap::new(),
             next_link: 1,
+            bytes: (0, 0),
             fault,
         };
         for account in 0..world.demands.len() {
@@ -552,6 +556,7 @@
             return;
         };
         let arrives = now + self.delay(instance);
+        self.bytes.0 += report.encoded_len();
         if let Some(known) = self.links.get_mut(&link) {
             known.to_holder = known.to_holder.max(arrives);
             let after = known.to_holder - now;
@@ -601,6 +606,7 @@
                 instances: self.ledger.instances(),
                 grants,
             };
+            self.bytes.1 += update.encoded_len();
             if let Some(known) = self.links.get_mut(&link) {
                 known.from_holder = known.from_holder.max(arrives);
                 let (after, run) = (known.from_holder - self.now, known.run);
@@ -740,22 +746,23 @@
         worst
     }
 
-    /// Requests of an account whose demand an undivided bucket would take, and those refused.
+    /// Requests of an account for which an undivided bucket has credit, and those of them refused.
+    ///
+    /// The bucket is drained by the use that was admitted, and begins empty as that of a new holder.
     fn refused_below(&self, account: usize) -> (u64, u64) {
         let Quota { rate, burst, .. } = self.demands[account].quota;
-        let (mut tokens, mut updated) = (burst, 0);
+        let (mut tokens, mut updated) = (0.0, 0);
         let (mut requests, mut refused) = (0, 0);
         for (when, cost, admitted) in &self.requests[account] {
             tokens = burst.min(tokens + rate * at(when - updated).as_secs_f64());
             updated = *when;
-            if tokens < *cost {
-                continue;
-            }
-            tokens -= cost;
-            if *when >= WARM_MS {
+            if *when >= WARM_MS && (*admitted || tokens >= *cost) {
                 requests += 1;
                 refused += u64::from(!admitted);
             }
+            if *admitted {
+                tokens -= cost;
+            }
         }
         (requests, refused)
     }
@@ -802,6 +809,13 @@
     let mut below = BTreeMap::<&str, (u64, u64)>::new();
     for seed in seeds() {
         let world = World::new(seed, instances(seed), Fault::None).play();
+        let seconds = world.instances.len() * 40;
+        println!(
+            "{} instances: {} and {} bytes a second to and from the holder for each",
+            world.instances.len(),
+            world.bytes.0 / seconds,
+            world.bytes.1 / seconds
+        );
         for (account, demand) in world.demands.iter().enumerate() {
             let (requests, refused) = world.refused_below(account);
             let admitted = world.sends[account]
