--- a/src/gateway/quotas/ledger.rs
+++ b/src/gateway/quotas/ledger.rs
@@ -153,7 +153,7 @@
     /// use brassrack::gateway::quotas::message::{QuotaNeed, QuotaReport};
     ///
     /// let mut accounts = Accounts::default();
-    /// let quota = Quota { rate: 2.0, burst: 4.0, ..Quota::default() };
+    /// let quota = Quota { rate: 20.0, burst: 40.0, ..Quota::default() };
     /// accounts.insert(Account { name: "a".into(), quota: Some(quota), ..Account::default() }, []);
     /// let need = QuotaNeed { account: "a".into(), waiting: vec![1], ..QuotaNeed::default() };
     /// let report = QuotaReport { needs: vec![need], ..QuotaReport::default() };
