--- a/src/gateway/planner/model_loads.rs
+++ b/src/gateway/planner/model_loads.rs
@@ -75,13 +75,17 @@
 
     /// Counts the required replicas of all models, and what a swap delays on each engine, once.
     pub(super) fn prepare(&mut self) {
-        let required = self.summaries.iter().map(|(name, summary)| {
-            let demand = summary.demand.as_ref();
-            let required = demand.map_or(0, |demand| self.required_replicas(summary, demand));
-            (name.clone(), required)
+        let counts = self.summaries.iter().map(|(name, summary)| {
+            let demand = summary.demand.unwrap_or_default();
+            let required = self.required_replicas(summary, &demand);
+            let running = summary.running;
+            let least = demand::least_replicas(self.spec.slots, running, &demand, self.stream_time);
+            (name.clone(), required, least)
         });
-        for (name, required) in required.collect::<Vec<_>>() {
-            self.summaries.entry(name).or_default().required = required;
+        for (name, required, least) in counts.collect::<Vec<_>>() {
+            let summary = self.summaries.entry(name).or_default();
+            summary.required = required;
+            summary.least = if self.follows_demand { least } else { 0 };
         }
         if self.follows_demand {
             let engines = self.engines.iter();
@@ -215,7 +219,7 @@
         }
         let demand = summary.demand.unwrap_or_default();
         let gain = demand::replica_gain(summary.replicas, summary.required, &demand);
-        gain >= 1.0 && gain > option.cost
+        gain > demand::swap_price(option.load) + option.cost
     }
 
     /// Option without a limit, then with the nearest weights, and among equally near ones the lowest eviction cost.
@@ -320,14 +324,14 @@
 
     /// Whether a model is kept from eviction for another one, as its own streams would be refused.
     ///
-    /// A model in demand keeps the replicas that it requires, unless requests have waited for the
-    /// other one for longer than their objective and no engine has it.
+    /// Such a model is evicted only for one that no engine has and whose requests have waited for
+    /// longer than their objective.
     fn is_protected(&self, name: &str, other: &str) -> bool {
         if !self.follows_demand {
             return false;
         }
         let summary = self.summary(name);
-        if summary.replicas > summary.required || summary.required <= 1 {
+        if summary.replicas > summary.least {
             return false;
         }
         let waiting = self.demand(other);
@@ -349,6 +353,14 @@
     ///
     /// The cost falls with the square of the number of replicas.
     fn eviction_cost(&self, engine: &EngineState, name: &str) -> f64 {
+        if self.follows_demand {
+            let summary = self.summary(name);
+            let source = weight_source(engine, name);
+            let model = self.spec.models.get(name);
+            let reload = model.map_or(Duration::ZERO, |model| load_time(model, source));
+            let demand = summary.demand.unwrap_or_default();
+            return demand::eviction_price(summary.replicas, summary.required, &demand, reload);
+        }
         let replicas = f64::from(self.replicas(name).max(1));
         let reload_s = self.spec.models.get(name).map_or(1.0, |m| {
             load_time(m, weight_source(engine, name)).as_secs_f64()
--- a/src/gateway/planner/model_summary.rs
+++ b/src/gateway/planner/model_summary.rs
@@ -16,6 +16,8 @@
     pub(super) running: u32,
     /// Replicas that the demand requires.
     pub(super) required: u32,
+    /// Replicas below which its streams are refused; 0 where replicas do not follow demand.
+    pub(super) least: u32,
     /// Whether an engine that serves requests has loaded, loads or stores a copy.
     pub(super) has_copy: bool,
 }
