Ramps: a bound on the requests to a server that starts or recovers

Cause: a server that has just started or recovered gets its full share of the requests at once, or one try of each instance, which is a flood at 89 instances.

Messages have the fields for it (tags 30 and 31). Nothing uses them yet.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -26,6 +26,7 @@
 pub mod planner;
 pub mod protocol;
 pub mod quotas;
+pub mod ramp;
 pub mod reach;
 pub mod renewal;
 pub mod routing;
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -29,6 +29,7 @@
 mod limits;
 mod loads;
 mod message;
+mod ramps;
 
 use crate::peers::codec::{Frames, frames};
 pub use evidence::{BlamedPart, BrokenRequest, CrashEvidence, EndpointDeath, SoundAnswer};
@@ -38,6 +39,7 @@
 pub use message::{
     DemandReport, EngineView, FleetUpdate, LeavingEndpoint, LimitEntry, ModelView, TargetCount,
 };
+pub use ramps::{PaceEntry, RampEntry};
 
 /// Timeout for opening a link.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
@@ -165,11 +167,9 @@
         leaving: recently_leaving(gateway),
         crashes: crash_report(gateway, false),
         limits: limit_entries(gateway),
-        origins: None,
         address: gateway.settings.peers_addr.to_string(),
         cut_off: !gateway.cut_services.borrow().is_empty(),
-        quotas: None,
-        exchange: None,
+        ..DemandReport::default()
     }
 }
 
--- a/src/gateway/link/message.rs
+++ b/src/gateway/link/message.rs
@@ -13,6 +13,7 @@
 use super::evidence::CrashEvidence;
 use super::loads::LoadsNotice;
 use super::millis;
+use super::ramps::{PaceEntry, RampEntry};
 
 /// Request counts and wait time of a model or adapter.
 #[derive(Clone, PartialEq, Message)]
@@ -173,6 +174,12 @@
     /// What the sender knows, in place of its demand.
     #[prost(message, optional, tag = "20")]
     pub exchange: Option<Knowledge>,
+    /// Servers that ramp of which something changed since the last report, or all.
+    #[prost(message, repeated, tag = "30")]
+    pub ramps: Vec<RampEntry>,
+    /// Pace of the peers of servers that ramp; none if unchanged.
+    #[prost(message, repeated, tag = "31")]
+    pub paces: Vec<PaceEntry>,
 }
 
 /// An incarnation of an endpoint that leaves.
@@ -362,4 +369,7 @@
     /// Loads from the weight store, if the sender holds the lease; none if unchanged.
     #[prost(message, optional, tag = "40")]
     pub loads: Option<LoadsNotice>,
+    /// Servers that ramp of which something changed, or all, if the sender holds the lease.
+    #[prost(message, repeated, tag = "30")]
+    pub ramps: Vec<RampEntry>,
 }
--- a/src/gateway/orders/inbox.rs
+++ b/src/gateway/orders/inbox.rs
@@ -10,7 +10,7 @@
 use tokio::sync::{Notify, mpsc};
 
 use super::super::lease::Echoes;
-use super::super::link::{DemandReport, EndpointDeath, FleetUpdate, TargetCount};
+use super::super::link::{DemandReport, EndpointDeath, FleetUpdate, RampEntry, TargetCount};
 
 /// Newest report of a link.
 #[derive(Debug, Clone)]
@@ -111,6 +111,16 @@
             demand.leaving.push(endpoint);
         }
     }
+    // A report holds only the ramps of which something changed since the one before.
+    for entry in earlier.ramps {
+        let is_same = |e: &RampEntry| e.digest == entry.digest && e.ejected == entry.ejected;
+        if !demand.ramps.iter().any(is_same) {
+            demand.ramps.push(entry);
+        }
+    }
+    if demand.paces.is_empty() {
+        demand.paces = earlier.paces;
+    }
     if let Some(earlier) = earlier.crashes {
         let deaths = &mut demand.crashes.get_or_insert_default().deaths;
         let is_new = |d: &EndpointDeath| deaths.iter().all(|known| known.endpoint != d.endpoint);
