Ramps bound the requests to servers that start, where endpoints report their pace

Cause: the bound was decided by nobody and used nowhere.

Change: an incarnation listed after its service was known for 5 s begins a ramp; so does an endpoint that two instances ejected. A server that ramps and has no permit is a candidate only where no other is free; one with a permit and a free slot goes first. Instances report answers and wanted permits, the lease holder decides each 100 ms. Log lines at the begin, each decrease and the end; metric brassrack_gateway_ramps. Ramps apply to a service once an answer of its endpoints carried a pace (Servers::enable_ramps, called in send.rs).

Not run: process tests.

--- a/src/gateway/crash_evidence.rs
+++ b/src/gateway/crash_evidence.rs
@@ -26,6 +26,7 @@
 
     /// Records that the answer of an endpoint has begun.
     pub(super) fn record_begun(&self, selected: &SelectedEndpoint) {
+        self.record_ramp_begun(selected);
         let endpoint = incarnation_id(&selected.id, selected.started_ms);
         let now = self.now();
         let mut parts = self.gateway.crash_parts();
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -39,6 +39,7 @@
 pub use message::{
     DemandReport, EngineView, FleetUpdate, LeavingEndpoint, LimitEntry, ModelView, TargetCount,
 };
+pub(super) use ramps::apply_ramps;
 pub use ramps::{PaceEntry, RampEntry};
 
 /// Timeout for opening a link.
@@ -411,13 +412,14 @@
     let mut clock_echo = 0;
     let (origins, mut origins_sent) = new_origins(gateway, 0, Scope::Own);
     gateway.quotas.credit().begin_link();
-    let first = DemandReport {
+    let mut first = DemandReport {
         origins,
         quotas: gateway.quotas.report(gateway),
         crashes: crash_report(gateway, true),
         leaving: all_leaving(gateway),
         ..demand_report(gateway)
     };
+    ramps::add_ramps(gateway, &mut first, true);
     send(&mut link, &first).await?;
     loop {
         let next_report = last_report + REPORT_INTERVAL;
@@ -482,12 +484,13 @@
         if report_due {
             let (origins, last_origin) = new_origins(gateway, origins_sent, Scope::Own);
             origins_sent = last_origin;
-            let report = DemandReport {
+            let mut report = DemandReport {
                 clock_echo,
                 origins,
                 quotas: gateway.quotas.report(gateway),
                 ..demand_report(gateway)
             };
+            ramps::add_ramps(gateway, &mut report, false);
             send(&mut link, &report).await?;
             last_report = Instant::now();
         }
@@ -540,6 +543,7 @@
         gateway.detours.send_replace(detours.collect());
     }
     apply_grants(gateway, &update.limits, update.live_instances);
+    apply_ramps(gateway, &update.ramps, update.live_instances);
     gateway.budgets().resize(update.live_instances);
     gateway.crash_suspects().merge_refused(&update.refused);
     if let Some(notice) = &update.crashes {
--- a/src/gateway/link/ramps.rs
+++ b/src/gateway/link/ramps.rs
@@ -2,6 +2,8 @@
 
 use prost::Message;
 
+use super::super::shared::Gateway;
+
 /// Ramp of a server.
 #[derive(Clone, Copy, PartialEq, Message)]
 pub struct RampEntry {
@@ -53,3 +55,15 @@
     #[prost(float, tag = "4")]
     pub failed: f32,
 }
+
+/// Adds to a report what this instance saw of servers that ramp, or all of it where `all` is set.
+pub(super) fn add_ramps(gateway: &Gateway, report: &mut super::DemandReport, all: bool) {
+    let seen = gateway.servers.ramp_report(all, gateway.now());
+    (report.ramps, report.paces) = (seen.entries, seen.paces);
+}
+
+/// Takes over the lease holder's bounds, and the permits that it grants.
+pub(in super::super) fn apply_ramps(gateway: &Gateway, entries: &[RampEntry], instances: u32) {
+    let now = gateway.now();
+    gateway.servers.apply_ramps(entries, instances, now);
+}
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -175,7 +175,17 @@
 
 /// Serves the metrics in the Prometheus text format.
 pub async fn serve_metrics(listener: TcpListener, gateway: Arc<Gateway>) {
-    serve_responses(listener, move || match gateway.stats.text() {
+    serve_responses(listener, move || {
+        gateway
+            .stats
+            .record_ramps(&gateway.servers.ramps_in_progress());
+        metrics_response(&gateway)
+    })
+    .await;
+}
+
+fn metrics_response(gateway: &Gateway) -> Response<Body> {
+    match gateway.stats.text() {
         Ok(text) => {
             let mut response = Response::new(full(text));
             let kind = HeaderValue::from_static("text/plain; version=0.0.4");
@@ -188,8 +198,7 @@
             *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
             response
         }
-    })
-    .await;
+    }
 }
 
 /// Responds to every request with the result of `respond`.
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -11,6 +11,7 @@
 use super::lease::Lease;
 use super::link::{self, DemandReport};
 use super::planner::{self, EngineAction, Fleet, PlannedAction, StoreCapacity, WeightSource};
+use super::ramp::RampHolder;
 use super::shared::{DemandKey, Gateway};
 
 mod engine_events;
@@ -22,6 +23,7 @@
 mod limits;
 pub mod port;
 mod publish;
+mod ramps;
 pub mod record;
 pub mod records;
 pub mod send;
@@ -77,6 +79,7 @@
     records: EngineRecords,
     store_loads: StoreLoads,
     limit_ledger: LimitLedger,
+    ramps: RampHolder,
 }
 
 /// Asks for a plan, at an interval or because demand at this instance changed.
@@ -110,6 +113,7 @@
                 records: EngineRecords::default(),
                 store_loads: StoreLoads::new(window),
                 limit_ledger: LimitLedger::default(),
+                ramps: RampHolder::default(),
             },
             Mailbox::bounded(MAILBOX_MESSAGES),
         );
@@ -237,7 +241,9 @@
         let slots = catalog.engines().map(|(_, e)| e.slots).max().unwrap_or(1);
         self.request_reports(slots, now);
         let limits = self.grant_permits(now);
-        if now >= self.published + PUBLISH_INTERVAL || self.dirty || limits.any_granted() {
+        let has_ramp_news = self.step_ramps(now);
+        let has_news = self.dirty || limits.any_granted() || has_ramp_news;
+        if now >= self.published + PUBLISH_INTERVAL || has_news {
             self.published = now;
             self.dirty = false;
             let estimates = self.estimates(&catalog, &demands, now);
@@ -251,6 +257,8 @@
         for (number, report) in pending.reports {
             link::apply_leaving(&self.gateway, &report.demand.leaving);
             link::apply_limits(&self.gateway, &report.demand.limits);
+            self.ramps
+                .record(number, &report.demand, self.gateway.now());
             if let Some(crashes) = &report.demand.crashes {
                 let now = self.gateway.now();
                 let mut parts = self.gateway.crash_parts();
@@ -283,6 +291,7 @@
     /// Forgets what was published in an earlier term.
     fn clear_published(&mut self) {
         self.limit_ledger.clear();
+        self.ramps.clear();
         self.views = EngineViews::default();
         for peer in self.peers.values_mut() {
             peer.sent_version = 0;
--- a/src/gateway/orders/publish.rs
+++ b/src/gateway/orders/publish.rs
@@ -82,6 +82,7 @@
         self.gateway.servers.apply_views(&views, now);
         self.gateway.budgets().resize(live);
         link::apply_grants(&self.gateway, &limits.entries(OWN_NUMBER), live);
+        link::apply_ramps(&self.gateway, &self.ramps.entries(OWN_NUMBER, true), live);
         for estimate in estimates {
             let key = (estimate.scope.clone(), estimate.target());
             self.gateway
@@ -111,6 +112,7 @@
                     link::all_leaving(&self.gateway)
                 },
                 limits: limits.entries(*number),
+                ramps: self.ramps.entries(*number, full_due),
                 origins,
                 detours: if peer.demand.cut_off {
                     detours.clone()
@@ -146,6 +148,7 @@
                 peer.loads_sent.record(&load_ids, sent);
             }
         }
+        self.ramps.record_told();
     }
 
     /// Views of the engines whose state is known.
@@ -282,6 +285,7 @@
         || update.crashes.is_some()
         || update.loads.is_some()
         || update.limits.iter().any(|l| l.granted > 0)
+        || !update.ramps.is_empty()
         || update
             .origins
             .as_ref()
--- a/src/gateway/ramp.rs
+++ b/src/gateway/ramp.rs
@@ -6,6 +6,7 @@
 
 use std::time::Duration;
 
+mod answers;
 mod holder;
 mod meter;
 mod table;
--- a/src/gateway/routing.rs
+++ b/src/gateway/routing.rs
@@ -73,6 +73,7 @@
         let mut permit_wait: Option<PermitWait> = None;
         let limited = servers.limited(&self.requirements(history), self.now());
         servers.record_wanted(&limited, self.now());
+        servers.record_ramp_wanted(&self.requirements(history), self.now());
         let refusal = |cause| Refusal::not_run(cause).raise_verdict(history.verdict());
         loop {
             changes.borrow_and_update();
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -111,6 +111,7 @@
             Break::Closed { .. } | Break::Invalid => RequestOutcome::Failure,
             Break::Silent => RequestOutcome::Silence,
         };
+        self.record_ramp_failure(selected, outcome);
         self.gateway
             .servers
             .record_outcome(selected.key, outcome, now);
@@ -193,6 +194,7 @@
                     _ => RequestOutcome::Failure,
                 };
                 servers.record_outcome(selected.key, outcome, now);
+                self.record_ramp_failure(selected, outcome);
                 history.failed_endpoints.push(selected.id.clone());
                 history.unconnected += u32::from(error.fault == SendFault::Connect);
                 if error.fault == SendFault::Closed {
@@ -233,6 +235,9 @@
             servers.record_limit(&selected.id, selected.started_ms, answer);
             servers.record_brittle(selected.key, response_head.brittle);
             servers.record_pace(selected.key, response_head.pace, now);
+            if response_head.pace.is_some() {
+                servers.enable_ramps(&self.service);
+            }
         }
         if let Some(pause) = response_head.pause {
             servers.begin_pause(&selected.id, now + pause);
@@ -246,6 +251,15 @@
             let hold = brittle_hold(bound, self.gateway.budgets().instances());
             servers.begin_pause(&selected.id, now + hold);
         }
+        // An endpoint without the model, or one that leaves, refuses at any load.
+        let turned_away = response_head.not_run
+            && is_own
+            && !response_head.leaving
+            && (self.head.target.is_none() || response_head.pause.is_some());
+        let is_sound = response_head.signed && !encoded && !status.is_server_error();
+        if turned_away || !(is_sound || response_head.not_run) {
+            self.record_ramp_failure(selected, RequestOutcome::Failure);
+        }
         if response_head.not_run {
             match &self.head.target {
                 // The pause keeps requests away, and the endpoint can run this one after it.
--- a/src/gateway/servers.rs
+++ b/src/gateway/servers.rs
@@ -10,6 +10,7 @@
 
 use super::pauses::PauseTable;
 use super::protocol::{Endpoint, EndpointState, Target};
+use super::ramp::RampTable;
 
 mod brittle;
 mod copy;
@@ -20,6 +21,7 @@
 mod pace;
 mod pause;
 mod permits;
+mod ramped;
 mod select;
 mod server;
 
@@ -71,6 +73,7 @@
     paces: BTreeMap<String, pace::ServicePace>,
     /// Shares of streams with a pause, learnt at services whose endpoints state paces.
     pauses: PauseTable,
+    ramps: RampTable,
     /// Start and sequence number of the last description of removed endpoints, by id.
     removed: BTreeMap<String, (u64, u64)>,
 }
@@ -170,15 +173,24 @@
                 let before = (server.endpoint.start_ms, server.endpoint.state);
                 let was_expiring = server.expires_at.is_some();
                 server.update(endpoint, now);
-                was_expiring || before != (server.endpoint.start_ms, server.endpoint.state)
+                let after = (server.endpoint.start_ms, server.endpoint.state);
+                if let Some(key) = known.filter(|_| before.0 != after.0) {
+                    state.record_new(key, now);
+                }
+                was_expiring || before != after
             } else {
                 let id = endpoint.id.clone();
                 let mut server = Server::new(endpoint);
                 if state.leaving.contains(&id, server.endpoint.start_ms) {
                     server.endpoint.state = EndpointState::Draining;
                 }
+                let removed = state.removed.get(&id).map(|(started_ms, _)| *started_ms);
+                let is_listed_again = removed == Some(server.endpoint.start_ms);
                 let key = state.servers.insert(server);
                 state.keys.insert(id, key);
+                if !is_listed_again {
+                    state.record_new(key, now);
+                }
                 true
             }
         };
@@ -219,6 +231,7 @@
                 state.removed.pop_first();
             }
             let last = (endpoint.start_ms, endpoint.sequence);
+            state.remove_ramp(&endpoint.id);
             state.removed.insert(endpoint.id, last);
         }
     }
@@ -489,6 +502,7 @@
             server.ejected_until = now + EJECTION_TIME;
             log::warn!(endpoint = server.endpoint.id.as_str(), failing = server.failure_rate;
                 "endpoint ejected for a short time");
+            state.record_ejection(key, now);
         }
     }
 
--- a/src/gateway/servers/limited.rs
+++ b/src/gateway/servers/limited.rs
@@ -137,11 +137,13 @@
         }
     }
 
-    /// Uses a permit for a request; false where the endpoint has a limit and there is none.
+    /// Uses a permit for a request; false where the endpoint has a limit, or a permit of its ramp
+    /// was expected, and there is none.
     #[must_use]
     pub fn take_permit(&self, selected: &SelectedEndpoint, now: Duration) -> bool {
         let mut state = self.state();
-        state.limits.take(&selected.id, selected.started_ms, now)
+        state.take_ramp_permit(selected, now)
+            && state.limits.take(&selected.id, selected.started_ms, now)
     }
 
     fn set_waiting(&self, id: &str, started_ms: u64, priority: u8, waits: bool) {
--- a/src/gateway/servers/select.rs
+++ b/src/gateway/servers/select.rs
@@ -25,6 +25,10 @@
     pub expected_wait: Duration,
     /// What the choice expected there; none where the service states no paces.
     pub expected: Option<Expected>,
+    /// When it was selected.
+    pub chosen_at: Duration,
+    /// Whether it ramps and was selected for a permit.
+    pub needs_ramp_permit: bool,
 }
 
 /// Requirements and preferences of a request for its endpoint.
@@ -85,6 +89,7 @@
         let matching: Vec<(ServerKey, &Server)> =
             state.servers.iter().filter(|(_, s)| matches(s)).collect();
         let outlook = Outlook::new(&state, criteria, now);
+        let matching = state.prefer_by_ramps(matching, now);
         let candidates: Vec<Candidate> = matching
             .iter()
             .enumerate()
@@ -99,6 +104,8 @@
             address: server.endpoint.address,
             expected_wait: server.expected_wait(state.run_time.unwrap_or(DEFAULT_RUN_TIME)),
             expected: outlook.of(server, criteria, now),
+            chosen_at: now,
+            needs_ramp_permit: state.has_ramp_permit(server, now),
         })
     }
 
--- a/src/gateway/stats.rs
+++ b/src/gateway/stats.rs
@@ -1,9 +1,10 @@
 //! Metrics of the gateway: counters and latency histograms.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram};
+use opentelemetry::metrics::{Counter, Gauge, Histogram};
 
 use super::silence::{Awaited, Winner};
 use crate::metrics::{MetricsError, Registered};
@@ -39,6 +40,7 @@
     quota_requests: Counter<u64>,
     quota_units: Counter<u64>,
     quota_granted: Counter<u64>,
+    ramps: Gauge<u64>,
 }
 
 impl Stats {
@@ -86,6 +88,7 @@
                 .build(),
             quota_units: meter.u64_counter("brassrack_gateway_quota_units").build(),
             quota_granted: meter.u64_counter("brassrack_gateway_quota_granted").build(),
+            ramps: meter.u64_gauge("brassrack_gateway_ramps").build(),
             registered,
         })
     }
@@ -189,6 +192,14 @@
             .add(units, &[KeyValue::new("account", account)]);
     }
 
+    /// Records the number of ramps in progress of each service.
+    pub fn record_ramps(&self, in_progress: &BTreeMap<String, u64>) {
+        for (service, count) in in_progress {
+            let label = KeyValue::new("service", service.clone());
+            self.ramps.record(*count, &[label]);
+        }
+    }
+
     /// All metrics in the Prometheus text format.
     ///
     /// # Errors
--- a/tests/server_ramps.rs
+++ b/tests/server_ramps.rs
@@ -6,11 +6,12 @@
 use std::time::Duration;
 
 use brassrack::gateway::link::{DemandReport, FleetUpdate, RampEntry};
+use brassrack::gateway::protocol::{Endpoint, EndpointState};
 use brassrack::gateway::ramp::{
     AnswerCounts, Peers, Ramp, RampAnswer, RampEnd, RampGroup, RampHolder, RampNews, RampSettings,
     RampStep, RampTable, RampTarget, incarnation_digest,
 };
-use brassrack::gateway::servers::permit_ttl;
+use brassrack::gateway::servers::{SelectionCriteria, Servers, permit_ttl};
 use prost::Message;
 
 const SERVICE: &str = "files";
@@ -840,3 +841,53 @@
     );
     assert!(ramp.bound >= settings.floor);
 }
+
+fn endpoint(id: &str, start_ms: u64) -> Endpoint {
+    Endpoint {
+        id: id.to_owned(),
+        service: SERVICE.to_owned(),
+        address: ([127, 0, 0, 1], 9).into(),
+        domain: String::new(),
+        software: String::new(),
+        slots: SLOTS,
+        state: EndpointState::Ready,
+        start_ms,
+        sequence: 1,
+        models: BTreeMap::new(),
+        memory_models: std::collections::BTreeSet::new(),
+        disk_models: std::collections::BTreeSet::new(),
+    }
+}
+
+/// Failure: the last server of a service is kept idle, or a server ramps that reports no pace.
+#[test]
+fn registry_prefers_servers_without_a_ramp() {
+    for paced in [true, false] {
+        let servers = Servers::default();
+        if paced {
+            servers.enable_ramps(SERVICE);
+        }
+        servers.upsert(endpoint("a", 1), ms(0));
+        servers.upsert(endpoint("n", 2), ms(EVENT_MS));
+        assert_eq!(servers.ramp_bound("n", 2).is_some(), paced);
+        // One that is listed as draining says nothing about the others.
+        let state = EndpointState::Draining;
+        let draining = Endpoint {
+            state,
+            ..endpoint("d", 3)
+        };
+        servers.upsert(draining, ms(EVENT_MS));
+        assert_eq!(servers.ramp_bound("n", 2).is_some(), paced);
+        let criteria = SelectionCriteria {
+            service: SERVICE,
+            ..SelectionCriteria::default()
+        };
+        let chosen = |at: u64| servers.select(&criteria, ms(EVENT_MS + at)).unwrap();
+        let new = (0..64).filter(|_| chosen(1).id == "n").count();
+        assert_eq!(new == 0, paced);
+        servers.remove("a");
+        let last = chosen(2);
+        assert_eq!(last.id, "n");
+        assert!(servers.take_permit(&last, ms(EVENT_MS + 2)));
+    }
+}
