Quotas: units that are left may be used ahead of a grant

Cause: a call with an objective of 100 ms waits 33 ms for credit; the lease holder's answer can take longer, and at the first request of an account at an instance there is no credit yet.

Change: an instance admits a request without credit while the holder's last statement leaves three times what all instances that use the account would take by doing the same; the use is reported and drained from the bucket. What is left is stated below zero too.

--- a/src/gateway/quotas/credit.rs
+++ b/src/gateway/quotas/credit.rs
@@ -31,6 +31,11 @@
 /// Number of instances assumed where no holder has named it: the design size. With 64, a restart of
 /// 350 instances would admit 5 times the rate until there is a holder.
 const UNKNOWN_INSTANCES: u32 = 350;
+/// Part of the units left that all instances together may use ahead of a grant.
+///
+/// With the units that a bucket holds beyond the burst, it stays within the tenth of 8 s of the rate
+/// that the window check allows.
+const OVERDRAFT_PARTS: f64 = 3.0;
 /// Longest delay before a retry: one window of the quota check.
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(8);
 /// Time that the holder's answer takes at least.
@@ -78,6 +83,11 @@
     used: u64,
     returned: u64,
     refunded: u64,
+    /// Units used ahead of a grant, and those of them since the holder last stated what is left.
+    overdrawn: u64,
+    overdraft: u64,
+    /// Instances that use the account, as the holder stated last.
+    users: u32,
     /// Units granted on the present link.
     seen: u64,
     share: u32,
@@ -148,6 +158,7 @@
         let never_heard = self.heard.is_none();
         let part = self.part(charge.account, charge.quota.rate);
         let own_since = self.heard.map_or(now, |heard| heard + HOLDER_TIMEOUT);
+        let instances = self.instances.max(1);
         let pool = self.pools.entry(charge.account.to_owned()).or_default();
         let cost = f64::from(charge.cost);
         let is_first = pool.seen_at.is_zero();
@@ -181,6 +192,9 @@
         if pool.waiting.is_empty() && pool.take(charge.cost) {
             return Decision::Admitted;
         }
+        if pool.waiting.is_empty() && pool.overdraw(charge, instances, now) {
+            return Decision::Admitted;
+        }
         let wait = pool.expected_wait(cost, charge.quota.rate, now);
         if wait > charge.patience {
             let age = pool.statement_age(now);
@@ -392,6 +406,30 @@
         true
     }
 
+    /// Uses units ahead of a grant where the holder has said that enough are left, even if all
+    /// instances that use the account do the same; the holder's answer can take longer than a call.
+    ///
+    /// Of an account that the holder has said nothing about here, one request is admitted if one of
+    /// each instance stays within the burst.
+    fn overdraw(&mut self, charge: &Charge<'_>, instances: u32, now: Duration) -> bool {
+        #[expect(clippy::cast_precision_loss, reason = "units stay far below 2^53")]
+        let (left, used) = (self.left as f64, self.overdraft as f64);
+        let cost = f64::from(charge.cost);
+        let is_fresh = self.statement_age(now).is_some_and(|age| age < STATEMENT_TTL);
+        let (users, left) = if is_fresh {
+            (self.users.clamp(1, instances), left)
+        } else {
+            (instances, charge.quota.burst)
+        };
+        let is_covered = (used + cost) * f64::from(users) <= left / OVERDRAFT_PARTS;
+        if is_covered {
+            self.used += u64::from(charge.cost);
+            self.overdrawn += u64::from(charge.cost);
+            self.overdraft += u64::from(charge.cost);
+        }
+        is_covered
+    }
+
     /// Accrues the own part of the rate; what is not used within a time lapses.
     ///
     /// It begins at a random fraction of a request, so that the instances' first requests are spread
@@ -454,6 +492,8 @@
         }
         if self.stated_at.is_none_or(|at| sent >= at) {
             self.left = grant.left;
+            self.users = grant.users;
+            self.overdraft = 0;
             self.stated_at = Some(sent);
             self.share = grant.share;
         }
@@ -486,6 +526,7 @@
             ahead: u32::try_from(ahead).unwrap_or(u32::MAX),
             unit: u32::try_from(units(unit)).unwrap_or(u32::MAX),
             share: if is_stopping { 0 } else { self.share },
+            overdrawn: self.overdrawn,
         }
     }
 
--- a/src/gateway/quotas/ledger.rs
+++ b/src/gateway/quotas/ledger.rs
@@ -387,8 +387,10 @@
         } else {
             let grown = |now: u64, before: u64| now.saturating_sub(before);
             let used = grown(need.used, holding.need.used);
+            let overdrawn = grown(need.overdrawn, holding.need.overdrawn);
             let before = holding.outstanding();
-            holding.settle(used);
+            holding.settle(used.saturating_sub(overdrawn));
+            self.tokens -= float(overdrawn);
             let returned = holding.settle(grown(need.returned, holding.need.returned));
             holding.open.retain(|(at, _)| now < *at + MAX_CREDIT_AGE);
             self.open -= before - holding.outstanding();
@@ -528,7 +530,9 @@
         let waiting = self.waiting.iter().filter_map(|l| self.holdings.get(l));
         let waiting = waiting.flat_map(|h| &h.waiting);
         let waiting: u64 = waiting.map(|cost| u64::from(*cost)).sum();
-        let left = signed(units(self.tokens)) - signed(waiting);
+        let left = signed(units(self.tokens)) - signed(units(-self.tokens)) - signed(waiting);
+        let users = self.holdings.values().filter(|h| h.told > 0.0).count();
+        let users = u32::try_from(users).unwrap_or(u32::MAX);
         let links: BTreeSet<u64> = links.iter().copied().collect();
         for link in links {
             let Some(holding) = self.holdings.get(&link) else {
@@ -539,6 +543,7 @@
                 granted: holding.granted,
                 left,
                 share: u32::try_from(units(holding.told * MILLION)).unwrap_or(0),
+                users,
             });
         }
     }
--- a/src/gateway/quotas/message.rs
+++ b/src/gateway/quotas/message.rs
@@ -35,6 +35,9 @@
     /// Share of the account's use that the holder last named, in millionths.
     #[prost(uint32, tag = "9")]
     pub share: u32,
+    /// Units used ahead of a grant since the start of the instance; part of `used`.
+    #[prost(uint64, tag = "10")]
+    pub overdrawn: u64,
 }
 
 /// Part of a demand report about quotas.
@@ -72,6 +75,9 @@
     /// Share of the account's use that the instance may assume without a holder, in millionths.
     #[prost(uint32, tag = "4")]
     pub share: u32,
+    /// Instances that have used the account lately.
+    #[prost(uint32, tag = "5")]
+    pub users: u32,
 }
 
 /// Part of a fleet update about quotas.
