--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -224,13 +224,13 @@
         self.rates.retain(|_, r| r.at(now) > MIN_RATE_PER_S);
         self.refusals.retain(|_, r| r.at(now) > MIN_RATE_PER_S);
         let mut engines = catalog.engines();
-        let is_cautious = engines.any(|(name, _)| self.follows_demand(name, &catalog, now));
+        let is_cautious = engines.any(|(name, _)| self.follows_demand(name, now));
         self.store_loads.set_cautious(is_cautious);
         self.late_shares.retain(|_, share| !share.is_old(now));
         let mut demands = BTreeMap::new();
         for (service, engine) in catalog.engines() {
             self.sync_records(service, now);
-            let fleet = self.fleet(service, &catalog, now);
+            let fleet = self.fleet(service, now);
             let running = self.records.store_loads();
             let capacity = self.store_loads.capacity(engine, running, now);
             for step in planner::plan(engine, &fleet, capacity, now) {
--- a/src/gateway/orders/fleet.rs
+++ b/src/gateway/orders/fleet.rs
@@ -3,7 +3,6 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use super::super::catalog::Catalog;
 use super::super::link::DemandReport;
 use super::super::planner::{Fleet, PinnedTarget, TargetDemand};
 use super::super::protocol::Target;
@@ -22,13 +21,13 @@
         peers.chain(std::iter::once(&self.own_demand))
     }
 
-    /// Whether the replicas of a service follow demand: its endpoints state a pace, or callers compete
-    /// for room by accounts.
-    pub(super) fn follows_demand(&self, service: &str, catalog: &Catalog, now: Duration) -> bool {
-        catalog.accounts.is_some() || self.gateway.servers.reports_pace(service, now)
+    /// Whether the replicas of a service follow demand: its endpoints state a pace, so that the share of
+    /// late streams is known.
+    pub(super) fn follows_demand(&self, service: &str, now: Duration) -> bool {
+        self.gateway.servers.reports_pace(service, now)
     }
 
-    pub(super) fn fleet(&self, service: &str, catalog: &Catalog, now: Duration) -> Fleet {
+    pub(super) fn fleet(&self, service: &str, now: Duration) -> Fleet {
         let mut target_demands: BTreeMap<Target, TargetDemand> = BTreeMap::new();
         for ((scope, target), rate) in &self.rates {
             if scope == service {
@@ -93,7 +92,7 @@
             engines: self.records.states(service, running_on, now),
             demand: target_demands,
             pinned,
-            follows_demand: self.follows_demand(service, catalog, now),
+            follows_demand: self.follows_demand(service, now),
             stream_time: self.gateway.servers.run_time(),
         }
     }
--- a/src/gateway/quotas/credit.rs
+++ b/src/gateway/quotas/credit.rs
@@ -415,7 +415,9 @@
         #[expect(clippy::cast_precision_loss, reason = "units stay far below 2^53")]
         let (left, used) = (self.left as f64, self.overdraft as f64);
         let cost = f64::from(charge.cost);
-        let is_fresh = self.statement_age(now).is_some_and(|age| age < STATEMENT_TTL);
+        let is_fresh = self
+            .statement_age(now)
+            .is_some_and(|age| age < STATEMENT_TTL);
         let (users, left) = if is_fresh {
             (self.users.clamp(1, instances), left)
         } else {
--- a/src/gateway/quotas/ledger.rs
+++ b/src/gateway/quotas/ledger.rs
@@ -22,7 +22,9 @@
 /// the time after which it uses that part.
 const SILENCE: Duration = Duration::from_secs(1);
 /// Time for which the part of a lost instance is set aside, as it may go on without the holder.
-const PART_RESERVE: Duration = Duration::from_mins(1);
+///
+/// The part of one that is cut off for longer is within the tolerance of the window check.
+const PART_RESERVE: Duration = Duration::from_secs(10);
 /// Age at which credit that was neither used nor returned counts as spent.
 const MAX_CREDIT_AGE: Duration = Duration::from_secs(3);
 /// Longest wait of a request; one that needs longer does not hold up others.
