--- a/src/gateway/planner/demand.rs
+++ b/src/gateway/planner/demand.rs
@@ -8,8 +8,8 @@
 
 /// Share of an engine's slots that streams of one model fill in time, beside those of others.
 ///
-/// Of streams on an engine with 0 to 4 of 12 running, 3% have a pause that is too long; with 4 to 8,
-/// 10%. It is clearly below the 0.4 from which a replica counts as full elsewhere.
+/// It is below the 0.4 from which a replica counts as full elsewhere: with more streams running, more of
+/// them have a pause that is too long.
 const SLOT_SHARE: f64 = 0.3;
 /// The same where many streams of the model are late.
 const MIN_SLOT_SHARE: f64 = 0.12;
