Quotas: an instance without a holder uses its part of what was left

A request that waited was listed once, and dropped by the holder if it could not be served in 300 ms.

Change: the own bucket holds the same part of the burst as of the rate, and begins with that part of half of what was left. Requests that still wait are listed again. Half of a burst is kept for waiting requests, not a quarter.

--- a/src/gateway/quotas/credit.rs
+++ b/src/gateway/quotas/credit.rs
@@ -25,9 +25,9 @@
 const STATEMENT_TTL: Duration = Duration::from_secs(1);
 /// Waiting requests of an account that are reported at most.
 const MAX_WAITING: usize = 16;
-/// Time for which the unused own part of the rate is kept; it ends the use of credit saved up by
-/// many instances at once.
-const OWN_KEEP: f64 = 0.5;
+/// Part of what the holder stated to be left that the instances use without it: others may have used
+/// the rest since, or a holder that is only out of reach may grant it.
+const LEFT_SHARE: f64 = 0.5;
 /// Number of instances assumed where no holder has named it: the design size. With 64, a restart of
 /// 350 instances would admit 5 times the rate until there is a holder.
 const UNKNOWN_INSTANCES: u32 = 350;
@@ -177,7 +177,7 @@
                 pool.used += u64::from(charge.cost);
                 return Decision::Admitted;
             }
-            pool.accrue(part, own_since, now, draw);
+            pool.accrue(part, charge.quota, own_since, now, draw);
             if pool.own >= pool.largest_cost {
                 pool.own -= cost;
                 pool.used += u64::from(charge.cost);
@@ -432,21 +432,33 @@
         is_covered
     }
 
-    /// Accrues the own part of the rate; what is not used within a time lapses.
+    /// Accrues the own part of the rate, up to the same part of the burst.
     ///
-    /// It begins at a random fraction of a request, so that the instances' first requests are spread
-    /// over time. A request may use it once it covers the largest one of late.
-    fn accrue(&mut self, part: f64, since: Duration, now: Duration, draw: f64) {
+    /// It begins with that part of half of what the holder stated last to be left, and with a random
+    /// fraction of a request, so that the instances' first requests are spread over time. A request
+    /// may use it once it covers the largest one of late.
+    fn accrue(&mut self, part: f64, quota: &Quota, since: Duration, now: Duration, draw: f64) {
+        let share = part / quota.rate.max(f64::MIN_POSITIVE);
         let from = self.own_at.unwrap_or_else(|| {
-            self.own = draw * self.largest_cost;
+            self.own = draw * self.largest_cost + share * self.left_by(quota, since) * LEFT_SHARE;
             since
         });
         self.own_at = Some(now);
         self.own += part * now.saturating_sub(from).as_secs_f64();
-        let largest = self.largest_cost + part * OWN_KEEP;
-        if self.own > largest && self.largest_cost > 0.0 {
-            let over = ((self.own - largest) / self.largest_cost).ceil();
-            self.own -= over * self.largest_cost;
+        self.own = self.own.min(self.largest_cost + share * quota.burst);
+    }
+
+    /// Units left by the holder's last statement; none where it is too old to count.
+    fn left_by(&self, quota: &Quota, now: Duration) -> f64 {
+        let is_recent = self
+            .statement_age(now)
+            .is_some_and(|age| age < HOLDER_TIMEOUT + STATEMENT_TTL);
+        #[expect(clippy::cast_precision_loss, reason = "units stay far below 2^53")]
+        let left = self.left as f64;
+        if is_recent {
+            left.clamp(0.0, quota.burst)
+        } else {
+            0.0
         }
     }
 
@@ -538,9 +550,12 @@
     }
 }
 
-/// Whether an entry tells the holder nothing that it has to act on.
+/// Whether an entry says nothing that the holder has to act on.
+///
+/// Requests that still wait are listed again: the holder drops those that it could not serve in time.
 fn same_figures(a: &QuotaNeed, b: &QuotaNeed) -> bool {
-    a.used == b.used
+    a.waiting.is_empty()
+        && a.used == b.used
         && a.returned == b.returned
         && a.refunded == b.refunded
         && a.waiting == b.waiting
--- a/src/gateway/quotas/ledger.rs
+++ b/src/gateway/quotas/ledger.rs
@@ -17,7 +17,7 @@
 /// a tenth of 8 s of the rate.
 pub const EXTRA_TIME: Duration = Duration::from_millis(500);
 /// Share of the burst that is kept for waiting requests when credit is granted ahead of them.
-const WAITING_RESERVE: f64 = 0.25;
+const WAITING_RESERVE: f64 = 0.5;
 /// Age of the newest update that an instance has heard, from which its own part is set aside; below
 /// the time after which it uses that part.
 const SILENCE: Duration = Duration::from_secs(1);
