Log and count of what endpoints turn away

Adds the fields own, bound, instances and sends to `endpoint did not run the request`, and the counter brassrack_gateway_turned_away by service and brittle. No decision changes.

--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -267,9 +267,17 @@
                 Some(target) => servers.mark_absent(selected.key, target, now),
                 None => history.failed_endpoints.push(selected.id.clone()),
             }
+            let (own, bound) = servers.own_requests(selected.key);
             log::info!(id = self.head.id.as_str(), endpoint = selected.id.as_str(),
-                status = status.as_u16(), load:? = response_head.load;
-                "endpoint did not run the request");
+                status = status.as_u16(), load:? = response_head.load, own = own,
+                bound:? = bound, instances = self.gateway.budgets().instances(),
+                sends = history.sends; "endpoint did not run the request");
+            if status == StatusCode::SERVICE_UNAVAILABLE {
+                let is_brittle = response_head.brittle.is_some();
+                self.gateway
+                    .stats
+                    .record_turned_away(&self.service, is_brittle);
+            }
             return SendOutcome::NotRun;
         }
         if !response_head.signed || encoded {
--- a/src/gateway/servers/brittle.rs
+++ b/src/gateway/servers/brittle.rs
@@ -68,6 +68,14 @@
         }
     }
 
+    /// Requests of this instance in progress at an endpoint, and what it bears if it is brittle.
+    #[must_use]
+    pub fn own_requests(&self, key: ServerKey) -> (u32, Option<u32>) {
+        let state = self.state();
+        let server = state.servers.get(key);
+        server.map_or((0, None), |s| (s.local_load, s.brittle))
+    }
+
     /// Whether an endpoint could run a request if it had room for it.
     #[must_use]
     pub fn lacks_room(&self, criteria: &SelectionCriteria<'_>, now: Duration) -> bool {
--- a/src/gateway/stats.rs
+++ b/src/gateway/stats.rs
@@ -41,6 +41,7 @@
     quota_units: Counter<u64>,
     quota_granted: Counter<u64>,
     ramps: Gauge<u64>,
+    turned_away: Counter<u64>,
 }
 
 impl Stats {
@@ -89,6 +90,7 @@
             quota_units: meter.u64_counter("brassrack_gateway_quota_units").build(),
             quota_granted: meter.u64_counter("brassrack_gateway_quota_granted").build(),
             ramps: meter.u64_gauge("brassrack_gateway_ramps").build(),
+            turned_away: meter.u64_counter("brassrack_gateway_turned_away").build(),
             registered,
         })
     }
@@ -200,6 +202,15 @@
         }
     }
 
+    /// Records that an endpoint turned a request away for want of room.
+    pub fn record_turned_away(&self, service: &str, brittle: bool) {
+        let labels = [
+            KeyValue::new("service", service.to_owned()),
+            KeyValue::new("brittle", brittle),
+        ];
+        self.turned_away.add(1, &labels);
+    }
+
     /// All metrics in the Prometheus text format.
     ///
     /// # Errors
