Room of brittle endpoints is granted by the lease holder

Callers saw connections of brittle endpoints end again and again, and were refused meanwhile. Cause: the room of an endpoint is for all instances together, and each one kept to a part of its own, one request at least: 67 instances could have 67 requests at 6 slots. What an instance knew of an endpoint was also lost with its incarnation. Class: a bound for all together that is kept by each alone. Change: the lease holder grants permits by room and tells all which services are brittle; without one an instance has its share, or a turn now and then. Reports and grants are fields that earlier builds skip.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -29,6 +29,7 @@
 pub mod ramp;
 pub mod reach;
 pub mod renewal;
+pub mod room;
 pub mod routing;
 pub mod selection;
 pub mod send;
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -14,7 +14,7 @@
 use super::orders::inbox::DemandInbox;
 use super::renewal::LeaseRenewal;
 use super::shared::{Gateway, GatewaySettings, PlatformApi};
-use super::{exchange, feed, listener, quotas, reach};
+use super::{exchange, feed, listener, quotas, reach, room};
 use crate::daemon::StartError;
 
 /// Time from the stop signal until open connections are closed: the load balancer probes readiness
@@ -136,6 +136,7 @@
     tokio::spawn(exchange::run(Arc::clone(gateway), holder_link.clone()));
     tokio::spawn(reach::watch(Arc::clone(gateway)));
     tokio::spawn(quotas::run(Arc::clone(gateway)));
+    tokio::spawn(room::run(Arc::clone(gateway)));
     tokio::spawn(report_dropped_lines());
     holder_link
 }
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -21,6 +21,7 @@
 use super::orders::inbox::{DemandInbox, LinkReport};
 use super::protocol::Target;
 use super::quotas::message::QuotaReport;
+use super::room::message::RoomReport;
 use super::servers::EndpointView;
 use super::shared::{Gateway, ModelDemand, WaitingRequest};
 use super::stream_origins::{OriginNotice, Scope};
@@ -48,6 +49,8 @@
 const REPORT_INTERVAL: Duration = Duration::from_millis(200);
 /// Time for which changes in demand are collected into one report.
 const REPORT_DELAY: Duration = Duration::from_millis(4);
+/// Time for which changes at brittle endpoints are collected into one report.
+const ROOM_DELAY: Duration = Duration::from_millis(2);
 /// Silence after which a link is closed: several report or update intervals.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(1200);
 /// Delay before a failed connect or accept is retried.
@@ -322,10 +325,15 @@
                     return;
                 }
                 let quotas = report.quotas.take();
-                let is_whole = quotas.as_ref().is_none_or(|q| !q.only);
+                let room = report.room.take();
+                let is_whole = quotas.as_ref().is_none_or(|q| !q.only)
+                    && room.as_ref().is_none_or(|r| !r.only);
                 if let Some(quotas) = quotas {
                     gateway.quotas.serve(&gateway, link_id, &report.instance, &quotas, &outgoing);
                 }
+                if let Some(room) = room {
+                    gateway.room.serve(&gateway, link_id, &room, &outgoing);
+                }
                 let known = holder_info.borrow().clone();
                 if !is_whole {
                     None
@@ -354,6 +362,7 @@
     }
     inbox.close(link_id);
     gateway.quotas.close(link_id, gateway.now());
+    gateway.room.close(link_id, gateway.now());
 }
 
 pub(super) async fn send(link: &mut Frames, message: &impl Message) -> Option<()> {
@@ -412,6 +421,9 @@
     let mut clock_echo = 0;
     let (origins, mut origins_sent) = new_origins(gateway, 0, Scope::Own);
     gateway.quotas.credit().begin_link();
+    gateway.servers.begin_room_link();
+    // Only a holder that says so knows reports about room alone.
+    let mut grants_room = false;
     let mut first = DemandReport {
         origins,
         quotas: gateway.quotas.report(gateway),
@@ -431,7 +443,12 @@
                     gateway.quotas.apply(gateway, quotas);
                     continue;
                 }
+                if let Some(room) = &update.room {
+                    gateway.servers.apply_room(room, gateway.now());
+                    continue;
+                }
                 last_update = Instant::now();
+                grants_room = update.grants_room;
                 clock_echo = update.clock_ms;
                 let holding = update.holding;
                 let redirect = update.holder.parse().ok();
@@ -469,6 +486,12 @@
                     send(&mut link, &urgent).await?;
                 }
             }
+            () = gateway.servers.room_changed().notified() => {
+                sleep(ROOM_DELAY).await;
+                if let Some(urgent) = room_report(gateway).filter(|_| grants_room) {
+                    send(&mut link, &urgent).await?;
+                }
+            }
             () = tokio::time::sleep_until(next_report) => report_due = true,
             changed = holder_info.changed() => {
                 changed.ok()?;
@@ -490,6 +513,9 @@
                 quotas: gateway.quotas.report(gateway),
                 ..demand_report(gateway)
             };
+            if grants_room {
+                report.room = gateway.servers.room_report(gateway.now());
+            }
             ramps::add_ramps(gateway, &mut report, false);
             send(&mut link, &report).await?;
             last_report = Instant::now();
@@ -510,6 +536,16 @@
     })
 }
 
+/// A report about room alone, sent as soon as a request waits for room or has ended.
+fn room_report(gateway: &Gateway) -> Option<DemandReport> {
+    let room = gateway.servers.room_report(gateway.now())?;
+    Some(DemandReport {
+        instance: gateway.settings.name.clone(),
+        room: Some(RoomReport { only: true, ..room }),
+        ..DemandReport::default()
+    })
+}
+
 /// Where streams began since a number of their records, and the number of the last one.
 pub(super) fn new_origins(
     gateway: &Gateway,
@@ -535,6 +571,11 @@
         .quotas
         .credit()
         .hear(update.clock_ms, update.live_instances, gateway.now());
+    if update.grants_room {
+        let now = gateway.now();
+        gateway.servers.hear_room_holder(update.live_instances, now);
+        gateway.servers.merge_brittle(&update.brittle, now);
+    }
     gateway.record_list_change(update.list_change);
     apply_leaving(gateway, &update.leaving);
     apply_origins(gateway, update.origins.as_ref());
--- a/src/gateway/link/message.rs
+++ b/src/gateway/link/message.rs
@@ -8,6 +8,7 @@
 use super::super::exchange::Knowledge;
 use super::super::protocol::{HeldModels, Target};
 use super::super::quotas::message::{QuotaReport, QuotaUpdate};
+use super::super::room::message::{BrittleEntry, RoomReport, RoomUpdate};
 use super::super::servers::{EndpointView, LeavingMark, LimitNotice};
 use super::super::stream_origins::OriginNotice;
 use super::evidence::CrashEvidence;
@@ -180,6 +181,9 @@
     /// Pace of the peers of servers that ramp; none if unchanged.
     #[prost(message, repeated, tag = "31")]
     pub paces: Vec<PaceEntry>,
+    /// Use of brittle endpoints; none where no service is brittle, or the holder grants no room.
+    #[prost(message, optional, tag = "50")]
+    pub room: Option<RoomReport>,
 }
 
 /// An incarnation of an endpoint that leaves.
@@ -372,4 +376,13 @@
     /// Servers that ramp of which something changed, or all, if the sender holds the lease.
     #[prost(message, repeated, tag = "30")]
     pub ramps: Vec<RampEntry>,
+    /// Permits granted, in place of everything else, in answer to a report about room.
+    #[prost(message, optional, tag = "50")]
+    pub room: Option<RoomUpdate>,
+    /// Whether the sender grants room of brittle endpoints.
+    #[prost(bool, tag = "51")]
+    pub grants_room: bool,
+    /// Services whose endpoints are brittle, if the sender holds the lease.
+    #[prost(message, repeated, tag = "52")]
+    pub brittle: Vec<BrittleEntry>,
 }
--- a/src/gateway/orders/publish.rs
+++ b/src/gateway/orders/publish.rs
@@ -76,11 +76,13 @@
         let loads = self.records.loads_in_progress(now);
         let load_ids = loads.ids();
         let detours = self.detours();
+        let brittle = self.gateway.servers.brittle_entries(now);
         let own_detours = detours.iter().filter_map(|a| a.parse().ok()).collect();
         self.gateway.detours.send_replace(own_detours);
         let live = u32::try_from(self.peers.len() + 1).unwrap_or(u32::MAX);
         self.gateway.servers.apply_views(&views, now);
         self.gateway.budgets().resize(live);
+        self.gateway.servers.hear_room_holder(live, now);
         link::apply_grants(&self.gateway, &limits.entries(OWN_NUMBER), live);
         link::apply_ramps(&self.gateway, &self.ramps.entries(OWN_NUMBER, true), live);
         for estimate in estimates {
@@ -113,6 +115,8 @@
                 },
                 limits: limits.entries(*number),
                 ramps: self.ramps.entries(*number, full_due),
+                grants_room: true,
+                brittle: brittle.clone(),
                 origins,
                 detours: if peer.demand.cut_off {
                     detours.clone()
--- a/src/gateway/routing.rs
+++ b/src/gateway/routing.rs
@@ -10,7 +10,8 @@
     NO_ENDPOINT_RETRY_DELAY, OVERLOAD_RETRY_DELAY, RoutedRequest, STOPPING_RETRY_DELAY, SendHistory,
 };
 use super::servers::{
-    LimitedEndpoint, PermitWait, SelectedEndpoint, SelectionCriteria, TRIAL_INTERVAL,
+    FullEndpoints, LimitedEndpoint, PermitWait, RoomWaitGuard, SelectedEndpoint, SelectionCriteria,
+    TRIAL_INTERVAL,
 };
 use super::shared::{WaitGuard, WaitingRequest};
 use super::urgency::slot_share;
@@ -20,6 +21,8 @@
 const MIN_TIME_LEFT: Duration = Duration::from_millis(60);
 /// The same for a request to an engine: covers the prefill of a prompt as well.
 const MIN_ENGINE_TIME_LEFT: Duration = Duration::from_millis(150);
+/// Share of the time until a call has to be sent for which it may wait for a brittle endpoint's room.
+const ROOM_WAIT_SHARE: f64 = 0.5;
 /// Interval at which the choice is retried while endpoints lack room.
 const ROOM_RECHECK: Duration = Duration::from_millis(50);
 /// Interval at which the choice is retried without a notification of a change.
@@ -36,7 +39,7 @@
             excluded: &history.failed_endpoints,
             priority: self.priority(),
             waits_at: None,
-            instances: self.gateway.budgets().instances(),
+            ticket: None,
             slot_share: self.slot_share(),
             gap_objective: self
                 .route
@@ -71,6 +74,7 @@
         let mut changes = servers.subscribe();
         let mut waiting = None;
         let mut permit_wait: Option<PermitWait> = None;
+        let mut room_wait: Option<RoomWaitGuard> = None;
         let limited = servers.limited(&self.requirements(history), self.now());
         servers.record_wanted(&limited, self.now());
         servers.record_ramp_wanted(&self.requirements(history), self.now());
@@ -86,6 +90,7 @@
             self.check_wait(history, send_by, now)?;
             let criteria = SelectionCriteria {
                 waits_at: permit_wait.as_ref().map(|wait| wait.id.as_str()),
+                ticket: room_wait.as_ref().map(|wait| wait.ticket),
                 ..self.requirements(history)
             };
             if let Some(selected) = servers.select(&criteria, now) {
@@ -106,22 +111,31 @@
             let limited = limited.first();
             let permit_in = limited.map(|endpoint| endpoint.wait);
             let lacks_room = servers.lacks_room(&self.requirements(history), now);
-            let room_in = lacks_room.then_some(ROOM_RECHECK);
-            let held_for = paused_for.into_iter().chain(permit_in).chain(room_in).min();
+            let slots_in = lacks_room.then_some(ROOM_RECHECK);
+            let full = servers.full(&criteria, now);
+            let room_in = full.as_ref().map(|full| full.wait);
+            let waits = [paused_for, permit_in, slots_in, room_in];
+            let held_for = waits.into_iter().flatten().min();
             let Some(target) = &self.head.target else {
                 let Some(left) = held_for else {
                     return Err(refusal(Cause::NoEndpoint).retry_after(NO_ENDPOINT_RETRY_DELAY));
                 };
                 // The end of a trial is nearer than any return of the caller.
-                let max_wait = self.max_queue_wait().max(TRIAL_INTERVAL);
+                let mut max_wait = self.max_queue_wait().max(TRIAL_INTERVAL);
+                if room_in.is_some() {
+                    let usable = send_by.saturating_sub(self.arrived_at);
+                    max_wait = max_wait.max(usable.mul_f64(ROOM_WAIT_SHARE));
+                }
                 let waited = now.saturating_sub(self.arrived_at);
-                let is_held = permit_in.is_some() || lacks_room;
+                let is_held = permit_in.is_some() || lacks_room || room_in.is_some();
                 let is_held_long = is_held && waited + left > max_wait;
                 if left > max_wait || is_held_long || now + left > send_by {
                     let retry_in = admission::retry_after(left, rand::random());
                     return Err(refusal(Cause::Overload).retry_after(retry_in));
                 }
                 self.join_permit_queue(&mut permit_wait, limited);
+                self.join_room_queue(&mut room_wait, full);
+                let left = left.min(RECHECK_INTERVAL);
                 if let Ok(Err(_closed)) = tokio::time::timeout(left, changes.changed()).await {
                     return Err(refusal(Cause::Stopping));
                 }
@@ -148,11 +162,12 @@
             }
             if waiting.is_none() {
                 waiting = Some(self.register_wait(target, pinned));
-                if limited.is_none() && !lacks_room {
+                if limited.is_none() && !lacks_room && full.is_none() {
                     self.log_wait(target, pinned, send_by.saturating_sub(now));
                 }
             }
             self.join_permit_queue(&mut permit_wait, limited);
+            self.join_room_queue(&mut room_wait, full);
             let recheck = held_for.map_or(RECHECK_INTERVAL, |left| left.min(RECHECK_INTERVAL));
             let pause = send_by.saturating_sub(now).min(recheck);
             if tokio::time::timeout(pause, changes.changed())
@@ -233,6 +248,16 @@
             "waits for a permit of an endpoint with a limit");
     }
 
+    /// Waits for the room of the brittle endpoints that could run the request, if any.
+    fn join_room_queue(&self, wait: &mut Option<RoomWaitGuard>, full: Option<FullEndpoints>) {
+        let ids = full.map(|full| full.ids).unwrap_or_default();
+        if wait.as_ref().map_or(&[][..], |w| w.ids.as_slice()) == ids {
+            return;
+        }
+        let servers = &self.gateway.servers;
+        *wait = (!ids.is_empty()).then(|| servers.wait_for_room(ids, self.priority()));
+    }
+
     /// Whether an endpoint other than `current` can run the request without waiting.
     #[must_use]
     pub fn has_alternative(&self, history: &SendHistory, current: &SelectedEndpoint) -> bool {
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -233,7 +233,7 @@
                 now,
             };
             servers.record_limit(&selected.id, selected.started_ms, answer);
-            servers.record_brittle(selected.key, response_head.brittle);
+            servers.record_brittle(selected.key, response_head.brittle, sent_at, now);
             servers.record_pace(selected.key, response_head.pace, now);
             if response_head.pace.is_some() {
                 servers.enable_ramps(&self.service);
@@ -248,8 +248,11 @@
             && response_head.not_run
             && status == StatusCode::SERVICE_UNAVAILABLE
         {
-            let hold = brittle_hold(bound, self.gateway.budgets().instances());
-            servers.begin_pause(&selected.id, now + hold);
+            let is_shared = servers.record_rejection(selected.key, sent_at, now);
+            if !is_shared {
+                let hold = brittle_hold(bound, self.gateway.budgets().instances());
+                servers.begin_pause(&selected.id, now + hold);
+            }
         }
         // An endpoint without the model, or one that leaves, refuses at any load.
         let turned_away = response_head.not_run
--- a/src/gateway/servers.rs
+++ b/src/gateway/servers.rs
@@ -6,13 +6,13 @@
 use std::time::Duration;
 
 use slotmap::SlotMap;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use super::pauses::PauseTable;
 use super::protocol::{Endpoint, EndpointState, Target};
 use super::ramp::RampTable;
+use super::room::permits::RoomPermits;
 
-mod brittle;
 mod copy;
 mod leaving;
 mod limited;
@@ -22,10 +22,10 @@
 mod pause;
 mod permits;
 mod ramped;
+mod room;
 mod select;
 mod server;
 
-pub use brittle::brittle_hold;
 pub use copy::{CopiedEndpoint, CopiedMark};
 pub use leaving::{LeavingMark, LeavingMarks};
 pub use limited::{LimitedEndpoint, PermitWait};
@@ -35,6 +35,7 @@
 pub use pause::Pause;
 pub(crate) use pause::TRIAL_INTERVAL;
 pub use permits::{Grant, Permits, Wanted, permit_ttl};
+pub use room::{FullEndpoints, RoomWaitGuard, brittle_hold};
 pub use select::{SelectedEndpoint, SelectionCriteria};
 pub use server::{EndpointView, RequestOutcome, Server};
 
@@ -60,7 +61,7 @@
 /// it earlier.
 const ABSENT_TIME: Duration = Duration::from_millis(400);
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct State {
     /// Moving average of the time between two events, over all endpoints; zero until measured.
     event_interval: Duration,
@@ -74,10 +75,30 @@
     /// Shares of streams with a pause, learnt at services whose endpoints state paces.
     pauses: PauseTable,
     ramps: RampTable,
+    /// Permits for brittle endpoints.
+    room: RoomPermits,
     /// Start and sequence number of the last description of removed endpoints, by id.
     removed: BTreeMap<String, (u64, u64)>,
 }
 
+impl Default for State {
+    fn default() -> Self {
+        Self {
+            event_interval: Duration::ZERO,
+            run_time: None,
+            servers: SlotMap::default(),
+            keys: BTreeMap::new(),
+            leaving: LeavingMarks::default(),
+            limits: EndpointLimits::default(),
+            paces: BTreeMap::new(),
+            pauses: PauseTable::default(),
+            ramps: RampTable::default(),
+            room: room::new_permits(),
+            removed: BTreeMap::new(),
+        }
+    }
+}
+
 /// An endpoint's entry in the server list.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ListedEndpoint {
@@ -98,6 +119,8 @@
 pub struct Servers {
     state: Arc<Mutex<State>>,
     version: Arc<watch::Sender<u64>>,
+    /// Notified when a request starts to wait for room, or one at a brittle endpoint has ended.
+    room_changed: Arc<Notify>,
 }
 
 impl Default for Servers {
@@ -105,6 +128,7 @@
         Self {
             state: Arc::default(),
             version: Arc::new(watch::Sender::new(0)),
+            room_changed: Arc::default(),
         }
     }
 }
@@ -464,14 +488,15 @@
     }
 
     fn end_request(&self, key: ServerKey, target: Option<&Target>) {
-        let mut state = self.state();
+        let state = &mut *self.state();
         let Some(server) = state.servers.get_mut(key) else {
             return;
         };
         server.local_load = server.local_load.saturating_sub(1);
         server.fleet_load = server.fleet_load.saturating_sub(1);
-        if server.brittle.is_some() {
+        if state.room.is_brittle(&server.endpoint.service) {
             self.notify_change();
+            self.room_changed.notify_one();
         }
         let Some(target) = target else {
             return;
@@ -487,6 +512,7 @@
     /// Records the outcome of a request and ejects the endpoint after too many failures in a row.
     pub fn record_outcome(&self, key: ServerKey, outcome: RequestOutcome, now: Duration) {
         let mut state = self.state();
+        Self::record_room_outcome(&mut state, key, outcome == RequestOutcome::Failure, now);
         let Some(server) = state.servers.get_mut(key) else {
             return;
         };
--- a/src/gateway/servers/limited.rs
+++ b/src/gateway/servers/limited.rs
@@ -144,6 +144,7 @@
         let mut state = self.state();
         state.take_ramp_permit(selected, now)
             && state.limits.take(&selected.id, selected.started_ms, now)
+            && state.take_room(selected, now)
     }
 
     fn set_waiting(&self, id: &str, started_ms: u64, priority: u8, waits: bool) {
--- a/src/gateway/servers/select.rs
+++ b/src/gateway/servers/select.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::super::protocol::Target;
+use super::super::room::permits::RoomTicket;
 use super::super::selection::{Candidate, choose};
 use super::outlook::{Expected, Outlook};
 use super::{DEFAULT_RUN_TIME, Server, ServerKey, Servers};
@@ -50,8 +51,8 @@
     pub priority: u8,
     /// Id of the endpoint for whose permit the request waits, if any.
     pub waits_at: Option<&'a str>,
-    /// Live instances, which share the room of an endpoint.
-    pub instances: u32,
+    /// Place among the requests that wait for room, if the request does.
+    pub ticket: Option<RoomTicket>,
     /// Share of an endpoint's slots from which it has no room for the request; none without a bound.
     pub slot_share: Option<f64>,
     /// Longest gap between two events of a stream that is in time, if the request is a stream.
@@ -83,6 +84,7 @@
             let waits = criteria.waits_at == Some(id);
             let limits = &state.limits;
             limits.is_open(id, started_ms, criteria.priority, waits, now)
+                && state.is_room_open(s, criteria, now)
         };
         let matches =
             |s: &Server| s.matches(criteria, now) && s.pause.left(now).is_none() && is_open(s);
--- a/src/gateway/servers/server.rs
+++ b/src/gateway/servers/server.rs
@@ -87,8 +87,6 @@
     pub(super) stated_load: Option<(u32, Duration)>,
     /// Distinct models among the running requests, from the last view.
     pub(super) models_running: u32,
-    /// Requests turned away within a second that it bears, if it said that it is brittle.
-    pub(super) brittle: Option<u32>,
     pub(super) viewed_at: Option<Duration>,
     pub(super) expires_at: Option<Duration>,
     pub(super) seen_prefixes: BTreeMap<String, BTreeSet<String>>,
@@ -116,7 +114,6 @@
             report_pace: None,
             stated_load: None,
             models_running: 0,
-            brittle: None,
             viewed_at: None,
             expires_at: None,
             seen_prefixes: BTreeMap::new(),
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -18,6 +18,7 @@
 use super::link::ToldLoads;
 use super::protocol::{TableFeed, Target, WireProtocol};
 use super::quotas::Quotas;
+use super::room::RoomSharing;
 use super::servers::Servers;
 use super::stats::Stats;
 use super::stream_origins::StreamOrigins;
@@ -297,6 +298,8 @@
     told_loads: Mutex<ToldLoads>,
     /// Quotas of client accounts.
     pub quotas: Quotas,
+    /// Room of brittle endpoints.
+    pub room: RoomSharing,
     /// Notified when another instance has reported where streams began.
     pub(super) origins_told: Notify,
 }
@@ -353,6 +356,7 @@
             urgency: Mutex::default(),
             told_loads: Mutex::default(),
             quotas: Quotas::new(rand::random()),
+            room: RoomSharing::default(),
             origins_told: Notify::new(),
             settings,
         }))
--- a/tests/endpoint_pauses.rs
+++ b/tests/endpoint_pauses.rs
@@ -17,7 +17,7 @@
     excluded: &[],
     priority: 0,
     waits_at: None,
-    instances: 1,
+    ticket: None,
     slot_share: None,
     gap_objective: None,
 };
--- a/tests/slot_reserve.rs
+++ b/tests/slot_reserve.rs
@@ -39,7 +39,6 @@
         service: "writers",
         target: Some(&target),
         slot_share: share,
-        instances: 1,
         ..SelectionCriteria::default()
     };
     let sent = (0..count).filter_map(|_| {
