Origins of streams outlive all instances

Cause: where streams began was known to the instances only, and one that starts took the only version that it knew for the only one there was. Class: what has to outlast a process is kept by processes alone. Change: while a service has several versions, the lease holder writes the new streams to rows of the table origins each 250 ms, drops them after their retention, and names itself as their keeper. An instance that starts takes a sole version for granted only once a link or the keeper's row has told it the history, or it has seen the list for as long as a stream can be resumed. Holders of earlier builds count as before.

--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -14,6 +14,7 @@
 use super::orders::inbox::DemandInbox;
 use super::renewal::LeaseRenewal;
 use super::shared::{Gateway, GatewaySettings, PlatformApi};
+use super::stream_origins::history;
 use super::{exchange, feed, listener, quotas, reach, room};
 use crate::daemon::StartError;
 
@@ -137,6 +138,7 @@
     tokio::spawn(reach::watch(Arc::clone(gateway)));
     tokio::spawn(quotas::run(Arc::clone(gateway)));
     tokio::spawn(room::run(Arc::clone(gateway)));
+    tokio::spawn(history::run(Arc::clone(gateway)));
     tokio::spawn(report_dropped_lines());
     holder_link
 }
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -222,6 +222,16 @@
     }
 }
 
+/// Takes over that another instance has told all software versions that may have begun a stream.
+pub(super) fn complete_origins(gateway: &Gateway) {
+    let mut origins = gateway.stream_origins();
+    if !origins.is_complete(gateway.now()) {
+        origins.complete();
+        drop(origins);
+        gateway.origins_told.notify_waiters();
+    }
+}
+
 /// What this instance knows about parts of prompts under which endpoints end, if anything.
 fn crash_report(gateway: &Gateway, all: bool) -> Option<CrashEvidence> {
     let report = gateway.crash_parts().report(all, gateway.now());
@@ -579,6 +589,10 @@
     gateway.record_list_change(update.list_change);
     apply_leaving(gateway, &update.leaving);
     apply_origins(gateway, update.origins.as_ref());
+    // The first update of a link has all records of the holder. Earlier builds say neither.
+    if update.origins_complete || !update.grants_room {
+        complete_origins(gateway);
+    }
     if !update.detours.is_empty() {
         let detours = update.detours.iter().filter_map(|a| a.parse().ok());
         gateway.detours.send_replace(detours.collect());
--- a/src/gateway/link/message.rs
+++ b/src/gateway/link/message.rs
@@ -382,6 +382,9 @@
     /// Whether the sender grants room of brittle endpoints.
     #[prost(bool, tag = "51")]
     pub grants_room: bool,
+    /// Whether the sender knows all software versions that may have begun a stream.
+    #[prost(bool, tag = "53")]
+    pub origins_complete: bool,
     /// Services whose endpoints are brittle, if the sender holds the lease.
     #[prost(message, repeated, tag = "52")]
     pub brittle: Vec<BrittleEntry>,
--- a/src/gateway/orders/publish.rs
+++ b/src/gateway/orders/publish.rs
@@ -76,6 +76,7 @@
         let loads = self.records.loads_in_progress(now);
         let load_ids = loads.ids();
         let detours = self.detours();
+        let origins_complete = self.gateway.stream_origins().is_complete(now);
         let brittle = self.gateway.servers.brittle_entries(now);
         let own_detours = detours.iter().filter_map(|a| a.parse().ok()).collect();
         self.gateway.detours.send_replace(own_detours);
@@ -116,6 +117,7 @@
                 limits: limits.entries(*number),
                 ramps: self.ramps.entries(*number, full_due),
                 grants_room: true,
+                origins_complete,
                 brittle: brittle.clone(),
                 origins,
                 detours: if peer.demand.cut_off {
--- a/src/gateway/renewal.rs
+++ b/src/gateway/renewal.rs
@@ -199,6 +199,11 @@
                 if !row.released {
                     self.lock().record_write(new_version, requested_at);
                 }
+                let is_first = table::era(version) == 0 && table::number(version) == 0;
+                if is_first {
+                    // Nothing has run before the row was first written.
+                    self.gateway.stream_origins().complete();
+                }
                 true
             }
             Ok(Ok(Commit::Conflict(_))) => {
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -24,7 +24,7 @@
 use crate::verdict::{Cause, Refusal, Verdict};
 
 /// Retry-after time while no configuration has been loaded.
-const NOT_READY_RETRY_DELAY: Duration = Duration::from_millis(500);
+pub(super) const NOT_READY_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Retry-after time while this instance stops; short, because another instance takes the retry.
 pub(super) const STOPPING_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Retry-after time where no endpoint accepts work; endpoints restart within seconds.
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -352,7 +352,7 @@
             )),
             crash_suspects: Mutex::default(),
             crash_parts: Mutex::default(),
-            stream_origins: Mutex::default(),
+            stream_origins: Mutex::new(StreamOrigins::unknown()),
             urgency: Mutex::default(),
             told_loads: Mutex::default(),
             quotas: Quotas::new(rand::random()),
--- a/src/gateway/stream/origin.rs
+++ b/src/gateway/stream/origin.rs
@@ -5,13 +5,16 @@
 use tokio::time::timeout;
 
 use super::super::feed::observe_software;
-use super::super::serve::RoutedRequest;
+use super::super::serve::{NOT_READY_RETRY_DELAY, RoutedRequest};
 use super::super::stream_origins::Origin;
 use crate::verdict::{Cause, Refusal};
 
 /// Time that other instances have to tell where a stream began; longer than two of their reports.
 const ORIGIN_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// Time in which an instance that starts learns of the versions before: some reads of the store.
+const HISTORY_TIMEOUT: Duration = Duration::from_millis(1500);
+
 impl RoutedRequest {
     /// Requires the software version at which the resumed stream began, if the request resumes one.
     ///
@@ -23,9 +26,20 @@
             return Ok(());
         }
         observe_software(&self.gateway);
-        let told = timeout(ORIGIN_TIMEOUT.min(self.time_left()), self.known_origin()).await;
+        let is_complete = || self.gateway.stream_origins().is_complete(self.now());
+        let limit = if is_complete() {
+            ORIGIN_TIMEOUT
+        } else {
+            HISTORY_TIMEOUT
+        };
+        let told = timeout(limit.min(self.time_left()), self.known_origin()).await;
         let Ok(software) = told else {
-            return Err(Refusal::not_run(Cause::UnknownOrigin));
+            let refusal = Refusal::not_run(Cause::UnknownOrigin);
+            return Err(if is_complete() {
+                refusal
+            } else {
+                refusal.retry_after(NOT_READY_RETRY_DELAY)
+            });
         };
         self.software = software;
         Ok(())
--- a/src/gateway/stream_origins.rs
+++ b/src/gateway/stream_origins.rs
@@ -11,8 +11,10 @@
 
 use super::link::millis;
 
+pub mod history;
 mod message;
 
+pub use history::{from_rows, to_rows};
 pub use message::{OriginNotice, VersionNotice};
 
 slotmap::new_key_type! {
@@ -56,7 +58,7 @@
     Version(String),
     /// No endpoint of the service has been known of late.
     NoVersion,
-    /// One of several versions began it; which one is not known.
+    /// One of several versions began it, or one from before the start; which one is not known.
     Unknown,
 }
 
@@ -97,6 +99,10 @@
     order: BTreeMap<u64, StreamKey>,
     last_number: u64,
     pruned_at: Duration,
+    /// Whether versions of before the start are known, if there were any.
+    is_complete: bool,
+    /// When an endpoint was first known.
+    began_at: Option<Duration>,
 }
 
 impl Default for StreamOrigins {
@@ -108,11 +114,41 @@
             order: BTreeMap::new(),
             last_number: 0,
             pruned_at: Duration::ZERO,
+            is_complete: true,
+            began_at: None,
         }
     }
 }
 
 impl StreamOrigins {
+    /// No records of an instance that starts and does not know what was before.
+    #[must_use]
+    pub fn unknown() -> Self {
+        Self {
+            is_complete: false,
+            ..Self::default()
+        }
+    }
+
+    /// Records that what was before the start is known.
+    pub const fn complete(&mut self) {
+        self.is_complete = true;
+    }
+
+    /// Whether all versions that may have begun a stream are known: told by others, or seen for as long
+    /// as a stream can be resumed.
+    #[must_use]
+    pub fn is_complete(&self, now: Duration) -> bool {
+        let seen = self.began_at.is_some_and(|at| now > at + self.retention);
+        self.is_complete || seen
+    }
+
+    /// Longest time from the beginning of a stream to its last resumption.
+    #[must_use]
+    pub const fn retention(&self) -> Duration {
+        self.retention
+    }
+
     /// Sets the longest time from the beginning of a stream to its last resumption.
     pub const fn set_retention(&mut self, retention: Duration) {
         self.retention = retention;
@@ -120,6 +156,7 @@
 
     /// Records that an endpoint of a version is known now.
     pub fn observe(&mut self, service: &str, software: &str, now: Duration) {
+        self.began_at.get_or_insert(now);
         self.observe_at(service, software, now, now);
     }
 
@@ -185,8 +222,8 @@
         let mut recent = self.recent(service, now);
         match (recent.next(), recent.next()) {
             (None, _) => Origin::NoVersion,
-            (Some(sole), None) => Origin::Version(sole.software.clone()),
-            (Some(_), Some(_)) => Origin::Unknown,
+            (Some(sole), None) if self.is_complete(now) => Origin::Version(sole.software.clone()),
+            (Some(_), _) => Origin::Unknown,
         }
     }
 
