A request that comes again to an endpoint gets a new connection

An engine that refused a request and wrote that refusal once more on a kept connection told for the second send that the request had not run, while it ran: callers got 503 for requests that ran (REFUSED), and such requests ran twice (TWICE). Cause: an answer is known by the id of its request, and a request that is sent again has the same one. Class: evidence that is about an attempt is taken for one about the request. Change: the second send to an endpoint, and each send of a request that another instance passed here, uses a new connection. Looked for elsewhere: plain services are not asked again after a refusal; orders have no id and avoid such connections already; brassrackd sends repeats on new connections. Measured: bad_answers::stale_refusal_is_no_answer failed before with 7 of 8 requests wrong (all ran twice, 5 of them were refused); 0 of 8 now.

--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -74,10 +74,18 @@
             .stats
             .record_send(&self.service, history.sends > 1, limit.is_some());
         let request = self.endpoint_request(selected, last_event);
-        let sent =
-            self.gateway
-                .outbound
-                .send(selected.address, request, Freshness::Proved, head_timeout);
+        // An endpoint that refused the request may write that once more on a connection that is kept.
+        let is_repeated = self.head.detoured || history.asked_endpoints.contains(&selected.id);
+        let freshness = if is_repeated {
+            Freshness::Fresh
+        } else {
+            Freshness::Proved
+        };
+        history.asked_endpoints.push(selected.id.clone());
+        let sent = self
+            .gateway
+            .outbound
+            .send(selected.address, request, freshness, head_timeout);
         history.in_flight = true;
         let sent_at = self.now();
         let result = sent.await;
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -85,6 +85,8 @@
 pub struct SendHistory {
     /// Ids of the endpoints that failed, which are not tried again.
     pub failed_endpoints: Vec<String>,
+    /// Ids of the endpoints that it was sent to.
+    pub asked_endpoints: Vec<String>,
     /// Number of sends.
     pub sends: u32,
     /// Number of sends that ended as no connection could be opened.
