Odd entries of lists are left out one by one

Another writer's entry that is deeply nested, has a number too large or a port out of range ended no instance here and did not stop the list of the platform (bad_platform::odd_entries_disturb_nobody passes on the code before). Class: one part that cannot be read stands for all. Looked for elsewhere: rows of the store's feed and of origins are decoded one by one; a configuration is the operator's and stays as it was where it cannot be read.

--- a/src/instances.rs
+++ b/src/instances.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 
 use crate::BoxFuture;
 
@@ -45,6 +46,35 @@
 #[error("instance list is unreachable: {0}")]
 pub struct ListError(pub String);
 
+/// Decodes the list; an entry that cannot be read is left out and logged.
+///
+/// # Errors
+///
+/// [`ListError`] where the text is no JSON array.
+///
+/// # Examples
+///
+/// ```
+/// use brassrack::instances::decode_list;
+///
+/// let text = r#"[7, {"name": "a", "service": "s", "address": "127.0.0.1:9",
+///     "domain": "d", "region": "r", "standing": "live"}]"#;
+/// assert_eq!(decode_list(text.as_bytes()).unwrap().len(), 1);
+/// assert!(decode_list(b"{").is_err());
+/// ```
+pub fn decode_list(text: &[u8]) -> Result<Vec<Listed>, ListError> {
+    let entries: Vec<&RawValue> =
+        serde_json::from_slice(text).map_err(|e| ListError(e.to_string()))?;
+    let decode = |entry: &RawValue| match serde_json::from_str(entry.get()) {
+        Ok(listed) => Some(listed),
+        Err(error) => {
+            log::warn!(error:% = error; "cannot decode an entry of the instance list; left out");
+            None
+        }
+    };
+    Ok(entries.into_iter().filter_map(decode).collect())
+}
+
 /// The platform's instance list.
 pub trait Directory: Debug + Send + Sync {
     /// All listed instances.
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -10,7 +10,7 @@
 
 use crate::BoxFuture;
 use crate::engine::{Engine, EngineError, Order, Report};
-use crate::instances::{Directory, ListError, Listed};
+use crate::instances::{Directory, ListError, Listed, decode_list};
 use crate::objects::{ObjectError, Objects};
 use crate::outbound::{Answer, Freshness, Outbound, SendError};
 use crate::table::{Commit, Read, Row, Table, TableError, Txn};
@@ -103,7 +103,7 @@
                 .call(Method::GET, "/v1/instances", Bytes::new())
                 .await
                 .map_err(|e| ListError(e.to_string()))?;
-            serde_json::from_slice(&answer.body).map_err(|e| ListError(e.to_string()))
+            decode_list(&answer.body)
         })
     }
 }
