Planner: the last replica of a software version is not cheap to evict

After all instances were killed while two versions served, the next holder evicted the busiest model from the only engine of one version that held it: a replica at the other version made it look redundant. Its streams could not go on there, were refused after 2.25 s, and the engine was busy for 6 s (LOST). Change: the cost of an eviction counts the replicas at the engine's version where engines have several. Measured: load_plans::last_replica_of_a_version_stays is new with the change (fails with the old count of replicas).

--- a/src/gateway/planner.rs
+++ b/src/gateway/planner.rs
@@ -208,6 +208,7 @@
     let mut planner = Planner {
         spec,
         summaries: summarize(&engines, &fleet.demand),
+        version_replicas: VersionReplicas::new(&engines),
         engines,
         demand: &fleet.demand,
         follows_demand: fleet.follows_demand,
@@ -247,11 +248,39 @@
     summaries: BTreeMap<String, ModelSummary>,
     follows_demand: bool,
     stream_time: Duration,
+    version_replicas: VersionReplicas,
     /// Requests that a swap delays, by engine; only where replicas follow demand.
     swap_delays: Vec<f64>,
     now: Duration,
 }
 
+/// Replicas of models by software version; empty where all engines have the same.
+#[derive(Debug, Default)]
+struct VersionReplicas(BTreeMap<String, BTreeMap<String, u32>>);
+
+impl VersionReplicas {
+    fn new(engines: &[EngineState]) -> Self {
+        let versions: BTreeSet<&String> = engines.iter().map(|e| &e.software).collect();
+        let mut counts = Self::default();
+        if versions.len() < 2 {
+            return counts;
+        }
+        for engine in engines {
+            let of_version = counts.0.entry(engine.software.clone()).or_default();
+            for model in engine.models.keys() {
+                *of_version.entry(model.clone()).or_default() += 1;
+            }
+        }
+        counts
+    }
+
+    /// Replicas of a model at a version; none where all engines have the same version.
+    fn at(&self, software: &str, model: &str) -> Option<u32> {
+        let of_version = self.0.get(software)?;
+        Some(of_version.get(model).copied().unwrap_or_default())
+    }
+}
+
 impl Planner<'_> {
     fn summary(&self, model: &str) -> ModelSummary {
         self.summaries.get(model).copied().unwrap_or_default()
--- a/src/gateway/planner/model_loads.rs
+++ b/src/gateway/planner/model_loads.rs
@@ -351,17 +351,21 @@
 
     /// Cost of unloading a model: the requests that would wait for it to be loaded again.
     ///
-    /// The cost falls with the square of the number of replicas.
+    /// The cost falls with the square of the number of replicas at the engine's software version: streams
+    /// that have begun cannot go on at another one.
     fn eviction_cost(&self, engine: &EngineState, name: &str) -> f64 {
+        let alike = self.version_replicas.at(&engine.software, name);
+        let alike = alike.unwrap_or(u32::MAX);
         if self.follows_demand {
             let summary = self.summary(name);
             let source = weight_source(engine, name);
             let model = self.spec.models.get(name);
             let reload = model.map_or(Duration::ZERO, |model| load_time(model, source));
             let demand = summary.demand.unwrap_or_default();
-            return demand::eviction_price(summary.replicas, summary.required, &demand, reload);
+            let replicas = summary.replicas.min(alike);
+            return demand::eviction_price(replicas, summary.required, &demand, reload);
         }
-        let replicas = f64::from(self.replicas(name).max(1));
+        let replicas = f64::from(self.replicas(name).min(alike).max(1));
         let reload_s = self.spec.models.get(name).map_or(1.0, |m| {
             load_time(m, weight_source(engine, name)).as_secs_f64()
         });
--- a/src/gateway/planner/pinned.rs
+++ b/src/gateway/planner/pinned.rs
@@ -5,7 +5,10 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use super::{Engine, EngineState, Fleet, PlannedAction, Planner, StoreCapacity, Target, summarize};
+use super::{
+    Engine, EngineState, Fleet, PlannedAction, Planner, StoreCapacity, Target, VersionReplicas,
+    summarize,
+};
 
 const NO_STORE: StoreCapacity = StoreCapacity {
     slots: 0,
@@ -27,6 +30,7 @@
         let mut planner = Planner {
             spec,
             summaries: summarize(&own, &fleet.demand),
+            version_replicas: VersionReplicas::default(),
             engines: own,
             demand: &fleet.demand,
             follows_demand: false,
--- a/tests/load_plans.rs
+++ b/tests/load_plans.rs
@@ -524,3 +524,28 @@
     let steps = pinned_plan(on("m", Some("a1")), engine("old", &["m"]));
     assert_eq!((steps[0].engine.as_str(), steps.len()), ("old", 1));
 }
+
+/// Guards against LOST after a busy model is evicted from the only engine of a software version that
+/// holds it, as a replica at another version made it look cheap: its streams could not go on.
+#[test]
+fn last_replica_of_a_version_stays() {
+    let mut old = engine("old", &["busy", "a", "b"]);
+    old.software = "v1".into();
+    let mut newer = engine("new", &["busy", "c", "d"]);
+    newer.software = "v2".into();
+    newer.busy = true;
+    let rated = |rate| TargetDemand {
+        request_rate: rate,
+        ..TargetDemand::default()
+    };
+    let mut wants = vec![
+        (on("busy", None), rated(1.0)),
+        (on("rare", None), waiting(1)),
+    ];
+    wants.extend(["a", "b", "c", "d"].map(|m| (on(m, None), rated(0.5))));
+    let spec = spec(&["busy", "a", "b", "c", "d", "rare"]);
+    let steps = decide(&spec, vec![old, newer], &wants);
+    let (engine, evicted, _) = swap(&steps[0]);
+    assert_eq!(engine, "old");
+    assert!(!evicted.contains(&"busy".to_owned()), "{evicted:?}");
+}
