Room: grants are told apart by the number of their update

The model of the ledger (new, 67 instances before four endpoints) had an endpoint with one request more than its slots: two updates of the same millisecond had the same clock, and the second one's permits counted as heard.

--- a/src/gateway/room.rs
+++ b/src/gateway/room.rs
@@ -66,7 +66,7 @@
         let now = gateway.now();
         let grants = granting.ledger.report(link, report, now);
         let has_waits = granting.ledger.has_waits();
-        let own = granting.send(grants, now);
+        let own = granting.send(grants);
         drop(granting);
         if has_waits {
             self.waiting.notify_one();
@@ -98,7 +98,7 @@
         let now = gateway.now();
         let grants = granting.ledger.serve(now);
         let has_waits = granting.ledger.has_waits();
-        let own = granting.send(grants, now);
+        let own = granting.send(grants);
         drop(granting);
         apply_own(gateway, own);
         has_waits
@@ -120,11 +120,11 @@
     }
 
     /// Sends grants to the linked instances; returns those of the holder's own one.
-    fn send(&self, grants: LinkGrants, now: Duration) -> Option<RoomUpdate> {
+    fn send(&self, grants: LinkGrants) -> Option<RoomUpdate> {
         let mut own = None;
         for (link, grants) in grants {
             let update = RoomUpdate {
-                clock_ms: u64::try_from(now.as_millis()).unwrap_or(u64::MAX),
+                number: self.ledger.number(),
                 grants,
             };
             if link == OWN_LINK {
--- a/src/gateway/room/ledger.rs
+++ b/src/gateway/room/ledger.rs
@@ -31,6 +31,8 @@
 #[derive(Debug, Clone, Copy)]
 struct Granted {
     at: Duration,
+    /// Number of the update that tells it.
+    number: u64,
     /// Number of the receiver's link.
     to: u64,
     /// Whether the receiver had not heard of it when it reported last.
@@ -65,6 +67,8 @@
     waits: BTreeMap<u64, Vec<RoomWait>>,
     /// Link that got a permit last.
     last: u64,
+    /// Number of the last update.
+    number: u64,
     begun_at: Option<Duration>,
 }
 
@@ -93,7 +97,7 @@
     pub fn report(&mut self, link: u64, report: &RoomReport, now: Duration) -> LinkGrants {
         self.begun_at.get_or_insert(now);
         for (id, room) in &mut self.rooms {
-            room.confirm(link, report.clock_echo);
+            room.confirm(link, report.heard);
             if report.uses.iter().all(|used| used.id != *id) {
                 room.held.remove(&link);
             }
@@ -154,6 +158,7 @@
     /// Grants permits where there is room, to the instances in turn.
     #[must_use]
     pub fn serve(&mut self, now: Duration) -> LinkGrants {
+        self.number += 1;
         let mut grants = LinkGrants::new();
         if self.begun_at.is_none_or(|at| now < at + START_TIME) {
             return grants;
@@ -177,6 +182,7 @@
             };
             room.granted.push(Granted {
                 at: now,
+                number: self.number,
                 to: link,
                 on_way: true,
             });
@@ -260,6 +266,12 @@
         super::super::link::millis(wait.max(room.closed_until.saturating_sub(now)))
     }
 
+    /// Number of the update with the last grants.
+    #[must_use]
+    pub const fn number(&self) -> u64 {
+        self.number
+    }
+
     /// Whether any request waits.
     #[must_use]
     pub fn has_waits(&self) -> bool {
@@ -349,9 +361,9 @@
     }
 
     /// Records which permits an instance had heard of when it reported.
-    fn confirm(&mut self, link: u64, clock_echo: u64) {
+    fn confirm(&mut self, link: u64, heard: u64) {
         for granted in self.granted.iter_mut().filter(|g| g.to == link) {
-            granted.on_way &= granted.at.as_millis() > u128::from(clock_echo);
+            granted.on_way &= granted.number > heard;
         }
     }
 }
--- a/src/gateway/room/message.rs
+++ b/src/gateway/room/message.rs
@@ -62,9 +62,9 @@
     /// Whether the rest of the message that contains this is empty.
     #[prost(bool, tag = "1")]
     pub only: bool,
-    /// Holder's clock in milliseconds, from the last update about room; 0 before the first one.
+    /// Number of the last update about room that was received on this link; 0 before the first one.
     #[prost(uint64, tag = "2")]
-    pub clock_echo: u64,
+    pub heard: u64,
     /// Endpoints that the instance uses or waits for; the others have none of its requests.
     #[prost(message, repeated, tag = "3")]
     pub uses: Vec<RoomUse>,
@@ -96,9 +96,9 @@
 /// Answer of the lease holder.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct RoomUpdate {
-    /// Holder's clock in milliseconds.
+    /// Number of the update; rises by one at least from one to the next.
     #[prost(uint64, tag = "1")]
-    pub clock_ms: u64,
+    pub number: u64,
     /// Permits of the receiver.
     #[prost(message, repeated, tag = "2")]
     pub grants: Vec<RoomGrant>,
--- a/src/gateway/room/permits.rs
+++ b/src/gateway/room/permits.rs
@@ -94,8 +94,8 @@
     granting_until: Duration,
     /// Number of live instances.
     instances: u32,
-    /// Holder's clock in the last update.
-    clock_echo: u64,
+    /// Number of the last update.
+    heard: u64,
     /// Random number that sets the turns of this instance.
     salt: u64,
 }
@@ -204,9 +204,9 @@
         self.granting_until = now.saturating_add(HOLDER_TIMEOUT);
     }
 
-    /// Forgets the clock of the last holder.
+    /// Forgets the number of the last update, as a new link begins.
     pub const fn begin_link(&mut self) {
-        self.clock_echo = 0;
+        self.heard = 0;
     }
 
     /// Whether the lease holder grants permits.
@@ -217,7 +217,7 @@
 
     /// Takes over permits; returns whether there are any.
     pub fn apply(&mut self, update: &RoomUpdate, now: Duration) -> bool {
-        self.clock_echo = update.clock_ms;
+        self.heard = update.number;
         self.granting_until = now + HOLDER_TIMEOUT;
         for grant in &update.grants {
             let RoomGrant {
@@ -409,7 +409,7 @@
         let waits: Vec<RoomWait> = waits.filter(|wait| wait.count > 0).collect();
         Some(RoomReport {
             only: false,
-            clock_echo: self.clock_echo,
+            heard: self.heard,
             uses,
             waits,
             services: self.notices(now),
