Origins: rows are stored in transactions of bounded size

A holder that begins a term while a service has several versions stores all streams on record: at the design size up to 100,000, as one transaction more than the 100 rows and 1 MB that a store takes, so that nothing would have been stored. Found by reading. Rows go in parts of 20 now.

--- a/src/gateway/stream_origins/history.rs
+++ b/src/gateway/stream_origins/history.rs
@@ -32,8 +32,8 @@
 const STORE_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Most streams of a row; as text they stay below the smallest row size of a store.
 const STREAMS_PER_ROW: usize = 2_000;
-/// Most rows of a transaction.
-const MAX_WRITES: usize = 60;
+/// Most rows of a transaction; they stay below its size limit.
+const MAX_WRITES: usize = 20;
 
 /// Streams that a software version began, as stored.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -171,6 +171,21 @@
     }
 }
 
+/// Writes rows; returns whether they surely are there.
+async fn write(gateway: &Gateway, rows: &[Write]) -> bool {
+    let txn = Txn {
+        checks: Vec::new(),
+        writes: rows.to_vec(),
+    };
+    let answer = call(gateway.platform.table.commit(txn)).await;
+    let is_done = matches!(answer, Ok(Commit::Done(_)));
+    gateway.stats.record_store_call("origins-write", !is_done);
+    if !is_done {
+        log::debug!(answer:? = answer; "where streams began was not stored; trying again");
+    }
+    is_done
+}
+
 fn read_failed(gateway: &Gateway, error: &TableError) {
     gateway.stats.record_store_call("origins-read", true);
     log::debug!(error:% = error; "cannot read where streams began");
@@ -282,19 +297,15 @@
         if writes.is_empty() {
             return;
         }
-        let txn = Txn {
-            checks: Vec::new(),
-            writes,
-        };
-        let answer = call(gateway.platform.table.commit(txn)).await;
-        let is_done = matches!(answer, Ok(Commit::Done(_)));
-        gateway.stats.record_store_call("origins-write", !is_done);
+        let mut is_done = true;
+        for part in writes.chunks(MAX_WRITES) {
+            is_done &= write(gateway, part).await;
+        }
         // Rows of a write without an answer may be there.
         let expiry = now + retention;
         self.rows
             .extend(written.into_iter().map(|key| (key, expiry)));
         if !is_done {
-            log::debug!(answer:? = answer; "where streams began was not stored; trying again");
             return;
         }
         self.rows.retain(|key, _| !expired.contains(key));
