--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -507,7 +507,7 @@
             return None;
         }
         if report_due {
-            let (mut report, last_origin) = next_report_of(gateway, origins_sent);
+            let (mut report, last_origin) = later_report(gateway, origins_sent);
             report.clock_echo = clock_echo;
             if grants_room {
                 report.room = gateway.servers.room_report(gateway.now());
@@ -534,7 +534,7 @@
 }
 
 /// A report on a link that has told the streams up to a number, and the number of the last one in it.
-fn next_report_of(gateway: &Gateway, origins_sent: u64) -> (DemandReport, u64) {
+fn later_report(gateway: &Gateway, origins_sent: u64) -> (DemandReport, u64) {
     let (origins, last_origin) = new_origins(gateway, origins_sent, Scope::Own);
     let mut report = DemandReport {
         origins,
--- a/src/gateway/routing.rs
+++ b/src/gateway/routing.rs
@@ -192,7 +192,7 @@
         let permit_in = limited.first().map(|endpoint| endpoint.wait);
         let lacks_room = servers.lacks_room(criteria, now);
         let slots_in = lacks_room.then_some(ROOM_RECHECK);
-        let full = servers.full(criteria, now);
+        let full = servers.full_endpoints(criteria, now);
         let room_in = full.as_ref().map(|full| full.wait);
         let held_for = [paused_for, permit_in, slots_in, room_in];
         Waits {
--- a/src/gateway/servers/room.rs
+++ b/src/gateway/servers/room.rs
@@ -198,7 +198,11 @@
 
     /// The brittle endpoints that could run a request but for their room; none where there are none.
     #[must_use]
-    pub fn full(&self, criteria: &SelectionCriteria<'_>, now: Duration) -> Option<FullEndpoints> {
+    pub fn full_endpoints(
+        &self,
+        criteria: &SelectionCriteria<'_>,
+        now: Duration,
+    ) -> Option<FullEndpoints> {
         let state = self.state();
         if !state.room.is_brittle(criteria.service) {
             return None;
