Room: no messages once no service is brittle

After a brittle time each instance went on with an empty report each 200 ms and the holder answered all of them; also within it, reports without waiting requests were answered. Found by reading. Reports end with the last notice, and only waiting requests are answered.

--- a/src/gateway/room/ledger.rs
+++ b/src/gateway/room/ledger.rs
@@ -75,7 +75,7 @@
 impl RoomLedger {
     /// Records what an instance reports, and grants permits.
     ///
-    /// The instance of the link gets an answer even where it is granted none.
+    /// An instance with requests that wait gets an answer even where it is granted none.
     ///
     /// # Examples
     ///
@@ -111,6 +111,9 @@
             self.waits.insert(link, report.waits.clone());
         }
         let mut grants = self.serve(now);
+        if report.waits.is_empty() {
+            return self.with_waits(grants, now);
+        }
         let own = grants.entry(link).or_default();
         for id in report.waits.iter().flat_map(|wait| &wait.ids) {
             if own.iter().all(|grant| grant.id != *id)
@@ -124,6 +127,11 @@
                 });
             }
         }
+        self.with_waits(grants, now)
+    }
+
+    /// The same grants with the expected waits.
+    fn with_waits(&self, mut grants: LinkGrants, now: Duration) -> LinkGrants {
         for grant in grants.values_mut().flatten() {
             grant.next_ms = self.next_ms(&grant.id, now);
         }
--- a/src/gateway/room/permits.rs
+++ b/src/gateway/room/permits.rs
@@ -370,7 +370,8 @@
         targets: impl Iterator<Item = RoomTarget<'a>>,
         now: Duration,
     ) -> Option<RoomReport> {
-        if self.services.is_empty() {
+        let services = self.notices(now);
+        if services.is_empty() {
             return None;
         }
         let mut uses = Vec::new();
@@ -412,7 +413,7 @@
             heard: self.heard,
             uses,
             waits,
-            services: self.notices(now),
+            services,
         })
     }
 
