Comments of room, link and origins in plainer terms

Cause: a reader new to the code met words such as "told" and "fade" without their meaning. Change: six doc comments; no code.

--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -222,7 +222,7 @@
     }
 }
 
-/// Takes over that another instance has told all software versions that may have begun a stream.
+/// Records that the holder has sent all software versions that may have begun a stream.
 pub(super) fn complete_origins(gateway: &Gateway) {
     let mut origins = gateway.stream_origins();
     if !origins.is_complete(gateway.now()) {
@@ -533,7 +533,7 @@
     (first, last_origin)
 }
 
-/// A report on a link that has told the streams up to a number, and the number of the last one in it.
+/// A later report with the stream records after a number, and the number of the last one in it.
 fn later_report(gateway: &Gateway, origins_sent: u64) -> (DemandReport, u64) {
     let (origins, last_origin) = new_origins(gateway, origins_sent, Scope::Own);
     let mut report = DemandReport {
--- a/src/gateway/room/ledger.rs
+++ b/src/gateway/room/ledger.rs
@@ -55,7 +55,7 @@
     closed_until: Duration,
     /// Last answer, with the link that reported it.
     answered: Option<(u64, Duration)>,
-    /// Seconds of places taken, and requests that ended meanwhile; both fade.
+    /// Place-seconds in use and requests that ended, both with exponential decay.
     taken_s: f64,
     ended: f64,
 }
--- a/src/gateway/room/permits.rs
+++ b/src/gateway/room/permits.rs
@@ -16,7 +16,7 @@
 const GRANT_TIME: Duration = Duration::from_millis(20);
 /// Time for which an endpoint is avoided at which a request failed.
 const AVOID_TIME: Duration = Duration::from_secs(1);
-/// Time for which the end of a brittle time is told to other instances.
+/// Time for which other instances are notified that endpoints are no longer brittle.
 const END_SHARE_TIME: Duration = Duration::from_secs(3);
 /// Least time by which what another instance knows must be newer; covers the time on the way.
 const MIN_NEWER: Duration = Duration::from_millis(50);
@@ -364,7 +364,7 @@
     }
 
     /// Report to the lease holder about these endpoints, all that are known of brittle services; none
-    /// where nothing is to be told.
+    /// if there is nothing to report.
     pub fn report<'a>(
         &mut self,
         targets: impl Iterator<Item = RoomTarget<'a>>,
--- a/src/gateway/stream_origins.rs
+++ b/src/gateway/stream_origins.rs
@@ -135,7 +135,7 @@
         self.is_complete = true;
     }
 
-    /// Whether all versions that may have begun a stream are known: told by others, or seen for as long
+    /// Whether all versions that may have begun a stream are known: reported by others, or observed for as long
     /// as a stream can be resumed.
     #[must_use]
     pub fn is_complete(&self, now: Duration) -> bool {
