Review: bodies sent at once take processes over their memory

Cause: an instance reads whole bodies before it chooses an endpoint (src/gateway/serve.rs), and nothing bounds their sum; limits.ramMb is not read.

What the case shows: 110 clients at once send bodies of maxBodyBytes through two instances, three times; a stand-in of the platform kills a process over 260 MB. The bodies are within the protocol's limit, but larger than the sheet's own requests.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -12,6 +12,7 @@
 mod server;
 mod site;
 mod store;
+mod uploads;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -31,6 +32,7 @@
     let record = record::Record::create(&folder.join("record.txt"));
     let outcome = match case.as_str() {
         "repeated" => repeated::run(&record, trouble),
+        "uploads" => uploads::run(&record, trouble),
         _ => Outcome::NotRun,
     };
     record.flush();
