Lease: the row names its successors; the holder goes on only while it hears them

Cause: a renewal dropped the echo of an instance that was silent before it, as the renewal restarts that instance's wait. The wait ends 5 s later all the same. A line 'claiming the lease on orders' and one for instances that a row leaves out are new.

Now the lease row names the instances that the holder hears; others wait 17 s. The holder waits for the echo of each instance that a row in force may name. Earlier builds are never left out.

--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -99,6 +99,7 @@
         address: settings.peers_addr,
         released: false,
         era: 0,
+        successors: None,
     };
     let lease = Arc::new(Mutex::new(Lease::new(
         own_row.clone(),
@@ -111,6 +112,7 @@
     let renewal = LeaseRenewal {
         gateway: Arc::clone(gateway),
         lease,
+        inbox: Arc::clone(&inbox),
         holder_info,
         holder_link: holder_link.clone(),
         own_row,
--- a/src/gateway/lease.rs
+++ b/src/gateway/lease.rs
@@ -6,13 +6,13 @@
 //!
 //! An instance with a link to the holder starts this wait only once the link is lost. During a
 //! store outage the holder may therefore continue as long as it has heard from every possible
-//! successor within the term.
+//! successor within the term. The row names these. An instance that it leaves out waits for the
+//! longest time that the holder may continue, and then for the handover delay.
 //!
 //! A row names the era in which it was written. One from an earlier era than its version is an older
 //! copy that the store came back from: whoever holds the lease may have written since. Such a row is
 //! claimed only after the longest wait, and a holder whose term still runs writes its own over it.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -20,6 +20,12 @@
 
 use crate::table;
 
+mod echoes;
+mod successors;
+
+pub use echoes::{Echo, Echoes};
+pub use successors::Successors;
+
 /// Durations that govern the lease.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LeaseTiming {
@@ -52,8 +58,8 @@
 const CLOCK_DRIFT_ALLOWANCE: Duration = Duration::from_millis(50);
 /// Longest time that the holder continues without renewing the row in the store.
 ///
-/// Outages of the store last up to nine seconds. The limit bounds the effect of an instance that
-/// started in the meantime and reaches only the store.
+/// Outages of the store last up to nine seconds. An instance that the row does not name waits for
+/// this time before it takes over.
 const MAX_EXTENSION: Duration = Duration::from_secs(14);
 
 /// Lease row in the store.
@@ -68,6 +74,10 @@
     /// Era of the store in which the row was written.
     #[serde(default)]
     pub era: u64,
+    /// Instances that take over after the term; all of them where none are named. Others wait for the
+    /// longest extension.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub successors: Option<Successors>,
 }
 
 /// Next action on the lease row.
@@ -92,6 +102,7 @@
     fencing_token: Option<u64>,
     valid_until: Duration,
     renewed_at: Duration,
+    claimed_at: Duration,
 }
 
 impl Lease {
@@ -108,6 +119,7 @@
             fencing_token: None,
             valid_until: Duration::ZERO,
             renewed_at: Duration::ZERO,
+            claimed_at: Duration::ZERO,
         }
     }
 
@@ -117,6 +129,10 @@
     /// A new version ends this instance's own hold and restarts the wait for a takeover.
     pub fn observe(&mut self, row: Option<LeaseRow>, version: u64, now: Duration) {
         if self.observed_at.is_some() && version == self.version {
+            if self.fencing_token.is_none() && row.is_some() {
+                // A link does not say whom the row names.
+                self.row = row;
+            }
             return;
         }
         self.fencing_token = None;
@@ -145,7 +161,10 @@
         self.is_restored = false;
         self.version = version;
         self.observed_at = Some(requested_at);
-        self.fencing_token.get_or_insert(version);
+        if self.fencing_token.is_none() {
+            self.fencing_token = Some(version);
+            self.claimed_at = requested_at;
+        }
         self.valid_until = requested_at + self.timing.term;
         self.renewed_at = requested_at;
     }
@@ -218,6 +237,19 @@
         self.renewed_at
     }
 
+    /// Request time of the write that began this instance's term.
+    #[must_use]
+    pub const fn claimed_at(&self) -> Duration {
+        self.claimed_at
+    }
+
+    /// Whether the row names this instance among those that take over after the term.
+    #[must_use]
+    pub fn is_successor(&self) -> bool {
+        let named = self.row.as_ref().and_then(|r| r.successors.as_ref());
+        named.is_none_or(|s| s.is_empty() || s.contains(&self.own_row.holder))
+    }
+
     /// Returns the action to take on the row now.
     #[must_use]
     pub fn next_action(&self, now: Duration) -> LeaseAction {
@@ -252,7 +284,8 @@
             None => observed_at + claim_delay,
             Some(row) if row.holder == self.own_row.holder => observed_at,
             Some(row) if row.released => observed_at + handover_delay + claim_delay,
-            Some(_) => observed_at + term + handover_delay + claim_delay,
+            Some(_) if self.is_successor() => observed_at + term + handover_delay + claim_delay,
+            Some(_) => observed_at + MAX_EXTENSION.max(term) + handover_delay + claim_delay,
         }
     }
 
@@ -276,32 +309,3 @@
 fn is_restored(row: Option<&LeaseRow>, version: u64) -> bool {
     row.map_or(0, |row| row.era) < table::era(version)
 }
-
-/// Newest reading of the holder's clock that each instance echoed.
-///
-/// An echo shows that its instance knew the holder to be alive at that reading. One that has
-/// fallen silent counts until the next renewal: it may become the successor.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct Echoes {
-    readings: BTreeMap<String, Duration>,
-}
-
-impl Echoes {
-    /// Records a reading echoed by an instance; zero before it has heard from the holder.
-    pub fn record(&mut self, instance: &str, reading: Duration) {
-        self.readings.insert(instance.to_owned(), reading);
-    }
-
-    /// Extends the lease by the oldest reading.
-    ///
-    /// A renewal restarts the takeover wait of every instance without a link, so that older
-    /// readings of these need not be considered.
-    pub fn extend(&mut self, lease: &mut Lease, is_linked: impl Fn(&str) -> bool) {
-        let renewed = lease.renewed_at();
-        self.readings
-            .retain(|name, reading| *reading > renewed || is_linked(name));
-        if let Some(oldest) = self.readings.values().min() {
-            lease.extend(*oldest);
-        }
-    }
-}
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -130,6 +130,7 @@
             address,
             released: false,
             era: 0,
+            successors: None,
         })
     }
 }
@@ -173,6 +174,7 @@
         limits: limit_entries(gateway),
         address: gateway.settings.peers_addr.to_string(),
         cut_off: !gateway.cut_services.borrow().is_empty(),
+        reads_successors: true,
         ..DemandReport::default()
     }
 }
--- a/src/gateway/link/message.rs
+++ b/src/gateway/link/message.rs
@@ -184,6 +184,9 @@
     /// Use of brittle endpoints; none where no service is brittle, or the holder grants no room.
     #[prost(message, optional, tag = "50")]
     pub room: Option<RoomReport>,
+    /// Whether the instance takes over late where the lease row does not name it.
+    #[prost(bool, tag = "51")]
+    pub reads_successors: bool,
 }
 
 /// An incarnation of an endpoint that leaves.
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -1,6 +1,6 @@
 //! Lease holder: collects demand, plans which models engines hold, and issues orders to them.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -135,13 +135,7 @@
     /// The fencing token while orders may be issued; extends the lease by echoed clocks first.
     fn fencing_token(&self) -> Option<u64> {
         let mut lease = self.lease.lock().unwrap_or_else(PoisonError::into_inner);
-        let linked: BTreeSet<&str> = self
-            .peers
-            .values()
-            .map(|p| p.demand.instance.as_str())
-            .collect();
-        let mut echoes = self.inbox.echoes();
-        echoes.extend(&mut lease, |name| linked.contains(name));
+        self.inbox.echoes().extend(&mut lease);
         lease.fencing_token(self.gateway.now())
     }
 
--- a/src/gateway/orders/inbox.rs
+++ b/src/gateway/orders/inbox.rs
@@ -9,7 +9,7 @@
 
 use tokio::sync::{Notify, mpsc};
 
-use super::super::lease::Echoes;
+use super::super::lease::{Echo, Echoes};
 use super::super::link::{DemandReport, EndpointDeath, FleetUpdate, RampEntry, TargetCount};
 
 /// Newest report of a link.
@@ -44,7 +44,11 @@
 impl DemandInbox {
     /// Adds a report; it replaces the unprocessed one of its link.
     pub fn report(&self, link: u64, mut report: LinkReport) {
-        let echo = Duration::from_millis(report.demand.clock_echo);
+        let echo = Echo {
+            reading: Duration::from_millis(report.demand.clock_echo),
+            heard_at: report.heard_at,
+            reads_row: report.demand.reads_successors,
+        };
         self.echoes().record(&report.demand.instance, echo);
         let is_urgent = report.demand.requested.iter().any(|c| c.count > 0)
             || report.demand.limits.iter().any(|l| l.waiting > 0);
--- a/src/gateway/renewal.rs
+++ b/src/gateway/renewal.rs
@@ -6,8 +6,9 @@
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
-use super::lease::{Lease, LeaseAction, LeaseRow};
+use super::lease::{Lease, LeaseAction, LeaseRow, Successors};
 use super::link::{HolderInfo, HolderLink};
+use super::orders::inbox::DemandInbox;
 use super::shared::Gateway;
 use crate::table::{self, Check, Commit, Read, Row, TableError, Txn, Write};
 
@@ -56,6 +57,8 @@
     pub gateway: Arc<Gateway>,
     /// Lease state.
     pub lease: Arc<Mutex<Lease>>,
+    /// Reports of other instances, which say who has heard from this one.
+    pub inbox: Arc<DemandInbox>,
     /// Publishes who holds the lease.
     pub holder_info: watch::Sender<HolderInfo>,
     /// State of the link to the holder.
@@ -104,7 +107,7 @@
             if let LeaseAction::Write(version) = action
                 && (holding || !lost_path.defers_claim(now))
             {
-                row_stale = !self.write(version, &self.own_row).await;
+                row_stale = !self.renew(version).await;
             }
             self.publish();
             let now = self.gateway.now();
@@ -159,6 +162,8 @@
             // A renewal took effect but its response was lost. It was requested no later than at
             // the last check; its term is counted from one timeout before this read.
             lease.record_write(version, requested_at.saturating_sub(STORE_TIMEOUT));
+            let successors = row.and_then(|r| r.successors);
+            self.inbox.echoes().record_row(successors.as_ref());
         } else {
             lease.observe(row, version, self.gateway.now());
         }
@@ -171,6 +176,40 @@
         false
     }
 
+    /// Claims or renews the row; returns false on a conflict or if it is unknown whether it took
+    /// effect.
+    async fn renew(&self, version: u64) -> bool {
+        let now = self.gateway.now();
+        let (successors, is_claim, is_successor) = {
+            let lease = self.lock();
+            let successors = self.inbox.echoes().name_successors(&lease, now);
+            (successors, lease.term().is_none(), lease.is_successor())
+        };
+        let named = successors.as_ref().map_or(0, Successors::count);
+        if is_claim {
+            log::info!(version = version, named = is_successor; "claiming the lease on orders");
+        }
+        let row = LeaseRow {
+            successors,
+            ..self.own_row.clone()
+        };
+        let known = self.write(version, &row).await;
+        let written = self.lock().version() != version;
+        let mut echoes = self.inbox.echoes();
+        if !written {
+            echoes.record_unknown_row();
+            return known;
+        }
+        let left_out = echoes.record_row(row.successors.as_ref());
+        drop(echoes);
+        if !left_out.is_empty() {
+            let left_out: Vec<String> = left_out.into_iter().collect();
+            log::info!(left_out = left_out.join(" "), named = named;
+                "lease row leaves silent instances out");
+        }
+        known
+    }
+
     /// Writes the row; returns false on a conflict or if it is unknown whether it took effect.
     async fn write(&self, version: u64, row: &LeaseRow) -> bool {
         let row = LeaseRow {
--- a/tests/order_lease.rs
+++ b/tests/order_lease.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use brassrack::gateway::lease::{Lease, LeaseAction, LeaseRow, LeaseTiming};
+use brassrack::gateway::lease::{Lease, LeaseAction, LeaseRow, LeaseTiming, Successors};
 
 const TERMS: LeaseTiming = LeaseTiming {
     term: Duration::from_secs(5),
@@ -20,6 +20,7 @@
         address: ([127, 0, 0, 1], 7).into(),
         released: false,
         era: 0,
+        successors: None,
     }
 }
 
@@ -203,3 +204,34 @@
     assert_eq!(lease.fencing_token(at(2)), None);
     assert_eq!(lease.term(), None);
 }
+
+/// An instance that the row leaves out waits until the holder cannot go on any longer.
+#[test]
+fn unnamed_instance_waits_longest() {
+    let mut lease = lease();
+    let named = |names: &[&str]| LeaseRow {
+        successors: Some(Successors::new(names.iter().copied())),
+        ..row("other")
+    };
+    lease.observe(Some(named(&["third"])), 4, at(10));
+    assert_eq!(lease.next_action(at(26)), LeaseAction::Wait);
+    assert_eq!(lease.next_action(at(27)), LeaseAction::Write(4));
+    lease.observe(Some(named(&["third", "me"])), 5, at(30));
+    assert_eq!(lease.next_action(at(38)), LeaseAction::Write(5));
+    lease.observe(Some(named(&[])), 6, at(40));
+    assert_eq!(lease.next_action(at(48)), LeaseAction::Write(6));
+}
+
+/// What a link says of the holder does not replace the names in the row.
+#[test]
+fn names_outlive_a_link() {
+    let mut lease = lease();
+    let others = LeaseRow {
+        successors: Some(Successors::new(["third"])),
+        ..row("other")
+    };
+    lease.confirm_holder(row("other"), 4, at(10));
+    lease.observe(Some(others), 4, at(12));
+    assert_eq!(lease.next_action(at(18)), LeaseAction::Wait);
+    assert_eq!(lease.next_action(at(27)), LeaseAction::Write(4));
+}
--- a/tests/order_model/holder.rs
+++ b/tests/order_model/holder.rs
@@ -55,6 +55,7 @@
             address: ([127, 0, 0, 1], 7).into(),
             released: false,
             era: 0,
+            successors: None,
         };
         let (sender, events) = mpsc::unbounded_channel();
         Self {
@@ -107,6 +108,7 @@
                 address: ([127, 0, 0, 1], 7).into(),
                 released: false,
                 era: table::era(expected),
+                successors: None,
             };
             if let Some(version) = self.world.write_row(expected, own) {
                 lease.record_write(version, now);
--- a/tests/restored_lease.rs
+++ b/tests/restored_lease.rs
@@ -21,6 +21,7 @@
         address: ([127, 0, 0, 1], 9).into(),
         released: false,
         era,
+        successors: None,
     }
 }
 
