Crashing requests: lost answers of endpoints that live do not count, and a refusal ends

Cause: a closed connection counted against the request whether its endpoint lived on or not; the fingerprint left the query out; the verdict had no expiry, and instances took it over from each other.

Earlier builds are told and heard in their words.

--- a/src/gateway/crash_evidence.rs
+++ b/src/gateway/crash_evidence.rs
@@ -1,16 +1,29 @@
 //! What a request tells of the endpoints that it was sent to, and whether its prompt is refused.
 
 use super::crash_parts::{PartId, incarnation_id};
+use super::crash_suspects::Fingerprint;
 use super::protocol::RequestHead;
-use super::serve::RoutedRequest;
+use super::serve::{NO_ENDPOINT_RETRY_DELAY, RoutedRequest};
 use super::servers::SelectedEndpoint;
 use super::shared::Gateway;
 use crate::verdict::{Cause, Refusal};
 
-/// Refusal of a request whose prompt holds a part under which endpoints end.
+/// Refusal of a request under which endpoints end, or whose prompt holds such a part.
 #[must_use]
-pub fn refusal_for(gateway: &Gateway, head: &RequestHead, parts: &[PartId]) -> Option<Refusal> {
+pub fn refusal_for(
+    gateway: &Gateway,
+    head: &RequestHead,
+    request: Fingerprint,
+    parts: &[PartId],
+) -> Option<Refusal> {
     let now = gateway.now();
+    if let Some(left) = gateway.crash_parts().request_refusal(request, now) {
+        return Some(Refusal::not_run(Cause::CrashSuspect).retry_after(left));
+    }
+    if gateway.crash_suspects().is_refused(request, now) {
+        let refusal = Refusal::not_run(Cause::CrashSuspect);
+        return Some(refusal.retry_after(NO_ENDPOINT_RETRY_DELAY));
+    }
     let (index, left) = gateway.crash_parts().refusal(parts, now)?;
     let part = head.shared_parts.get(index).map_or("", String::as_str);
     let refusal = Refusal::not_run(Cause::CrashSuspect).retry_after(left);
@@ -33,12 +46,33 @@
         parts.record_begun(endpoint, &self.parts, now);
     }
 
-    /// Records that an endpoint closed the connection before its answer had begun.
-    pub(super) fn record_not_begun(&self, selected: &SelectedEndpoint) {
+    /// Records that an endpoint has answered, be it with an error or a refusal.
+    pub(super) fn record_alive(&self, selected: &SelectedEndpoint) {
         let endpoint = incarnation_id(&selected.id, selected.started_ms);
+        self.gateway
+            .crash_parts()
+            .record_alive(endpoint, self.now());
+    }
+
+    /// Records that the request has a whole answer.
+    pub(super) fn record_whole(&self) {
         let now = self.now();
-        let mut parts = self.gateway.crash_parts();
-        parts.record_break(endpoint, self.fingerprint, &self.parts, now);
+        self.gateway
+            .crash_parts()
+            .record_whole(self.fingerprint, now);
+    }
+
+    /// Records that an endpoint closed the connection, before or after its answer had begun.
+    pub(super) fn record_closed(&self, selected: &SelectedEndpoint, begun: bool) {
+        let endpoint = incarnation_id(&selected.id, selected.started_ms);
+        let now = self.now();
+        self.gateway
+            .crash_suspects()
+            .record_unreported(self.fingerprint);
+        let parts = if begun { &[][..] } else { &self.parts };
+        self.gateway
+            .crash_parts()
+            .record_break(endpoint, self.fingerprint, parts, now);
     }
 
     /// Ids of the prompt's shared parts as a log field.
--- a/src/gateway/crash_parts.rs
+++ b/src/gateway/crash_parts.rs
@@ -1,8 +1,9 @@
-//! Finds the part of prompts under which endpoints end.
+//! Finds the requests, and the parts of prompts, under which endpoints end.
 //!
-//! Evidence is the end of an incarnation of an endpoint together with the requests that were on it
-//! and whose answer had not begun. A part is blamed after several such ends at different times
-//! without an answer that began in between, at any instance. The lease holder joins the evidence
+//! Evidence is the end of an incarnation of an endpoint together with the requests that were on it;
+//! a part counts where their answer had not begun. A request or part is blamed after several such
+//! ends at different times without an answer in between, at any instance. A closed connection of an
+//! incarnation that goes on answering is no end: the blame that rests on it is lifted. The lease holder joins the evidence
 //! of all instances and publishes what is blamed; an instance without a holder uses its own.
 //! Reasons and bounds: `docs/design/crash-suspects.md`.
 
@@ -16,7 +17,7 @@
 mod sound;
 mod verdict;
 
-use death::{Break, Death};
+use death::{ALIVE_MARGIN, Break, Death};
 use sound::SoundTimes;
 
 /// Time after which an endpoint's end no longer counts.
@@ -32,7 +33,7 @@
 /// Longest time for which they are refused, after the part was blamed again and again.
 const MAX_BLAME_TIME: Duration = Duration::from_hours(2);
 /// Most ends of endpoints that are kept.
-const MAX_DEATHS: usize = 64;
+const MAX_DEATHS: usize = 128;
 /// Most parts kept of one prompt.
 const MAX_PARTS: usize = 8;
 /// Most ends of endpoints in one report.
@@ -43,6 +44,10 @@
 const MAX_WATCHED: usize = 128;
 /// Deaths at different times from which a request with a part is not sent a second time.
 const SUSPECT_DEATHS: usize = 2;
+/// Deaths at this instance at which it refuses a request before they are joined with others'.
+const OWN_DEATHS: usize = 3;
+/// Time after which a request that only this instance refuses may come back.
+const OWN_REFUSAL: Duration = Duration::from_secs(1);
 
 /// Digest of the id of a prompt's part.
 pub type PartId = u64;
@@ -89,14 +94,18 @@
     digest(endpoint, started_ms.wrapping_add(1))
 }
 
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 struct Blame {
     at: Duration,
     until: Duration,
     rounds: u32,
+    /// Deaths that this instance blamed it for; none where it was told.
+    deaths: Vec<(IncarnationId, Duration)>,
 }
 
-/// What an instance knows about parts of prompts under which endpoints end.
+/// What an instance knows about requests and parts of prompts under which endpoints end.
+///
+/// A request is known by its fingerprint in the places of a part.
 #[derive(Debug, Default)]
 pub struct CrashParts {
     deaths: BTreeMap<IncarnationId, Death>,
@@ -110,7 +119,8 @@
 }
 
 impl CrashParts {
-    /// Records that an endpoint closed the connection of a request whose answer had not begun.
+    /// Records that an endpoint closed the connection of a request; `parts` are those of its prompt
+    /// if its answer had not begun, else none.
     pub fn record_break(
         &mut self,
         endpoint: IncarnationId,
@@ -118,32 +128,71 @@
         parts: &[PartId],
         now: Duration,
     ) {
-        if parts.is_empty() {
-            return;
-        }
-        let (parts, at) = (parts.to_vec(), now);
-        let heard_at = now;
         let broken = Break {
             request,
-            parts,
-            at,
-            heard_at,
+            parts: parts.iter().copied().chain([request]).collect(),
+            at: now,
+            heard_at: now,
             local: true,
         };
         self.add_break(endpoint, broken, now);
     }
 
+    /// Records that an endpoint has answered, whatever it has.
+    pub fn record_alive(&mut self, endpoint: IncarnationId, now: Duration) {
+        self.record_sound(endpoint, now);
+    }
+
     /// Records that the answer to a request with these parts began at an endpoint.
     pub fn record_begun(&mut self, endpoint: IncarnationId, parts: &[PartId], now: Duration) {
-        if parts.is_empty() {
-            return;
-        }
         self.record_sound(endpoint, now);
         for part in parts {
             self.record_sound(*part, now);
         }
     }
 
+    /// Records that a request has a whole answer; only of interest for one that broke before.
+    pub fn record_whole(&mut self, request: Fingerprint, now: Duration) {
+        if self.watched.contains(&request) || self.own_breaks(request).next().is_some() {
+            self.record_sound(request, now);
+        }
+    }
+
+    /// Connections of a request that endpoints closed, with their endpoints.
+    fn own_breaks(&self, request: Fingerprint) -> impl Iterator<Item = (IncarnationId, &Break)> {
+        let deaths = self.deaths.iter();
+        deaths.flat_map(move |(endpoint, death)| {
+            let of_request = death.breaks.iter().filter(move |b| b.request == request);
+            of_request.map(move |b| (*endpoint, b))
+        })
+    }
+
+    /// Time for which a request is refused, as endpoints end while they run it.
+    #[must_use]
+    pub fn request_refusal(&self, request: Fingerprint, now: Duration) -> Option<Duration> {
+        if let Some(blame) = self.blamed.get(&request).filter(|b| now < b.until) {
+            return Some(blame.until.saturating_sub(now));
+        }
+        let sound = self.sound.last(request).unwrap_or_default();
+        let counted = self
+            .own_breaks(request)
+            .filter(|(endpoint, b)| b.at > sound && !self.is_disproved(*endpoint, b.at));
+        (counted.count() >= OWN_DEATHS).then_some(OWN_REFUSAL)
+    }
+
+    /// Fingerprints and parts that are blamed now.
+    #[must_use]
+    pub fn blamed_ids(&self, now: Duration) -> Vec<u64> {
+        let blamed = self.blamed.iter().filter(|(_, b)| now < b.until);
+        blamed.map(|(id, _)| *id).collect()
+    }
+
+    /// Whether an endpoint went on answering after it closed a connection.
+    fn is_disproved(&self, endpoint: IncarnationId, closed_at: Duration) -> bool {
+        let answered = self.sound.last(endpoint).unwrap_or_default();
+        answered > closed_at + ALIVE_MARGIN
+    }
+
     /// Time for which a request with these parts is refused, and the index of the blamed part.
     pub fn refusal(&mut self, parts: &[PartId], now: Duration) -> Option<(usize, Duration)> {
         if now > self.heard_at + ALONE_TIME && now > self.judged_at + VERDICT_INTERVAL {
@@ -204,6 +253,9 @@
             watched.insert(*part);
             watched.extend(&tally.endpoints);
         }
+        // An answer of one of these endpoints lifts the blame.
+        let blames = self.blamed.values().filter(|b| now < b.until);
+        watched.extend(blames.flat_map(|b| b.deaths.iter().map(|(endpoint, _)| *endpoint)));
         self.watched = watched.into_iter().take(MAX_WATCHED).collect();
         CrashEvidence {
             deaths: Vec::new(),
@@ -228,7 +280,8 @@
             {
                 let broken = Break {
                     request: *request,
-                    parts: parts.iter().take(MAX_PARTS).copied().collect(),
+                    // The request's own fingerprint comes after the parts.
+                    parts: parts.iter().take(MAX_PARTS + 1).copied().collect(),
                     at: ago(*age_ms),
                     heard_at: now,
                     local: false,
@@ -236,7 +289,13 @@
                 self.add_break(*endpoint, broken, now);
             }
         }
-        for blamed in &evidence.blamed {
+        self.merge_blamed(&evidence.blamed, heard_at);
+    }
+
+    /// Takes over what another instance blames.
+    pub fn merge_blamed(&mut self, blamed: &[BlamedPart], heard_at: Duration) {
+        let ago = |age_ms: u32| heard_at.saturating_sub(Duration::from_millis(age_ms.into()));
+        for blamed in blamed {
             let at = ago(blamed.age_ms);
             let until = heard_at + Duration::from_millis(blamed.left_ms.into());
             let known = self.blamed.get(&blamed.part);
@@ -245,8 +304,13 @@
             {
                 continue;
             }
-            let rounds = blamed.rounds;
-            self.insert_blame(blamed.part, Blame { at, until, rounds });
+            let blame = Blame {
+                at,
+                until,
+                rounds: blamed.rounds,
+                deaths: Vec::new(),
+            };
+            self.insert_blame(blamed.part, blame);
         }
     }
 
@@ -261,7 +325,11 @@
         if now >= broken.at + DEATH_TTL {
             return;
         }
-        self.deaths.retain(|_, d| now < d.last() + DEATH_TTL);
+        let sound = &self.sound;
+        self.deaths.retain(|endpoint, death| {
+            let answered = sound.last(*endpoint).unwrap_or_default();
+            now < death.last() + DEATH_TTL && answered <= death.last() + ALIVE_MARGIN
+        });
         self.deaths.entry(endpoint).or_default().add(broken);
         if self.deaths.len() > MAX_DEATHS {
             let oldest = self.deaths.iter().min_by_key(|(_, d)| d.last());
@@ -274,15 +342,19 @@
     fn record_sound(&mut self, id: u64, at: Duration) {
         self.sound.record(id, at);
         if self.blamed.get(&id).is_some_and(|blame| at > blame.at) {
-            self.blamed.remove(&id);
-            self.cleared.insert(id);
-            while self.cleared.len() > MAX_BLAMED {
-                self.cleared.pop_first();
-            }
+            self.clear_blame(id);
             log::info!(part = id; "prompt part no longer refused: an answer with it has begun");
         }
     }
 
+    fn clear_blame(&mut self, id: u64) {
+        self.blamed.remove(&id);
+        self.cleared.insert(id);
+        while self.cleared.len() > MAX_BLAMED {
+            self.cleared.pop_first();
+        }
+    }
+
     /// Last sound answers with what the lease holder asks about or what was cleared.
     fn sound_answers(&self, now: Duration) -> Vec<SoundAnswer> {
         let ids = self.watched.union(&self.cleared);
@@ -293,7 +365,9 @@
         .collect()
     }
 
-    fn blamed_parts(&self, now: Duration) -> Vec<BlamedPart> {
+    /// What is blamed, as a message says it.
+    #[must_use]
+    pub fn blamed_parts(&self, now: Duration) -> Vec<BlamedPart> {
         let blamed = self.blamed.iter();
         blamed
             .map(|(part, blame)| BlamedPart {
--- a/src/gateway/crash_parts/verdict.rs
+++ b/src/gateway/crash_parts/verdict.rs
@@ -6,7 +6,7 @@
 use super::death::{ALIVE_MARGIN, Death};
 use super::{BLAME_TIME, Blame, CrashParts, IncarnationId, MAX_BLAME_TIME, PartId};
 
-/// Deaths at different times after which a part is blamed.
+/// Deaths at different times after which a request or a part is blamed.
 const BLAME_DEATHS: usize = 3;
 /// The same for the first part of a prompt, which nearly all requests of a service share.
 const FIRST_PART_DEATHS: usize = 5;
@@ -25,21 +25,25 @@
     /// Largest index of the part in a prompt.
     depth: usize,
     is_first: bool,
+    /// Whether it is a request, not a part.
+    is_request: bool,
     pub(super) endpoints: BTreeSet<IncarnationId>,
+    deaths: Vec<(IncarnationId, Duration)>,
 }
 
 impl Tally {
     /// Number of deaths at different times.
     pub(super) fn moments(&self) -> usize {
-        let mut last = None;
-        let apart = self.times.iter().filter(|at| {
-            let apart = last.is_none_or(|last| **at >= last + MOMENT);
-            if apart {
-                last = Some(**at);
-            }
-            apart
-        });
-        apart.count()
+        moments(&self.times)
+    }
+
+    /// Least number of deaths at different times.
+    const fn least_deaths(&self, was_blamed: bool) -> usize {
+        match (self.is_first, was_blamed) {
+            (_, true) => 1,
+            (true, false) => FIRST_PART_DEATHS,
+            (false, false) => BLAME_DEATHS,
+        }
     }
 
     fn span(&self) -> Duration {
@@ -50,21 +54,28 @@
         span.unwrap_or_default()
     }
 
-    /// Whether the part is to be blamed; one request that is sent again and again proves nothing.
+    /// Whether it is to be blamed; one request that is sent again and again proves nothing of its
+    /// parts.
     fn is_proved(&self, was_blamed: bool) -> bool {
-        let moments = self.moments();
-        match (self.is_first, was_blamed) {
-            (_, true) => moments > 0,
-            (true, false) => {
-                moments >= FIRST_PART_DEATHS
-                    && self.span() >= FIRST_PART_SPAN
-                    && self.requests.len() > 1
-            }
-            (false, false) => moments >= BLAME_DEATHS && self.requests.len() > 1,
-        }
+        let is_varied = self.is_request || self.requests.len() > 1;
+        let is_spread = !self.is_first || self.span() >= FIRST_PART_SPAN;
+        self.moments() >= self.least_deaths(was_blamed) && (was_blamed || (is_varied && is_spread))
     }
 }
 
+/// Number of times that lie apart.
+fn moments(times: &BTreeSet<Duration>) -> usize {
+    let mut last = None;
+    let apart = times.iter().filter(|at| {
+        let apart = last.is_none_or(|last| **at >= last + MOMENT);
+        if apart {
+            last = Some(**at);
+        }
+        apart
+    });
+    apart.count()
+}
+
 impl CrashParts {
     /// Blames the parts that the evidence proves.
     ///
@@ -89,6 +100,7 @@
     /// ```
     pub fn judge(&mut self, now: Duration) {
         self.judged_at = now;
+        self.lift_disproved(now);
         let blame_kept = |b: &Blame| now < b.until + BLAME_TIME;
         self.blamed.retain(|_, blame| blame_kept(blame));
         while let Some((part, tally)) = self.most_suspect(now) {
@@ -96,10 +108,36 @@
             let time = BLAME_TIME * 2_u32.pow(rounds.min(8) - 1);
             let until = now + time.min(MAX_BLAME_TIME);
             log::warn!(part = part, deaths = tally.moments(), requests = tally.requests.len(),
-                rounds = rounds, refused_ms = super::millis(until.saturating_sub(now));
+                rounds = rounds, refused_ms = super::millis(until.saturating_sub(now)),
+                is_request = tally.is_request;
                 "prompt part refused from now on: endpoints end before they answer it");
-            let at = now;
-            self.insert_blame(part, Blame { at, until, rounds });
+            let blame = Blame {
+                at: now,
+                until,
+                rounds,
+                deaths: tally.deaths,
+            };
+            self.insert_blame(part, blame);
+        }
+    }
+
+    /// Lifts the blame for deaths of endpoints that have turned out to live.
+    fn lift_disproved(&mut self, now: Duration) {
+        let mut lifted = Vec::new();
+        for (part, blame) in self.blamed.iter().filter(|(_, b)| now < b.until) {
+            let held = blame.deaths.iter();
+            let held = held.filter(|(endpoint, at)| !self.is_disproved(*endpoint, *at));
+            let times: BTreeSet<Duration> = held.map(|(_, at)| *at).collect();
+            let least = if blame.rounds > 1 { 1 } else { BLAME_DEATHS };
+            if !blame.deaths.is_empty() && moments(&times) < least {
+                lifted.push(*part);
+            }
+        }
+        for part in lifted {
+            log::warn!(part = part; "prompt part no longer refused: its endpoints answer");
+            self.clear_blame(part);
+            // Others lift it as they do after an answer with it.
+            self.sound.record(part, now);
         }
     }
 
@@ -131,11 +169,14 @@
                     tally.requests.insert(broken.request);
                     tally.endpoints.insert(*endpoint);
                     tally.depth = tally.depth.max(depth);
-                    tally.is_first |= depth == 0;
+                    tally.is_request |= *part == broken.request;
+                    tally.is_first |= depth == 0 && *part != broken.request;
                 }
             }
             for (part, time) in times {
-                tallies.entry(part).or_default().times.insert(time);
+                let tally = tallies.entry(part).or_default();
+                tally.times.insert(time);
+                tally.deaths.push((*endpoint, time));
             }
         }
         tallies
--- a/src/gateway/crash_suspects.rs
+++ b/src/gateway/crash_suspects.rs
@@ -1,23 +1,25 @@
-//! Tracks requests that are suspected of crashing the endpoints that run them.
+//! Requests that instances of an earlier build count or refuse, as they crash endpoints.
 //!
-//! A break is an endpoint closing the connection while it runs a request. Breaks are counted over
-//! all instances by the request's fingerprint. At the limit every instance refuses the request, so
-//! that it does not crash another endpoint.
+//! Such instances report and publish fingerprints alone: an endpoint that closed the connection while
+//! it ran the request. This build counts with the endpoint and what it answers later
+//! (`crash_parts`); what it hears from earlier ones, it forgets after a time.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// Number of breaks at which a request is refused: the platform's limit for crashes.
 const MAX_BREAKS: u32 = 3;
 /// Time since the last break after which a count expires; callers retry such requests for minutes.
 const BREAK_TTL: Duration = Duration::from_mins(5);
-/// Most fingerprints stored, both with breaks and as refused.
+/// Time for which a request is refused after an instance has said that it refuses it.
+const TOLD_TIME: Duration = Duration::from_mins(1);
+/// Most fingerprints stored, with breaks, as refused and to be reported.
 const MAX_FINGERPRINTS: usize = 4096;
 
 /// Digest of a request.
 pub type Fingerprint = u64;
 
-/// Digest of a request's path and body.
+/// Digest of a request's target, which is its path and query, and of its body.
 ///
 /// # Examples
 ///
@@ -27,9 +29,9 @@
 /// assert_ne!(fingerprint("/drafts/1", b"a"), fingerprint("/drafts/1", b"b"));
 /// ```
 #[must_use]
-pub fn fingerprint(path: &str, body: &[u8]) -> Fingerprint {
+pub fn fingerprint(target: &str, body: &[u8]) -> Fingerprint {
     let mut hasher = blake3::Hasher::new();
-    hasher.update(path.as_bytes());
+    hasher.update(target.as_bytes());
     hasher.update(&[0]);
     hasher.update(body);
     let digest = hasher.finalize();
@@ -44,22 +46,24 @@
     last: Duration,
 }
 
-/// Break counts and refused requests, as known to an instance.
+/// Break counts and refused requests, as earlier builds tell them.
 #[derive(Debug, Default)]
 pub struct CrashSuspects {
     breaks: BTreeMap<Fingerprint, BreakCount>,
-    refused: BTreeSet<Fingerprint>,
+    /// Until when requests are refused that another instance refuses.
+    told: BTreeMap<Fingerprint, Duration>,
     unreported: Vec<Fingerprint>,
 }
 
 impl CrashSuspects {
-    /// Records a break at this instance, to be reported to the lease holder too.
-    pub fn record_local(&mut self, print: Fingerprint, now: Duration) {
-        self.unreported.push(print);
-        self.record_break(print, now);
+    /// Records a break at this instance, for a lease holder of an earlier build.
+    pub fn record_unreported(&mut self, print: Fingerprint) {
+        if self.unreported.len() < MAX_FINGERPRINTS {
+            self.unreported.push(print);
+        }
     }
 
-    /// Records a break reported by another instance.
+    /// Records a break reported by an instance of an earlier build.
     pub fn record_break(&mut self, print: Fingerprint, now: Duration) {
         self.breaks.retain(|_, b| now < b.last + BREAK_TTL);
         while self.breaks.len() >= MAX_FINGERPRINTS {
@@ -71,30 +75,34 @@
         });
         breaks.count += 1;
         breaks.last = now;
-        if breaks.count >= MAX_BREAKS && self.refused.insert(print) {
+        if breaks.count == MAX_BREAKS {
             log::warn!(fingerprint = print, breaks = breaks.count;
                 "request refused from now on: endpoints closed the connection while running it");
         }
     }
 
     /// Adds the requests that another instance refuses.
-    pub fn merge_refused(&mut self, refused: &[Fingerprint]) {
-        self.refused.extend(refused);
-        while self.refused.len() > MAX_FINGERPRINTS {
-            self.refused.pop_first();
+    pub fn merge_refused(&mut self, refused: &[Fingerprint], now: Duration) {
+        self.told.retain(|_, until| now < *until);
+        self.told
+            .extend(refused.iter().map(|print| (*print, now + TOLD_TIME)));
+        while self.told.len() > MAX_FINGERPRINTS {
+            self.told.pop_first();
         }
     }
 
     /// Whether a request is refused.
     #[must_use]
-    pub fn is_refused(&self, print: Fingerprint) -> bool {
-        self.refused.contains(&print)
+    pub fn is_refused(&self, print: Fingerprint, now: Duration) -> bool {
+        self.told.get(&print).is_some_and(|until| now < *until)
+            || self.breaks.get(&print).is_some_and(|b| b.is_refused(now))
     }
 
-    /// Fingerprints of all refused requests.
+    /// Fingerprints that are refused by what was reported here.
     #[must_use]
-    pub fn refused(&self) -> Vec<Fingerprint> {
-        self.refused.iter().copied().collect()
+    pub fn refused(&self, now: Duration) -> Vec<Fingerprint> {
+        let refused = self.breaks.iter().filter(|(_, b)| b.is_refused(now));
+        refused.map(|(print, _)| *print).collect()
     }
 
     /// Takes the breaks not yet reported to the lease holder.
@@ -103,3 +111,9 @@
         std::mem::take(&mut self.unreported)
     }
 }
+
+impl BreakCount {
+    fn is_refused(&self, now: Duration) -> bool {
+        self.count >= MAX_BREAKS && now < self.last + BREAK_TTL
+    }
+}
--- a/src/gateway/exchange/knowledge.rs
+++ b/src/gateway/exchange/knowledge.rs
@@ -117,7 +117,8 @@
     if own.beliefs != other.beliefs {
         let marks = gateway.servers.copy_marks(now);
         last.leaving = marks.into_iter().map(LeavingEntry::from).collect();
-        last.refused = gateway.crash_suspects().refused();
+        last.refused = refused(gateway, now);
+        last.blamed = gateway.crash_parts().blamed_parts(now);
     }
     last.origins = gateway.stream_origins().new_notice(0, Scope::All, now);
     let list_version = {
@@ -182,6 +183,7 @@
         whole.endpoints.extend(frame.endpoints);
         whole.leaving.extend(frame.leaving);
         whole.refused.extend(frame.refused);
+        whole.blamed.extend(frame.blamed);
         whole.origins = whole.origins.or(frame.origins);
     }
     whole
@@ -193,7 +195,11 @@
     if !knowledge.config.is_empty() {
         gateway.activate_config(&knowledge.config, "link");
     }
-    gateway.crash_suspects().merge_refused(&knowledge.refused);
+    gateway.crash_parts().merge_blamed(&knowledge.blamed, now);
+    let is_blamed = |id: &&u64| knowledge.blamed.iter().any(|b| b.part == **id);
+    let told = knowledge.refused.iter().filter(|id| !is_blamed(id));
+    let told: Vec<u64> = told.copied().collect();
+    gateway.crash_suspects().merge_refused(&told, now);
     apply_origins(gateway, knowledge.origins.as_ref());
     for entry in &knowledge.leaving {
         let found_at = now.saturating_sub(Duration::from_millis(entry.age_ms.into()));
@@ -231,10 +237,17 @@
         .send_if_modified(|l| !std::mem::replace(l, true));
 }
 
+/// Requests that are refused here, by the verdict of this build or that of an earlier one.
+fn refused(gateway: &Gateway, now: Duration) -> Vec<u64> {
+    let mut refused = gateway.crash_suspects().refused(now);
+    refused.extend(gateway.crash_parts().blamed_ids(now));
+    refused
+}
+
 /// Digest of refused requests and of endpoints that leave; 0 without any.
 fn beliefs(gateway: &Gateway) -> u64 {
     let marks = gateway.servers.copy_marks(gateway.now());
-    let refused = gateway.crash_suspects().refused();
+    let refused = refused(gateway, gateway.now());
     if marks.is_empty() && refused.is_empty() {
         return 0;
     }
--- a/src/gateway/exchange/message.rs
+++ b/src/gateway/exchange/message.rs
@@ -5,7 +5,7 @@
 
 use prost::Message;
 
-use super::super::link::{ModelView, millis};
+use super::super::link::{BlamedPart, ModelView, millis};
 use super::super::protocol::{Endpoint, EndpointState};
 use super::super::servers::{CopiedEndpoint, CopiedMark};
 use super::super::stream_origins::OriginNotice;
@@ -193,4 +193,7 @@
     /// Where streams began, if services have several software versions.
     #[prost(message, optional, tag = "10")]
     pub origins: Option<OriginNotice>,
+    /// Requests and parts of prompts that are blamed, also named in `refused` for earlier builds.
+    #[prost(message, repeated, tag = "11")]
+    pub blamed: Vec<BlamedPart>,
 }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -165,6 +165,7 @@
     };
     if answer.head.status.is_success() {
         request.record_begun(selected);
+        request.record_whole();
         let now = request.now();
         let took = now.saturating_sub(sent_at);
         let servers = &request.gateway.servers;
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -175,6 +175,7 @@
         address: gateway.settings.peers_addr.to_string(),
         cut_off: !gateway.cut_services.borrow().is_empty(),
         reads_successors: true,
+        reports_closed: true,
         ..DemandReport::default()
     }
 }
@@ -614,7 +615,10 @@
     apply_grants(gateway, &update.limits, update.live_instances);
     apply_ramps(gateway, &update.ramps, update.live_instances);
     gateway.budgets().resize(update.live_instances);
-    gateway.crash_suspects().merge_refused(&update.refused);
+    if !update.blames_requests {
+        let now = gateway.now();
+        gateway.crash_suspects().merge_refused(&update.refused, now);
+    }
     if let Some(notice) = &update.crashes {
         gateway.crash_parts().apply_notice(notice, gateway.now());
     }
--- a/src/gateway/link/message.rs
+++ b/src/gateway/link/message.rs
@@ -187,6 +187,9 @@
     /// Whether the instance takes over late where the lease row does not name it.
     #[prost(bool, tag = "51")]
     pub reads_successors: bool,
+    /// Whether `crashes` has what `aborted` has, with the endpoints.
+    #[prost(bool, tag = "52")]
+    pub reports_closed: bool,
 }
 
 /// An incarnation of an endpoint that leaves.
@@ -312,6 +315,10 @@
 }
 
 /// Update that an instance sends over a link; most fields are set only by the lease holder.
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each is a field of the message by itself"
+)]
 #[derive(Clone, PartialEq, Message)]
 pub struct FleetUpdate {
     /// Address of the lease holder; empty if unknown.
@@ -334,9 +341,12 @@
     /// Estimated time until models that are not loaded can serve requests, by service.
     #[prost(message, repeated, tag = "6")]
     pub estimates: Vec<TargetCount>,
-    /// Fingerprints of requests to refuse; empty if unchanged.
+    /// Fingerprints of requests to refuse, for receivers of an earlier build; empty if unchanged.
     #[prost(fixed64, repeated, tag = "7")]
     pub refused: Vec<u64>,
+    /// Whether `crashes` has the requests to refuse.
+    #[prost(bool, tag = "54")]
+    pub blames_requests: bool,
     /// Sender's clock in milliseconds.
     #[prost(uint64, tag = "8")]
     pub clock_ms: u64,
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -155,6 +155,9 @@
             let share = self.late_shares.entry(key).or_default();
             share.add(count.ended, count.late, now);
         }
+        if demand.reports_closed {
+            return;
+        }
         let mut suspicion = self.gateway.crash_suspects();
         for fingerprint in &demand.aborted {
             suspicion.record_break(*fingerprint, now);
--- a/src/gateway/orders/publish.rs
+++ b/src/gateway/orders/publish.rs
@@ -8,7 +8,8 @@
 use tokio::sync::mpsc;
 
 use super::super::catalog::Catalog;
-use super::super::link::{self, DemandReport, EngineView, FleetUpdate, TargetCount};
+use super::super::crash_suspects::Fingerprint;
+use super::super::link::{self, CrashEvidence, DemandReport, EngineView, FleetUpdate, TargetCount};
 use super::super::planner::{EngineAction, TargetDemand};
 use super::super::protocol::Target;
 use super::super::servers::EndpointView;
@@ -66,12 +67,7 @@
         let list_read_at = *self.gateway.list_read_at.borrow();
         let config_read_at = *self.gateway.config_read_at.borrow();
         let leaving = link::recently_leaving(&self.gateway);
-        let refused = self.gateway.crash_suspects().refused();
-        let crashes = {
-            let mut parts = self.gateway.crash_parts();
-            parts.judge(now);
-            parts.notice(now)
-        };
+        let (refused, crashes) = self.crash_notice(now);
         let crash_ids = crashes.ids();
         let loads = self.records.loads_in_progress(now);
         let load_ids = loads.ids();
@@ -117,6 +113,7 @@
                 limits: limits.entries(*number),
                 ramps: self.ramps.entries(*number, full_due),
                 grants_room: true,
+                blames_requests: true,
                 origins_complete,
                 brittle: brittle.clone(),
                 origins,
@@ -157,6 +154,15 @@
         self.ramps.record_told();
     }
 
+    /// Fingerprints of refused requests for instances of earlier builds, and the evidence for others.
+    fn crash_notice(&self, now: Duration) -> (Vec<Fingerprint>, CrashEvidence) {
+        let mut refused = self.gateway.crash_suspects().refused(now);
+        let mut parts = self.gateway.crash_parts();
+        parts.judge(now);
+        refused.extend(parts.blamed_ids(now));
+        (refused, parts.notice(now))
+    }
+
     /// Views of the engines whose state is known.
     fn engine_views(&mut self, now: Duration) -> Vec<EndpointView> {
         let servers = &self.gateway.servers;
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -124,12 +124,7 @@
             .servers
             .record_outcome(selected.key, outcome, now);
         if let Break::Closed { begun } = broken {
-            self.gateway
-                .crash_suspects()
-                .record_local(self.fingerprint, now);
-            if !begun {
-                self.record_not_begun(selected);
-            }
+            self.record_closed(selected, begun);
         }
     }
 
@@ -240,10 +235,7 @@
                 history.failed_endpoints.push(selected.id.clone());
                 history.unconnected += u32::from(error.fault == SendFault::Connect);
                 if error.fault == SendFault::Closed {
-                    self.gateway
-                        .crash_suspects()
-                        .record_local(self.fingerprint, now);
-                    self.record_not_begun(selected);
+                    self.record_closed(selected, false);
                 }
                 log::info!(id = self.head.id.as_str(), endpoint = selected.id.as_str(),
                     started_ms = selected.started_ms, fault:% = error.fault,
@@ -269,6 +261,7 @@
             servers.mark_leaving(&selected.id, selected.started_ms, "answer", now);
         }
         if is_own {
+            self.record_alive(selected);
             let answer = LimitAnswer {
                 rate: response_head.limit,
                 sent_at,
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -66,7 +66,7 @@
     pub headers: HeaderMap,
     /// Complete body.
     pub body: Bytes,
-    /// Digest of path and body, which identifies requests that crash endpoints.
+    /// Digest of path, query and body, which identifies requests that crash endpoints.
     pub fingerprint: Fingerprint,
     /// Digests of the prompt's parts, without the last one.
     pub parts: Vec<PartId>,
@@ -190,13 +190,12 @@
         Ok(body) => body,
         Err(refusal) => return refuse(&gateway, &refusal, &id, &route.name, arrived_at),
     };
-    let fingerprint = fingerprint(parts.uri.path(), &body);
-    if gateway.crash_suspects().is_refused(fingerprint) {
-        let refusal = Refusal::not_run(Cause::CrashSuspect).retry_after(NO_ENDPOINT_RETRY_DELAY);
-        return refuse(&gateway, &refusal, &id, &route.name, arrived_at);
-    }
+    let target = parts.uri.path_and_query();
+    let target = target.map_or_else(|| parts.uri.path(), |t| t.as_str());
+    let fingerprint = fingerprint(target, &body);
     let prompt_parts = part_ids(&head.shared_parts);
-    if let Some(refusal) = crash_evidence::refusal_for(&gateway, &head, &prompt_parts) {
+    if let Some(refusal) = crash_evidence::refusal_for(&gateway, &head, fingerprint, &prompt_parts)
+    {
         return refuse(&gateway, &refusal, &id, &route.name, arrived_at);
     }
     let Some(service) = route.pick_service(rand::random()).map(str::to_owned) else {
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -123,6 +123,7 @@
                     running,
                     ..
                 } = stream;
+                request.record_whole();
                 record_stream_end(&request, &history, &selected);
                 drop(running);
                 request
