Streams: a sole version tells the origin only while the instance hears of new endpoints

Cause: a stream whose origin is not recorded is taken for one of the only version that the instance knows, also where it has heard nothing for seconds.

An instance now keeps as of when it knows what the store, the lease holder, an instance linked to it or one that it asked knew.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -129,10 +129,13 @@
 
 /// Exchanges with one instance; returns what that one knows in the end.
 async fn exchange(gateway: &Gateway, address: SocketAddr) -> Option<KnownVersions> {
+    let begun_at = gateway.now();
     let result = timeout(EXCHANGE_TIMEOUT, exchange_on_link(gateway, address)).await;
     let known = result.ok().flatten();
     if known.is_none() {
         log::debug!(address:% = address; "no exchange with another instance");
+    } else {
+        gateway.record_known(begun_at);
     }
     known
 }
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -54,6 +54,7 @@
         let failed_call = follower.failed_call;
         let known_version = gateway.exchange_state().list_version;
         follower.newest_version = follower.newest_version.max(known_version);
+        let asked_at = gateway.now();
         // Heartbeats change the list several times a second; a wait would only hide a silent store.
         let call = follower.next_batch(&gateway, Duration::ZERO);
         let Some((batch, kind)) = removing_expired(&gateway, call).await else {
@@ -85,6 +86,7 @@
         gateway.servers.remove_expired(now);
         // After the change, so that no update to other instances has the time without the change.
         gateway.list_read_at.send_replace(now);
+        gateway.record_known(asked_at);
         unchanged_at = now;
         gateway
             .servers_listed
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -351,6 +351,8 @@
                 if !is_whole {
                     None
                 } else if known.holding {
+                    // The instance knew what it reports after this reading of the holder's clock.
+                    gateway.record_known(Duration::from_millis(report.clock_echo));
                     inbox.report(link_id, LinkReport {
                         demand: report,
                         updates: outgoing.clone(),
@@ -592,10 +594,11 @@
     if !update.holding {
         return;
     }
-    gateway
+    let now = gateway.now();
+    let age = gateway
         .quotas
         .credit()
-        .hear(update.clock_ms, update.live_instances, gateway.now());
+        .hear(update.clock_ms, update.live_instances, now);
     if update.grants_room {
         let now = gateway.now();
         gateway.servers.hear_room_holder(update.live_instances, now);
@@ -634,4 +637,6 @@
     if !views.is_empty() {
         gateway.servers.apply_views(&views, gateway.now());
     }
+    // An instance that stood still finds old updates first.
+    gateway.record_known(now.saturating_sub(age));
 }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -289,6 +289,8 @@
     pub lease_held: watch::Sender<bool>,
     /// When the lease holder's estimate for a cold model arrived, and its time until ready.
     pub ready_estimates: Mutex<BTreeMap<DemandKey, (Duration, Duration)>>,
+    /// As of when this instance knows what the store, the lease holder or another instance knew.
+    pub known_at: watch::Sender<Duration>,
     pub(super) exchange: Mutex<ExchangeState>,
     budgets: Mutex<RetryBudgets>,
     crash_suspects: Mutex<CrashSuspects>,
@@ -345,6 +347,7 @@
             detours: watch::Sender::new(Vec::new()),
             lease_held: watch::Sender::new(false),
             ready_estimates: Mutex::default(),
+            known_at: watch::Sender::new(Duration::ZERO),
             exchange: Mutex::default(),
             budgets: Mutex::new(RetryBudgets::new(
                 settings.retry_allowance,
@@ -434,6 +437,19 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Records that this instance knows what the store or another instance knew at a time.
+    pub fn record_known(&self, at: Duration) {
+        self.known_at.send_modify(|known| *known = at.max(*known));
+    }
+
+    /// Whether this instance has just heard from the store or another instance.
+    ///
+    /// One that was cut off or stood still may not know endpoints that have joined since.
+    #[must_use]
+    pub fn is_in_step(&self) -> bool {
+        self.now() <= *self.known_at.borrow() + MAX_KNOWLEDGE_AGE
+    }
+
     /// Software versions at which streams began.
     pub fn stream_origins(&self) -> MutexGuard<'_, StreamOrigins> {
         self.stream_origins
@@ -512,6 +528,9 @@
     }
 }
 
+/// Age of what an instance knows from which endpoints may have joined unseen; longer than the interval
+/// of reads and updates.
+const MAX_KNOWLEDGE_AGE: Duration = Duration::from_secs(1);
 /// Time for which the origin of a stream is remembered beyond the longest timeout of a route.
 const ORIGIN_MARGIN: Duration = Duration::from_secs(5);
 /// Time before the process exits at which requests without an answer are refused.
--- a/src/gateway/stream/origin.rs
+++ b/src/gateway/stream/origin.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use super::super::feed::observe_software;
 use super::super::serve::{NOT_READY_RETRY_DELAY, RoutedRequest};
@@ -15,6 +15,9 @@
 /// Time in which an instance that starts learns of the versions before: some reads of the store.
 const HISTORY_TIMEOUT: Duration = Duration::from_millis(1500);
 
+/// Interval between two looks whether this instance hears of new endpoints again.
+const STEP_INTERVAL: Duration = Duration::from_millis(50);
+
 impl RoutedRequest {
     /// Requires the software version at which the resumed stream began, if the request resumes one.
     ///
@@ -35,7 +38,7 @@
         let told = timeout(limit.min(self.time_left()), self.known_origin()).await;
         let Ok(software) = told else {
             let refusal = Refusal::not_run(Cause::UnknownOrigin);
-            return Err(if is_complete() {
+            return Err(if is_complete() && self.gateway.is_in_step() {
                 refusal
             } else {
                 refusal.retry_after(NOT_READY_RETRY_DELAY)
@@ -46,18 +49,24 @@
     }
 
     /// Waits until the origin of the resumed stream is known; none without any endpoint.
+    ///
+    /// That a service has a single version tells it only while this instance hears of new endpoints.
     async fn known_origin(&self) -> Option<String> {
         let attempt = self.head.resumes.as_deref().unwrap_or_default();
         loop {
             let told = self.gateway.origins_told.notified();
-            let origin = {
+            let is_in_step = self.gateway.is_in_step();
+            observe_software(&self.gateway);
+            let (origin, is_recorded) = {
                 let origins = self.gateway.stream_origins();
-                origins.origin(attempt, &self.service, self.now())
+                let origin = origins.origin(attempt, &self.service, self.now());
+                (origin, origins.is_recorded(attempt, &self.service))
             };
             match origin {
-                Origin::Version(software) => return Some(software),
-                Origin::NoVersion => return None,
+                Origin::Version(software) if is_recorded || is_in_step => return Some(software),
+                Origin::NoVersion if is_in_step => return None,
                 Origin::Unknown => told.await,
+                Origin::Version(_) | Origin::NoVersion => sleep(STEP_INTERVAL).await,
             }
         }
     }
--- a/src/gateway/stream_origins.rs
+++ b/src/gateway/stream_origins.rs
@@ -227,6 +227,14 @@
         }
     }
 
+    /// Whether it is recorded where a stream began, so that it does not follow from the versions alone.
+    #[must_use]
+    pub fn is_recorded(&self, attempt: &str, service: &str) -> bool {
+        let recorded = self.streams.get(&StreamKey::new(attempt));
+        let version = recorded.and_then(|s| self.versions.get(s.version));
+        version.is_some_and(|v| v.service == service)
+    }
+
     /// Number of the newest record; the next notice tells what came after it.
     #[must_use]
     pub const fn last_number(&self) -> u64 {
