--- a/src/gateway/crash_parts.rs
+++ b/src/gateway/crash_parts.rs
@@ -3,8 +3,9 @@
 //! Evidence is the end of an incarnation of an endpoint together with the requests that were on it;
 //! a part counts where their answer had not begun. A request or part is blamed after several such
 //! ends at different times without an answer in between, at any instance. A closed connection of an
-//! incarnation that goes on answering is no end: the blame that rests on it is lifted. The lease holder joins the evidence
-//! of all instances and publishes what is blamed; an instance without a holder uses its own.
+//! incarnation that goes on answering is no end: the blame that rests on it is lifted. The lease
+//! holder joins the evidence of all instances and publishes what is blamed; an instance without a
+//! holder uses its own.
 //! Reasons and bounds: `docs/design/crash-suspects.md`.
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -99,13 +100,13 @@
     at: Duration,
     until: Duration,
     rounds: u32,
-    /// Deaths that this instance blamed it for; none where it was told.
+    /// Deaths on which the blame rests; empty where another instance sent the blame.
     deaths: Vec<(IncarnationId, Duration)>,
 }
 
 /// What an instance knows about requests and parts of prompts under which endpoints end.
 ///
-/// A request is known by its fingerprint in the places of a part.
+/// A request has its fingerprint in place of a part's digest.
 #[derive(Debug, Default)]
 pub struct CrashParts {
     deaths: BTreeMap<IncarnationId, Death>,
--- a/src/gateway/crash_suspects.rs
+++ b/src/gateway/crash_suspects.rs
@@ -11,8 +11,8 @@
 const MAX_BREAKS: u32 = 3;
 /// Time since the last break after which a count expires; callers retry such requests for minutes.
 const BREAK_TTL: Duration = Duration::from_mins(5);
-/// Time for which a request is refused after an instance has said that it refuses it.
-const TOLD_TIME: Duration = Duration::from_mins(1);
+/// Time for which a request is refused that an instance of an earlier build refuses.
+const REFUSAL_TIME: Duration = Duration::from_mins(1);
 /// Most fingerprints stored, with breaks, as refused and to be reported.
 const MAX_FINGERPRINTS: usize = 4096;
 
@@ -50,8 +50,8 @@
 #[derive(Debug, Default)]
 pub struct CrashSuspects {
     breaks: BTreeMap<Fingerprint, BreakCount>,
-    /// Until when requests are refused that another instance refuses.
-    told: BTreeMap<Fingerprint, Duration>,
+    /// Requests that another instance refuses, and until when.
+    remote: BTreeMap<Fingerprint, Duration>,
     unreported: Vec<Fingerprint>,
 }
 
@@ -83,18 +83,18 @@
 
     /// Adds the requests that another instance refuses.
     pub fn merge_refused(&mut self, refused: &[Fingerprint], now: Duration) {
-        self.told.retain(|_, until| now < *until);
-        self.told
-            .extend(refused.iter().map(|print| (*print, now + TOLD_TIME)));
-        while self.told.len() > MAX_FINGERPRINTS {
-            self.told.pop_first();
+        self.remote.retain(|_, until| now < *until);
+        self.remote
+            .extend(refused.iter().map(|print| (*print, now + REFUSAL_TIME)));
+        while self.remote.len() > MAX_FINGERPRINTS {
+            self.remote.pop_first();
         }
     }
 
     /// Whether a request is refused.
     #[must_use]
     pub fn is_refused(&self, print: Fingerprint, now: Duration) -> bool {
-        self.told.get(&print).is_some_and(|until| now < *until)
+        self.remote.get(&print).is_some_and(|until| now < *until)
             || self.breaks.get(&print).is_some_and(|b| b.is_refused(now))
     }
 
