--- a/src/gateway/crash_parts/verdict.rs
+++ b/src/gateway/crash_parts/verdict.rs
@@ -107,10 +107,16 @@
             let rounds = self.blamed.get(&part).map_or(0, |b| b.rounds) + 1;
             let time = BLAME_TIME * 2_u32.pow(rounds.min(8) - 1);
             let until = now + time.min(MAX_BLAME_TIME);
-            log::warn!(part = part, deaths = tally.moments(), requests = tally.requests.len(),
-                rounds = rounds, refused_ms = super::millis(until.saturating_sub(now)),
-                is_request = tally.is_request;
-                "prompt part refused from now on: endpoints end before they answer it");
+            let refused_ms = super::millis(until.saturating_sub(now));
+            if tally.is_request {
+                log::warn!(fingerprint = part, breaks = tally.moments(), rounds = rounds,
+                    refused_ms = refused_ms;
+                    "request refused from now on: endpoints end while they run it");
+            } else {
+                log::warn!(part = part, deaths = tally.moments(), requests = tally.requests.len(),
+                    rounds = rounds, refused_ms = refused_ms;
+                    "prompt part refused from now on: endpoints end before they answer it");
+            }
             let blame = Blame {
                 at: now,
                 until,
@@ -134,7 +140,7 @@
             }
         }
         for part in lifted {
-            log::warn!(part = part; "prompt part no longer refused: its endpoints answer");
+            log::warn!(id = part; "refusal lifted: the endpoints that it rests on answer");
             self.clear_blame(part);
             // Others lift it as they do after an answer with it.
             self.sound.record(part, now);
--- a/src/gateway/exchange/knowledge.rs
+++ b/src/gateway/exchange/knowledge.rs
@@ -197,9 +197,9 @@
     }
     gateway.crash_parts().merge_blamed(&knowledge.blamed, now);
     let is_blamed = |id: &&u64| knowledge.blamed.iter().any(|b| b.part == **id);
-    let told = knowledge.refused.iter().filter(|id| !is_blamed(id));
-    let told: Vec<u64> = told.copied().collect();
-    gateway.crash_suspects().merge_refused(&told, now);
+    let counted = knowledge.refused.iter().filter(|id| !is_blamed(id));
+    let counted: Vec<u64> = counted.copied().collect();
+    gateway.crash_suspects().merge_refused(&counted, now);
     apply_origins(gateway, knowledge.origins.as_ref());
     for entry in &knowledge.leaving {
         let found_at = now.saturating_sub(Duration::from_millis(entry.age_ms.into()));
