Configuration: all rows are read after an outage in place of its changes

Cause: the store answers with every change since the version that it is asked for, each with the whole configuration. After 16 s these do not arrive in the 0.9 s of a call; the call is given up and asks for the same again, until the store has dropped its history (29.3 s: 'change history no longer available' after five calls that were 'unended').

After a failed call the configuration is read as a row, which has its newest text only, at the same number of calls. The server list, whose rows may take several calls, is read by changes and by rows in turn.

Test large_configs_after_silence (16 s of silence at eleven phases, 90 ms a row) fails before with versions of the outage not in force 2 s after the return, and passes now; config_feed and list_feed pass.

--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -16,7 +16,7 @@
 mod removal;
 
 pub use config::follow_config;
-use follower::{BatchKind, TableFollower};
+use follower::{BatchKind, CatchUp, TableFollower};
 pub use removal::relist_end;
 use removal::{RemovalBounds, mass_removal_end, removing_expired};
 
@@ -47,7 +47,7 @@
     holding: watch::Receiver<bool>,
     mut holder_link: watch::Receiver<HolderLink>,
 ) {
-    let mut follower = TableFollower::new(SERVERS_TABLE);
+    let mut follower = TableFollower::new(SERVERS_TABLE, CatchUp::InTurn);
     let mut relist_until = Duration::ZERO;
     let mut unchanged_at = Duration::ZERO;
     loop {
--- a/src/gateway/feed/config.rs
+++ b/src/gateway/feed/config.rs
@@ -8,7 +8,7 @@
 
 use super::super::link::HolderLink;
 use super::super::shared::Gateway;
-use super::follower::TableFollower;
+use super::follower::{CatchUp, TableFollower};
 
 /// Table that holds the configuration.
 const CONFIG_TABLE: &str = "op";
@@ -29,7 +29,7 @@
 /// dead connection to the store as soon, as long as the holder reads the configuration itself. A
 /// call that relies on that ends with it.
 pub async fn follow_config(gateway: Arc<Gateway>, mut holder_link: watch::Receiver<HolderLink>) {
-    let mut follower = TableFollower::new(CONFIG_TABLE);
+    let mut follower = TableFollower::new(CONFIG_TABLE, CatchUp::Rows);
     let deadline = gateway.settings.config_deadline;
     loop {
         let covered_until = config_covered_until(&holder_link.borrow(), deadline);
--- a/src/gateway/feed/follower.rs
+++ b/src/gateway/feed/follower.rs
@@ -25,10 +25,22 @@
     Restored,
 }
 
+/// What is read first once the store answers again.
+///
+/// The changes of an outage may be more than one answer can bring.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum CatchUp {
+    /// All rows: few, and each change has a whole row.
+    Rows,
+    /// Changes and all rows in turn: all rows may take several calls.
+    InTurn,
+}
+
 /// Reads the changes of one table.
 #[derive(Debug)]
 pub(super) struct TableFollower {
     table: &'static str,
+    catch_up: CatchUp,
     version: Option<u64>,
     pub(super) newest_version: u64,
     answered_at: Option<Duration>,
@@ -41,9 +53,10 @@
 }
 
 impl TableFollower {
-    pub(super) const fn new(table: &'static str) -> Self {
+    pub(super) const fn new(table: &'static str, catch_up: CatchUp) -> Self {
         Self {
             table,
+            catch_up,
             version: None,
             newest_version: 0,
             answered_at: None,
@@ -70,7 +83,9 @@
             wait
         };
         let sent_at = gateway.now();
-        let result = match self.version {
+        let after = self.version.filter(|_| !self.rereads());
+        let read_all = after.is_none();
+        let result = match after {
             Some(version) => feed.changes_since(self.table, version, wait).await,
             None => feed.snapshot(self.table).await,
         };
@@ -85,10 +100,13 @@
             Ok(batch) => {
                 self.record_success(gateway);
                 let is_new_era = table::era(batch.version) > table::era(self.newest_version);
-                let kind = match self.version {
-                    Some(_) => BatchKind::Changes,
-                    None if is_new_era && self.newest_version > 0 => BatchKind::Restored,
-                    None => BatchKind::Snapshot,
+                let kind = if !read_all {
+                    BatchKind::Changes
+                } else if is_new_era && self.newest_version > 0 {
+                    self.log_restore(gateway);
+                    BatchKind::Restored
+                } else {
+                    BatchKind::Snapshot
                 };
                 self.version = Some(batch.version);
                 self.newest_version = batch.version;
@@ -101,9 +119,6 @@
                 None
             }
             Err(FeedError::Restored) => {
-                log::warn!(table = self.table, version = self.newest_version;
-                    "store came back from an older copy; reading all rows");
-                gateway.stats.record_restore(self.table);
                 self.version = None;
                 None
             }
@@ -121,6 +136,20 @@
         }
     }
 
+    /// Whether all rows are read in place of the changes, after calls that failed.
+    const fn rereads(&self) -> bool {
+        match self.catch_up {
+            CatchUp::Rows => self.failures > 0,
+            CatchUp::InTurn => self.failures > 0 && self.failures.is_multiple_of(2),
+        }
+    }
+
+    fn log_restore(&self, gateway: &Gateway) {
+        log::warn!(table = self.table, version = self.newest_version;
+            "store came back from an older copy; reading all rows");
+        gateway.stats.record_restore(self.table);
+    }
+
     fn record_failure(&mut self, error: &str, wait: Duration, took: Duration, pause: Duration) {
         self.failures += 1;
         log::info!(table = self.table, failures = self.failures, wait_ms = millis(wait),
