Store: an answer that keeps coming in is read to its end

After an outage many instances read the configuration at once; on the crowded way from the store an answer of about a megabyte takes more than the 0.9 s of a call.

Once an answer has begun it may take 1.6 s longer, as long as something comes each 0.4 s. A store that is silent is given up as before.

Test slow_answer_is_read (1.6 s in 16 parts) fails without the change; an answer that stalls, or never ends, is still given up (stalled_answer_is_given_up, endless_answer_is_given_up).

--- a/src/outbound.rs
+++ b/src/outbound.rs
@@ -226,6 +226,28 @@
             .map_err(|late| SendError::new(SendFault::Unended, to, &late))?
     }
 
+    /// The same, where an answer that has begun may take up to `body` longer as long as it comes in.
+    ///
+    /// # Errors
+    ///
+    /// [`SendError`]; [`SendFault::Unended`] also where nothing came for a quarter of `body`.
+    pub async fn call_long(
+        &self,
+        to: SocketAddr,
+        request: Request<Full<Bytes>>,
+        freshness: Freshness,
+        limit: Duration,
+        body: Duration,
+        most: usize,
+    ) -> Result<Answer, SendError> {
+        let end = Instant::now() + limit + body;
+        let reply = self.send(to, request, freshness, limit).await?;
+        let read = reply.read_while(self, most, body / 4);
+        tokio::time::timeout_at(end, read)
+            .await
+            .map_err(|late| SendError::new(SendFault::Unended, to, &late))?
+    }
+
     /// Puts a connection back whose answer was read to its end.
     pub fn put(&self, to: SocketAddr, sender: Sender) {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
@@ -341,11 +363,24 @@
     /// [`SendFault::Body`] where the body ends early, [`SendFault::Unended`] where it is larger than
     /// `most` bytes or is no body.
     pub async fn read(self, pool: &Outbound, most: usize) -> Result<Answer, SendError> {
+        self.read_while(pool, most, Duration::MAX).await
+    }
+
+    /// The same, where each part of the body comes within `pause` of the one before.
+    async fn read_while(
+        self,
+        pool: &Outbound,
+        most: usize,
+        pause: Duration,
+    ) -> Result<Answer, SendError> {
         let from = self.from;
         let (head, mut body) = self.response.into_parts();
         // One buffer: a body in chunks of one byte takes many times its size as a list of frames.
         let mut bytes = BytesMut::new();
-        while let Some(frame) = body.frame().await {
+        loop {
+            let next = timeout(pause, body.frame()).await;
+            let next = next.map_err(|late| SendError::new(SendFault::Unended, from, &late))?;
+            let Some(frame) = next else { break };
             let frame = frame.map_err(|error| {
                 let fault = if is_garbled(&error) {
                     SendFault::Unended
