Configuration: instances that the store does not answer fetch it from others

Only the holder sent a configuration, and it knew only what it read itself. And it sent the whole text to all, on the links that carry leases, grants and views: again with each report that did not name the version yet, and never again where the queue of a link was full, as what was queued counted as known.

The holder now tells which version is the newest at any instance, from their reports, and six that have it. An instance that has a new version reports at once. Instances of earlier builds are sent the text once for each link and version.

--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -137,6 +137,7 @@
     let servers = feed::follow_servers(Arc::clone(gateway), holding, holder_link.clone());
     tokio::spawn(servers);
     tokio::spawn(exchange::run(Arc::clone(gateway), holder_link.clone()));
+    tokio::spawn(exchange::fetch_configs(Arc::clone(gateway)));
     tokio::spawn(reach::watch(Arc::clone(gateway)));
     tokio::spawn(quotas::run(Arc::clone(gateway)));
     tokio::spawn(room::run(Arc::clone(gateway)));
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -19,9 +19,13 @@
 use super::shared::Gateway;
 use crate::peers::codec::{Frames, frames};
 
+mod fetch;
 mod knowledge;
 mod message;
 
+pub(super) use fetch::MAX_TRANSFERS;
+use fetch::newer_config_parts;
+pub use fetch::{ConfigNotice, fetch_configs};
 pub use knowledge::{ExchangeState, apply, join, keeps, known_versions, lacks, newer_than};
 pub use message::{EndpointEntry, Knowledge, KnownVersions, LeavingEntry};
 
@@ -174,8 +178,7 @@
 async fn next_answer(link: &mut Frames) -> Option<Knowledge> {
     let mut parts = Vec::new();
     while parts.len() < MAX_FRAMES {
-        let update = FleetUpdate::decode(link.next().await?.ok()?).ok()?;
-        let part = update.exchange?;
+        let part = next_part(link).await?;
         let more = part.more;
         parts.push(part);
         if !more {
@@ -185,6 +188,11 @@
     None
 }
 
+async fn next_part(link: &mut Frames) -> Option<Knowledge> {
+    let update = FleetUpdate::decode(link.next().await?.ok()?).ok()?;
+    update.exchange
+}
+
 /// Answers another instance that exchanges over a link, until it closes the link.
 pub(super) async fn serve(gateway: &Gateway, mut link: Frames, first: Knowledge) -> Option<()> {
     let mut parts = Vec::new();
@@ -194,7 +202,14 @@
         parts.push(part);
         if !more {
             let received = join(std::mem::take(&mut parts));
-            for frame in answer(gateway, &received)? {
+            let asks_config = received.known?.config_only;
+            // Held until the text is sent.
+            let transfer = asks_config.then(|| gateway.config_transfers.try_acquire());
+            let frames = match &transfer {
+                Some(Err(_)) => vec![Knowledge::default()],
+                Some(Ok(_)) | None => answer(gateway, &received)?,
+            };
+            for frame in frames {
                 let update = FleetUpdate {
                     exchange: Some(frame),
                     ..FleetUpdate::default()
@@ -217,6 +232,9 @@
 #[must_use]
 pub fn answer(gateway: &Gateway, received: &Knowledge) -> Option<Vec<Knowledge>> {
     let other = received.known?;
+    if other.config_only {
+        return Some(newer_config_parts(gateway, other.config_version));
+    }
     let has_content = received.has_list || !received.config.is_empty();
     apply(gateway, received);
     let own = known_versions(gateway);
--- a/src/gateway/exchange/knowledge.rs
+++ b/src/gateway/exchange/knowledge.rs
@@ -51,6 +51,7 @@
         wants_list: state.list_version == 0 || state.list_copied || is_stale,
         beliefs: beliefs(gateway),
         stopping: *gateway.stopping.borrow(),
+        config_only: false,
     }
 }
 
--- a/src/gateway/exchange/message.rs
+++ b/src/gateway/exchange/message.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bytes::Bytes;
 use prost::Message;
 
 use super::super::link::{BlamedPart, ModelView, millis};
@@ -28,6 +29,9 @@
     /// Whether it is stopping.
     #[prost(bool, tag = "5")]
     pub stopping: bool,
+    /// Whether the configuration alone is asked for. Earlier builds send all that is newer.
+    #[prost(bool, tag = "6")]
+    pub config_only: bool,
 }
 
 /// An endpoint of a server list.
@@ -196,4 +200,7 @@
     /// Requests and parts of prompts that are blamed, also named in `refused` for earlier builds.
     #[prost(message, repeated, tag = "11")]
     pub blamed: Vec<BlamedPart>,
+    /// Part of the text of a newer configuration, for a receiver that asked for that alone.
+    #[prost(bytes = "bytes", tag = "12")]
+    pub config_part: Bytes,
 }
--- a/src/gateway/feed/config.rs
+++ b/src/gateway/feed/config.rs
@@ -47,6 +47,9 @@
                 continue;
             }
         };
+        gateway.config_lost.send_if_modified(|lost| {
+            std::mem::replace(lost, follower.is_lost()) != follower.is_lost()
+        });
         let Some((batch, _)) = next else {
             continue;
         };
--- a/src/gateway/feed/follower.rs
+++ b/src/gateway/feed/follower.rs
@@ -144,6 +144,11 @@
         }
     }
 
+    /// Whether the last call failed.
+    pub(super) const fn is_lost(&self) -> bool {
+        self.lost_since.is_some()
+    }
+
     fn log_restore(&self, gateway: &Gateway) {
         log::warn!(table = self.table, version = self.newest_version;
             "store came back from an older copy; reading all rows");
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -16,7 +16,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep, timeout};
 
-use super::exchange;
+use super::exchange::{self, ConfigNotice};
 use super::lease::LeaseRow;
 use super::orders::inbox::{DemandInbox, LinkReport};
 use super::protocol::Target;
@@ -176,6 +176,7 @@
         cut_off: !gateway.cut_services.borrow().is_empty(),
         reads_successors: true,
         reports_closed: true,
+        fetches_config: true,
         ..DemandReport::default()
     }
 }
@@ -604,6 +605,14 @@
         gateway.servers.hear_room_holder(update.live_instances, now);
         gateway.servers.merge_brittle(&update.brittle, now);
     }
+    gateway.note_config(ConfigNotice {
+        version: update.config_version,
+        sources: update
+            .config_sources
+            .iter()
+            .filter_map(|a| a.parse().ok())
+            .collect(),
+    });
     gateway.record_list_change(update.list_change);
     apply_leaving(gateway, &update.leaving);
     apply_origins(gateway, update.origins.as_ref());
--- a/src/gateway/link/message.rs
+++ b/src/gateway/link/message.rs
@@ -131,6 +131,10 @@
 }
 
 /// Report from an instance to the lease holder.
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each is a field of the message by itself"
+)]
 #[derive(Clone, PartialEq, Message)]
 pub struct DemandReport {
     /// Name of the instance.
@@ -190,6 +194,9 @@
     /// Whether `crashes` has what `aborted` has, with the endpoints.
     #[prost(bool, tag = "52")]
     pub reports_closed: bool,
+    /// Whether it fetches a configuration that it is told of.
+    #[prost(bool, tag = "60")]
+    pub fetches_config: bool,
 }
 
 /// An incarnation of an endpoint that leaves.
@@ -330,7 +337,7 @@
     /// Number of live instances, if the sender holds the lease.
     #[prost(uint32, tag = "3")]
     pub live_instances: u32,
-    /// Text of a newer configuration; empty if there is none.
+    /// Text of a newer configuration, for a receiver that does not fetch it; empty if there is none.
     ///
     /// Updates to many links share one copy.
     #[prost(bytes = "bytes", tag = "4")]
@@ -401,4 +408,10 @@
     /// Services whose endpoints are brittle, if the sender holds the lease.
     #[prost(message, repeated, tag = "52")]
     pub brittle: Vec<BrittleEntry>,
+    /// Newest version of the configuration at any instance, if the sender holds the lease.
+    #[prost(uint64, tag = "60")]
+    pub config_version: u64,
+    /// Addresses of some instances that have it.
+    #[prost(string, repeated, tag = "61")]
+    pub config_sources: Vec<String>,
 }
--- a/src/gateway/orders/publish.rs
+++ b/src/gateway/orders/publish.rs
@@ -1,18 +1,22 @@
 //! Publishes engine views and estimated waits to all instances.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use bytes::Bytes;
 use rand::seq::SliceRandom;
 use tokio::sync::mpsc;
 
 use super::super::catalog::Catalog;
 use super::super::crash_suspects::Fingerprint;
+use super::super::exchange::ConfigNotice;
 use super::super::link::{self, CrashEvidence, DemandReport, EngineView, FleetUpdate, TargetCount};
 use super::super::planner::{EngineAction, TargetDemand};
 use super::super::protocol::Target;
 use super::super::servers::EndpointView;
+use super::super::shared::Gateway;
 use super::super::stream_origins::{OriginNotice, Scope};
 use super::OrderController;
 use super::inbox::LinkReport;
@@ -23,6 +27,8 @@
 const FULL_VIEW_INTERVAL: Duration = Duration::from_secs(1);
 /// Most addresses of instances with a path to endpoints in an update to one without.
 const MAX_DETOURS: usize = 16;
+/// Most addresses of instances with the newest configuration in an update.
+const MAX_CONFIG_SOURCES: usize = 6;
 /// Longest interval between updates to an instance; they carry the lease holder's clock.
 const MAX_UPDATE_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -45,6 +51,8 @@
     crashes_sent: LastSent,
     /// Digests of the loads that it was sent last.
     loads_sent: LastSent,
+    /// Version of the configuration that it was told of or sent last.
+    config_sent: u64,
 }
 
 impl OrderController {
@@ -72,21 +80,14 @@
         let loads = self.records.loads_in_progress(now);
         let load_ids = loads.ids();
         let detours = self.detours();
+        let notice = self.config_notice(catalog);
         let origins_complete = self.gateway.stream_origins().is_complete(now);
         let brittle = self.gateway.servers.brittle_entries(now);
         let own_detours = detours.iter().filter_map(|a| a.parse().ok()).collect();
         self.gateway.detours.send_replace(own_detours);
         let live = u32::try_from(self.peers.len() + 1).unwrap_or(u32::MAX);
         self.gateway.servers.apply_views(&views, now);
-        self.gateway.budgets().resize(live);
-        self.gateway.servers.hear_room_holder(live, now);
-        link::apply_grants(&self.gateway, &limits.entries(OWN_NUMBER), live);
-        link::apply_ramps(&self.gateway, &self.ramps.entries(OWN_NUMBER, true), live);
-        for estimate in estimates {
-            let key = (estimate.scope.clone(), estimate.target());
-            self.gateway
-                .set_estimate(key, Duration::from_millis(estimate.wait_ms.into()));
-        }
+        self.apply_own(estimates, limits, live, now);
         self.views
             .update(views.iter().map(EngineView::from_view).collect());
         for (number, peer) in &mut self.peers {
@@ -101,7 +102,9 @@
                 list_change,
                 list_age_ms: link::millis(now.saturating_sub(list_read_at)),
                 config_age_ms: link::millis(now.saturating_sub(config_read_at)),
-                config: link::newer_config(&self.gateway, peer.demand.config_version),
+                config: peer.unsent_config(&self.gateway),
+                config_version: notice.version,
+                config_sources: peer.config_sources(&notice),
                 engines: self
                     .views
                     .since(if full_due { 0 } else { peer.sent_version }),
@@ -134,9 +137,9 @@
                 ..FleetUpdate::default()
             };
             let update_due = now >= peer.last_sent + MAX_UPDATE_INTERVAL;
-            if full_due || update_due || has_updates(&update) {
+            let has_news = notice.version > peer.config_known() || has_updates(&update);
+            if full_due || update_due || has_news {
                 peer.last_sent = now;
-                peer.demand.config_version = peer.demand.config_version.max(catalog.version);
                 if full_due {
                     peer.full_sent = now;
                 }
@@ -144,6 +147,7 @@
                 peer.leaving_sent |= sent;
                 if sent {
                     peer.origins_sent = last_origin;
+                    peer.config_sent = peer.sent_config(catalog.version, notice.version);
                 }
                 peer.sent_version = if sent { self.views.version() } else { 0 };
                 peer.refused_sent.record(&refused, sent);
@@ -185,6 +189,40 @@
             .collect()
     }
 
+    /// Takes over at this instance what others are sent.
+    fn apply_own(&self, estimates: &[TargetCount], limits: &LimitGrants, live: u32, now: Duration) {
+        let gateway = &self.gateway;
+        gateway.budgets().resize(live);
+        gateway.servers.hear_room_holder(live, now);
+        link::apply_grants(gateway, &limits.entries(OWN_NUMBER), live);
+        link::apply_ramps(gateway, &self.ramps.entries(OWN_NUMBER, true), live);
+        for estimate in estimates {
+            let key = (estimate.scope.clone(), estimate.target());
+            gateway.set_estimate(key, Duration::from_millis(estimate.wait_ms.into()));
+        }
+    }
+
+    /// Newest configuration at any instance, and some instances that have it; noted here as well.
+    fn config_notice(&self, catalog: &Catalog) -> ConfigNotice {
+        let newest = self.demands().map(|d| d.config_version).max();
+        let version = newest.unwrap_or_default().max(catalog.version);
+        let has_it = self.demands().filter(|d| d.config_version == version);
+        let mut sources: Vec<SocketAddr> = has_it.filter_map(|d| d.address.parse().ok()).collect();
+        sources.shuffle(&mut rand::rng());
+        sources.truncate(MAX_CONFIG_SOURCES);
+        let notice = ConfigNotice { version, sources };
+        let is_lacking = version > catalog.version;
+        self.gateway.note_config(ConfigNotice {
+            version,
+            sources: if is_lacking {
+                notice.sources.clone()
+            } else {
+                Vec::new()
+            },
+        });
+        notice
+    }
+
     /// Addresses of some instances with a path to endpoints, if any instance has none.
     fn detours(&self) -> Vec<String> {
         if self.demands().all(|d| !d.cut_off) {
@@ -276,7 +314,38 @@
             refused_sent: LastSent::default(),
             crashes_sent: LastSent::default(),
             loads_sent: LastSent::default(),
+            config_sent: 0,
+        }
+    }
+
+    /// Version of the configuration that it has, is told of, or will have from this link.
+    fn config_known(&self) -> u64 {
+        self.demand.config_version.max(self.config_sent)
+    }
+
+    /// Text of the configuration for an instance that does not fetch it, once for each link.
+    fn unsent_config(&self, gateway: &Gateway) -> Bytes {
+        if self.demand.fetches_config {
+            return Bytes::new();
+        }
+        link::newer_config(gateway, self.config_known())
+    }
+
+    /// Version that was sent or told with an update, where the holder's own is `own`.
+    const fn sent_config(&self, own: u64, newest: u64) -> u64 {
+        if self.demand.fetches_config {
+            newest
+        } else {
+            own
+        }
+    }
+
+    /// Where an instance finds a configuration that it lacks.
+    fn config_sources(&self, notice: &ConfigNotice) -> Vec<String> {
+        if self.demand.config_version >= notice.version {
+            return Vec::new();
         }
+        notice.sources.iter().map(ToString::to_string).collect()
     }
 
     /// Estimates for the models that requests at this instance wait for.
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -7,13 +7,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, Semaphore, watch};
 
 use super::budget::{RetryAllowance, RetryBudgets};
 use super::catalog::Catalog;
 use super::crash_parts::CrashParts;
 use super::crash_suspects::CrashSuspects;
-use super::exchange::ExchangeState;
+use super::exchange::{ConfigNotice, ExchangeState, MAX_TRANSFERS};
 use super::lease::LeaseTiming;
 use super::link::ToldLoads;
 use super::protocol::{TableFeed, Target, WireProtocol};
@@ -267,6 +267,12 @@
     pub list_read_at: watch::Sender<Duration>,
     /// When this instance last read the configuration.
     pub config_read_at: watch::Sender<Duration>,
+    /// Whether the store's last answer about the configuration failed.
+    pub config_lost: watch::Sender<bool>,
+    /// Newest configuration in force at any instance, as the lease holder tells.
+    pub config_notice: watch::Sender<ConfigNotice>,
+    /// Permits to send the text of the configuration to another instance.
+    pub config_transfers: Semaphore,
     /// When a table of the store was last read after calls that failed.
     pub store_regained_at: watch::Sender<Duration>,
     /// Connections to endpoints.
@@ -336,6 +342,9 @@
             list_change: watch::Sender::new(0),
             list_read_at: watch::Sender::new(Duration::ZERO),
             config_read_at: watch::Sender::new(Duration::ZERO),
+            config_lost: watch::Sender::new(false),
+            config_notice: watch::Sender::default(),
+            config_transfers: Semaphore::new(MAX_TRANSFERS),
             store_regained_at: watch::Sender::new(Duration::ZERO),
             outbound,
             demand: Arc::default(),
@@ -482,7 +491,7 @@
         let version = catalog.version;
         self.stream_origins()
             .set_retention(catalog.longest_timeout() + ORIGIN_MARGIN);
-        self.active_config.send_if_modified(|active| {
+        let is_new = self.active_config.send_if_modified(|active| {
             let known = active.as_ref().map(|f| f.catalog.version);
             if known.is_some_and(|v| v >= version) {
                 return false;
@@ -493,13 +502,17 @@
             }
             let accounts = catalog.accounts.as_ref().map_or(0, |a| a.iter().count());
             log::info!(from = from, version = version, before = known.unwrap_or_default(),
-                accounts = accounts; "configuration in force");
+                accounts = accounts, bytes = text.len(); "configuration in force");
             *active = Some(ActiveConfig {
                 catalog: Arc::new(catalog),
                 text: Bytes::copy_from_slice(text.as_bytes()),
             });
             true
         });
+        if is_new {
+            // Instances that the store does not answer learn of the version from the next report.
+            self.demand.changed.notify_one();
+        }
     }
 
     /// Stores the lease holder's estimate of the time until a cold model can be served.
