Link: what an update says counts from when it was sent

An update that waited on its way, behind others or to a slow instance, told that the holder had just read the configuration and the server list.

The time of the reading is now taken from when the update was sent, by the holder's clock in it and the quickest update of the link. When it was heard stays as it is: a successor's wait for the lease starts no earlier.

Test late_update_is_old (0.9 s on the way) fails before: read at the very time at which it was heard.

--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -463,12 +463,13 @@
                 let row_version = update.row_version;
                 let list_age = Duration::from_millis(update.list_age_ms.into());
                 let config_age = Duration::from_millis(update.config_age_ms.into());
-                apply_update(gateway, update);
+                let way = apply_update(gateway, update);
                 if !holding {
                     return redirect.filter(|redirect| *redirect != address);
                 }
                 let heard_at = gateway.now();
-                let list_read_at = heard_at.saturating_sub(list_age);
+                let sent_at = heard_at.saturating_sub(way);
+                let list_read_at = sent_at.saturating_sub(list_age);
                 let list_read_since = holder_link.borrow().unbroken_since(address, list_read_at);
                 let next = HolderLink {
                     up: true,
@@ -477,7 +478,7 @@
                     heard_at,
                     list_read_at,
                     list_read_since,
-                    config_read_at: heard_at.saturating_sub(config_age),
+                    config_read_at: sent_at.saturating_sub(config_age),
                 };
                 if !holder_link.send_replace(next).up {
                     log::info!(dependency = "lease holder", address:% = address;
@@ -586,14 +587,16 @@
 }
 
 /// Applies an update from another instance.
-pub fn apply_update(gateway: &Gateway, update: FleetUpdate) {
+///
+/// Returns how much longer than others it was on its way, if the sender holds the lease.
+pub fn apply_update(gateway: &Gateway, update: FleetUpdate) -> Duration {
     match std::str::from_utf8(&update.config) {
         Ok("") => {}
         Ok(config) => gateway.activate_config(config, "link"),
         Err(error) => log::error!(error:% = error; "configuration of another instance is no text"),
     }
     if !update.holding {
-        return;
+        return Duration::ZERO;
     }
     let now = gateway.now();
     let age = gateway
@@ -648,4 +651,5 @@
     }
     // An instance that stood still finds old updates first.
     gateway.record_known(now.saturating_sub(age));
+    age
 }
