Configuration: the lease holder sends its text only where nobody else has it

Orders and the echoes that keep the lease leave by the same way as texts. Other instances that have the version are named first.

--- a/src/gateway/orders/publish.rs
+++ b/src/gateway/orders/publish.rs
@@ -206,8 +206,13 @@
     fn config_notice(&self, catalog: &Catalog) -> ConfigNotice {
         let newest = self.demands().map(|d| d.config_version).max();
         let version = newest.unwrap_or_default().max(catalog.version);
-        let has_it = self.demands().filter(|d| d.config_version == version);
+        let peers = self.peers.values().map(|p| &p.demand);
+        let has_it = peers.filter(|d| d.config_version == version);
         let mut sources: Vec<SocketAddr> = has_it.filter_map(|d| d.address.parse().ok()).collect();
+        if sources.is_empty() && catalog.version == version {
+            // Texts on the holder's own way delay its orders and echoes.
+            sources.push(self.gateway.settings.peers_addr);
+        }
         sources.shuffle(&mut rand::rng());
         sources.truncate(MAX_CONFIG_SOURCES);
         let notice = ConfigNotice { version, sources };
