Orders: an order is sent only if the lease still holds once there is a connection

The lease was checked before the connection was opened only. An order that is held back for want of the lease no longer counts as an engine that cannot be reached.

Tests nothing_is_sent_once_it_is_invalid and lost_lease_is_no_unreachable_engine.

--- a/src/gateway/orders/port.rs
+++ b/src/gateway/orders/port.rs
@@ -150,12 +150,15 @@
         }
         let request = self.gateway.platform.wire.order_request(order);
         let outbound = &self.gateway.outbound;
-        let call = outbound.call(
+        // The machine may have stood still while the connection was opened.
+        let is_valid = || self.fencing_token() == Some(order.fencing_token);
+        let call = outbound.call_while(
             self.address,
             request,
             Freshness::Distinct,
             ANSWER_TIMEOUT,
             MAX_REPORT_BYTES,
+            is_valid,
         );
         let (answer, status) = match call.await {
             Err(error) => {
--- a/src/gateway/orders/send.rs
+++ b/src/gateway/orders/send.rs
@@ -184,6 +184,9 @@
                 }
                 OrderAnswer::Refused => return Outcome::Refused,
                 OrderAnswer::Gone => return Outcome::Gone,
+                OrderAnswer::NotSent if self.port.fencing_token().is_none() => {
+                    return Outcome::NoLease;
+                }
                 OrderAnswer::NotSent => return Outcome::Unreachable,
                 OrderAnswer::Conflict => {
                     sleep(busy_delay).await;
--- a/src/outbound.rs
+++ b/src/outbound.rs
@@ -217,9 +217,36 @@
         freshness: Freshness,
         limit: Duration,
         most: usize,
+    ) -> Result<Answer, SendError> {
+        self.call_while(to, request, freshness, limit, most, || true)
+            .await
+    }
+
+    /// The same where the request is sent only if `is_valid` holds once there is a connection.
+    ///
+    /// # Errors
+    ///
+    /// [`SendFault::NotSent`] where it does not hold; others as [`Self::call`] has them.
+    pub async fn call_while(
+        &self,
+        to: SocketAddr,
+        request: Request<Full<Bytes>>,
+        freshness: Freshness,
+        limit: Duration,
+        most: usize,
+        is_valid: impl Fn() -> bool + Send,
     ) -> Result<Answer, SendError> {
         let end = Instant::now() + limit;
-        let reply = self.send(to, request, freshness, limit).await?;
+        let id = named(request.headers(), &self.settings.echo);
+        let link = self
+            .open_unlike(to, freshness, |last| last == id.as_ref())
+            .await?;
+        if !is_valid() {
+            let sender = link.sender;
+            self.put(to, sender);
+            return Err(SendError::new(SendFault::NotSent, to, &"no longer valid"));
+        }
+        let reply = link.send(request, limit).await?;
         let read = reply.read(self, most);
         tokio::time::timeout_at(end, read)
             .await
