Bodies of callers share a quarter of the machine's memory

Clients outside the limits ended a process: it ran out of memory. 80 clients that stop just short of the end of a body of 2 MB took an instance to 213 MB (in pieces), 191 MB (whole, and in chunks of 64 kB), 193 MB (32 MB stated) and 160 MB (32 MB in chunks), and to 58 MB with chunks of one byte, 10 MB in all.

Cause: each body was collected whole before anything bounded their sum, each chunk as an entry of its own, and copied once more at its end; a stated length over the limit was found out by reading up to the limit.

Bodies now take room out of a quarter of limits.ramMb, in segments of 16 kB, as they arrive, and keep it until the request has ended. Without room the body that has been arriving for longest makes way after a second, else the newcomer is refused; the last eighth is for small bodies. Both are 503 and not run. A stated length over the limit is refused by the head.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -6,6 +6,7 @@
 
 pub mod accounts;
 pub mod admission;
+pub mod body_room;
 pub mod budget;
 pub mod catalog;
 pub mod crash_evidence;
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -9,6 +9,7 @@
 use hyper::{HeaderMap, Method, Request, Response, Uri};
 
 use super::accounts::Account;
+use super::body_room::{BodyPermit, read_body};
 use super::catalog::{Catalog, Route};
 use super::crash_parts::{PartId, part_ids};
 use super::crash_suspects::{Fingerprint, fingerprint};
@@ -19,7 +20,7 @@
 use super::shared::Gateway;
 use super::{crash_evidence, detour, forward, key_check, stream};
 use crate::http::Body;
-use crate::request::{self, discard_body};
+use crate::request::discard_body;
 use crate::request_context::RequestLimits;
 use crate::verdict::{Cause, Refusal, Verdict};
 
@@ -66,6 +67,8 @@
     pub headers: HeaderMap,
     /// Complete body.
     pub body: Bytes,
+    /// Memory that the body takes.
+    pub permit: Option<BodyPermit>,
     /// Digest of path, query and body, which identifies requests that crash endpoints.
     pub fingerprint: Fingerprint,
     /// Digests of the prompt's parts, without the last one.
@@ -186,8 +189,8 @@
         body_timeout: route.timeout,
         ..RequestLimits::default()
     };
-    let body = match request::read_body(body, &bounds).await {
-        Ok(body) => body,
+    let (body, permit) = match read_body(body, &gateway.body_room, &bounds).await {
+        Ok(read) => read,
         Err(refusal) => return refuse(&gateway, &refusal, &id, &route.name, arrived_at),
     };
     let target = parts.uri.path_and_query();
@@ -218,6 +221,7 @@
         software: None,
         headers,
         body,
+        permit: Some(permit),
         fingerprint,
         parts: prompt_parts,
         charged,
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use tokio::sync::{Notify, Semaphore, watch};
 
+use super::body_room::BodyRoom;
 use super::budget::{RetryAllowance, RetryBudgets};
 use super::catalog::Catalog;
 use super::crash_parts::CrashParts;
@@ -67,6 +68,8 @@
     pub echo_header: String,
     /// Most connections open from callers.
     pub max_connections: usize,
+    /// Memory of the machine for this process, in bytes.
+    pub memory_bytes: usize,
 }
 
 impl Default for GatewaySettings {
@@ -90,6 +93,7 @@
             relist_grace: Duration::from_secs(2),
             echo_header: crate::http::REQUEST_ID.to_owned(),
             max_connections: 2048,
+            memory_bytes: 256 << 20,
         }
     }
 }
@@ -308,10 +312,14 @@
     pub quotas: Quotas,
     /// Room of brittle endpoints.
     pub room: RoomSharing,
+    /// Memory for the bodies of requests.
+    pub body_room: Arc<BodyRoom>,
     /// Notified when another instance has reported where streams began.
     pub(super) origins_told: Notify,
 }
 
+/// Share of the memory that bodies of requests may take, as a divisor.
+const BODY_SHARE: usize = 4;
 /// Assumed number of live instances until the lease holder has reported it.
 pub(super) const DEFAULT_INSTANCES: u32 = 8;
 
@@ -369,6 +377,7 @@
             told_loads: Mutex::default(),
             quotas: Quotas::new(rand::random()),
             room: RoomSharing::default(),
+            body_room: BodyRoom::new(settings.memory_bytes / BODY_SHARE),
             origins_told: Notify::new(),
             settings,
         }))
