Links and control ports: bounds on what is read of a frame or a head that has no end

80 connections to the port for instances, each with all but the last byte of a frame of 1 MB, took an instance to 124 MB; 80 heads of 380 kB without an end at the readiness port to 70 MB. The buffer of a frame was reserved whole by its stated length, and heads had the library's bound of 400 kB.

Sixteen frames over 64 kB arrive at a time, on at most 1,024 links; a frame that gets no permit closes its link, which its instance opens again. The ports for probes and metrics take heads of 8 kB on at most 256 connections.

--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -13,7 +13,7 @@
 use futures_util::{SinkExt, StreamExt};
 use prost::Message;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{Semaphore, mpsc, watch};
 use tokio::time::{Instant, sleep, timeout};
 
 use super::exchange::{self, ConfigNotice};
@@ -32,7 +32,7 @@
 mod message;
 mod ramps;
 
-use crate::peers::codec::{Frames, frames};
+use crate::peers::codec::{Frames, accepted_frames, frames};
 pub use evidence::{BlamedPart, BrokenRequest, CrashEvidence, EndpointDeath, SoundAnswer};
 pub(super) use limits::apply_grants;
 pub use limits::{apply_limits, limit_entries};
@@ -57,6 +57,10 @@
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 /// Longest time between two reads of the server list by a holder that the store answers.
 const MAX_LIST_GAP: Duration = Duration::from_millis(1500);
+/// Most links that others have opened.
+const MAX_LINKS: usize = 1024;
+/// Most large frames that arrive on them at a time.
+const MAX_LARGE_FRAMES: usize = 16;
 /// Most updates queued for a slow link.
 const MAX_QUEUED_UPDATES: usize = 64;
 
@@ -296,35 +300,43 @@
     inbox: Arc<DemandInbox>,
 ) {
     let mut link_id = 0;
+    let slots = Arc::new(Semaphore::new(MAX_LINKS));
+    let large = Arc::new(Semaphore::new(MAX_LARGE_FRAMES));
     loop {
         let Ok((stream, from)) = listener.accept().await else {
             sleep(RETRY_DELAY).await;
             continue;
         };
+        let Ok(slot) = Arc::clone(&slots).try_acquire_owned() else {
+            log::warn!(from:% = from; "too many links; closing a new one");
+            continue;
+        };
         link_id += 1;
         log::debug!(from:% = from, link = link_id; "link opened");
+        if let Err(error) = stream.set_nodelay(true) {
+            log::debug!(error:% = error; "cannot set TCP_NODELAY on a link");
+        }
         let task = serve_link(
             Arc::clone(&gateway),
-            stream,
+            accepted_frames(stream, &large),
             holder_info.clone(),
             Arc::clone(&inbox),
             link_id,
         );
-        tokio::spawn(task);
+        tokio::spawn(async move {
+            task.await;
+            drop(slot);
+        });
     }
 }
 
 async fn serve_link(
     gateway: Arc<Gateway>,
-    stream: TcpStream,
+    mut link: Frames,
     holder_info: watch::Receiver<HolderInfo>,
     inbox: Arc<DemandInbox>,
     link_id: u64,
 ) {
-    if let Err(error) = stream.set_nodelay(true) {
-        log::debug!(error:% = error; "cannot set TCP_NODELAY on a link");
-    }
-    let mut link = frames(stream);
     let (outgoing, mut updates) = mpsc::channel(MAX_QUEUED_UPDATES);
     loop {
         let update: Option<FleetUpdate> = tokio::select! {
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -26,6 +26,11 @@
 /// Smallest buffer for a request head that hyper accepts.
 const MIN_HEAD_BUFFER_BYTES: usize = 8192;
 
+/// Most connections to a port for probes or metrics.
+const MAX_CONTROL_CONNECTIONS: usize = 256;
+/// Longest time from one request's end to the end of the next one's head there.
+const CONTROL_HEAD_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// Serves callers until `close` turns true and all their connections have ended.
 ///
 /// Connections open at that time are closed after their current request. New ones are still
@@ -206,11 +211,16 @@
     listener: TcpListener,
     respond: impl Fn() -> Response<Body> + Clone + Send + Sync + 'static,
 ) {
+    let slots = Arc::new(Semaphore::new(MAX_CONTROL_CONNECTIONS));
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
+        let Ok(slot) = Arc::clone(&slots).try_acquire_owned() else {
+            log::warn!("too many connections to a control port; closing a new one");
+            continue;
+        };
         let respond = respond.clone();
         tokio::spawn(async move {
             let service = service_fn(move |_: Request<Incoming>| {
@@ -219,8 +229,11 @@
             });
             let connection = hyper::server::conn::http1::Builder::new()
                 .timer(TokioTimer::new())
+                .header_read_timeout(CONTROL_HEAD_TIMEOUT)
+                .max_buf_size(MIN_HEAD_BUFFER_BYTES)
                 .serve_connection(TokioIo::new(stream), service);
             log_connection_end(connection.await);
+            drop(slot);
         });
     }
 }
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -16,7 +16,7 @@
 mod receive;
 mod traffic;
 
-pub use codec::{Frames, MAX_FRAME_BYTES, frames};
+pub use codec::{FrameCodec, Frames, MAX_FRAME_BYTES, accepted_frames, frames};
 pub use fleet::{Fleet, FleetDelta, Load, ResidentLoad};
 pub use handle::{Inbound, MeshHandle, PeerError, Request};
 pub use mesh::{Mesh, MeshConfig, MeshSettings};
