Callers that read no answer lose their connection

16 clients that send requests and read nothing kept their connections for good, and the kernel held up to 4 MB of answers for each (0.95 MB after eight seconds, still growing); in the end no connection is left for others.

The send buffer of a caller's connection is 64 kB, and a connection on which the client takes nothing for idleTimeoutMs is closed.

Test unread_answers fails before (36 descriptors open, 19 before the crowd).

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -42,3 +42,4 @@
 pub mod stream;
 pub mod stream_origins;
 pub mod urgency;
+mod write_timeout;
--- a/src/gateway/body_room.rs
+++ b/src/gateway/body_room.rs
@@ -189,6 +189,7 @@
     bounds: &RequestLimits,
 ) -> Result<(Bytes, BodyPermit), Refusal> {
     let mut body = body;
+    let begun = Instant::now();
     let read = read_parts(&mut body, room, bounds);
     let result = timeout(bounds.body_timeout, read)
         .await
@@ -201,7 +202,7 @@
     {
         // Otherwise the connection is reset and the refusal may be lost.
         let bounds = RequestLimits {
-            body_timeout: MIN_ARRIVAL_TIME,
+            body_timeout: bounds.body_timeout.saturating_sub(begun.elapsed()),
             ..bounds.clone()
         };
         discard_body(body, &bounds).await;
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -11,12 +11,14 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, watch};
 use tokio_util::task::TaskTracker;
 
 use super::serve;
 use super::shared::Gateway;
+use super::write_timeout::WriteTimeout;
 use crate::http::{Body, full};
 
 /// Delay after a failed accept, for example when file descriptors run out.
@@ -26,6 +28,8 @@
 /// Smallest buffer for a request head that hyper accepts.
 const MIN_HEAD_BUFFER_BYTES: usize = 8192;
 
+/// Send buffer of a caller's connection, in bytes; the kernel takes twice as much.
+const SEND_BUFFER_BYTES: usize = 64 << 10;
 /// Most connections to a port for probes or metrics.
 const MAX_CONTROL_CONNECTIONS: usize = 256;
 /// Longest time from one request's end to the end of the next one's head there.
@@ -121,6 +125,10 @@
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!(error:% = error; "cannot set TCP_NODELAY on a caller's connection");
     }
+    // The kernel would hold megabytes of answers that the caller does not read.
+    if let Err(error) = SockRef::from(&stream).set_send_buffer_size(SEND_BUFFER_BYTES) {
+        log::debug!(error:% = error; "cannot set the send buffer of a caller's connection");
+    }
     let limits = gateway.catalog().map(|c| c.limits).unwrap_or_default();
     let service = service_fn(move |request| {
         let gateway = Arc::clone(&gateway);
@@ -133,7 +141,10 @@
         // hyper counts the idle time before a head towards this timeout.
         .header_read_timeout(limits.idle_timeout.max(limits.head_timeout))
         .max_buf_size(limits.head_bytes.max(MIN_HEAD_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(
+            TokioIo::new(WriteTimeout::new(stream, limits.idle_timeout)),
+            service,
+        );
     tokio::pin!(connection);
     if !closing {
         tokio::select! {
