Configuration: a text that cannot be read is fetched again after a pause only

A source whose text this build cannot decode, or that is not newer, was asked again at once, a whole text each time. It counts as a source without one now, and the pause between such sources doubles up to 0.96 s.

--- a/src/gateway/exchange/fetch.rs
+++ b/src/gateway/exchange/fetch.rs
@@ -27,8 +27,10 @@
 const LOST_HEAD_START: Duration = Duration::from_millis(20);
 /// Time after which the next instance is asked beside one that has not answered.
 const ASK_STAGGER: Duration = Duration::from_millis(500);
-/// Pause before the next instance is asked after one that could not answer.
-const RETRY_PAUSE: Duration = Duration::from_millis(60);
+/// Pause before the next instance is asked after one that had no usable text; doubles with each.
+const MIN_RETRY_PAUSE: Duration = Duration::from_millis(60);
+/// Longest such pause.
+const MAX_RETRY_PAUSE: Duration = Duration::from_millis(960);
 /// Longest time of one fetch.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(1800);
 /// Most fetches under way.
@@ -101,6 +103,7 @@
 async fn fetch_newest(gateway: &Arc<Gateway>, notices: &watch::Receiver<ConfigNotice>) {
     let mut fetches = JoinSet::new();
     let mut asked = BTreeSet::new();
+    let mut pause = MIN_RETRY_PAUSE;
     loop {
         let notice = notices.borrow().clone();
         if !gateway.lacks_config(&notice) {
@@ -117,7 +120,8 @@
             Ok(Some(Ok(Some(())))) | Err(_) => continue,
             Ok(Some(Ok(None)) | None) => {}
         }
-        sleep(RETRY_PAUSE).await;
+        sleep(pause).await;
+        pause = (pause * 2).min(MAX_RETRY_PAUSE);
     }
 }
 
@@ -134,7 +138,7 @@
     Some(picked)
 }
 
-/// Fetches from one instance; none if it has nothing newer, or no time for it.
+/// Fetches from one instance; none if it has nothing newer that this one can read, or no time.
 async fn fetch(gateway: &Gateway, source: SocketAddr) -> Option<()> {
     let begun_at = gateway.now();
     let known_version = gateway.catalog().map_or(0, |c| c.version);
@@ -154,7 +158,8 @@
         }
     }
     gateway.record_known(begun_at);
-    Some(())
+    let version = gateway.catalog().map_or(0, |c| c.version);
+    (version > known_version).then_some(())
 }
 
 async fn fetch_text(gateway: &Gateway, source: SocketAddr, known_version: u64) -> Option<Bytes> {
