Link, outbound, serve and shared: one job a file; plainer names and comments

link.rs keeps the link to the holder and what messages change; accept.rs has the links that others open, report.rs the reports.

--- a/src/gateway/exchange/fetch.rs
+++ b/src/gateway/exchange/fetch.rs
@@ -1,7 +1,7 @@
 //! Fetches a newer configuration from instances that have it, where the store does not bring it.
 //!
-//! The lease holder tells which version is the newest in force anywhere and who has it. The text has a
-//! connection of its own, so that nothing on the links to the holder waits behind it.
+//! The lease holder announces the newest version at any instance, and some instances that have it. The
+//! text travels on a connection of its own, so that no message on the link to the holder waits for it.
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -39,10 +39,10 @@
 const MAX_CONFIG_BYTES: usize = 8 << 20;
 /// Largest part of a text in one frame.
 const PART_BYTES: usize = 256 << 10;
-/// Most texts that an instance sends at a time; others are asked meanwhile.
+/// Most configurations that an instance sends at the same time.
 pub(in super::super) const MAX_TRANSFERS: usize = 8;
 
-/// Newest version of the configuration that is in force at some instance.
+/// Announcement of the newest configuration that is in force at any instance.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct ConfigNotice {
     /// Its version.
@@ -52,8 +52,8 @@
 }
 
 impl Gateway {
-    /// Records which version of the configuration is the newest, and who has it.
-    pub fn note_config(&self, notice: ConfigNotice) {
+    /// Takes over an announcement; instances that lack its version fetch it.
+    pub fn announce_config(&self, notice: ConfigNotice) {
         self.config_notice.send_if_modified(|known| {
             let is_news = *known != notice;
             *known = notice;
@@ -80,7 +80,7 @@
     }
 }
 
-/// Waits for a version, no longer than the head start of the store.
+/// Waits for the store to bring a version, no longer than its head start.
 async fn await_store(gateway: &Gateway, version: u64) {
     let mut active = gateway.active_config.subscribe();
     let mut lost = gateway.config_lost.subscribe();
@@ -99,7 +99,7 @@
     }
 }
 
-/// Asks one source after the other until the newest version that is known of is in force.
+/// Asks one source after the other until the announced version is in force.
 async fn fetch_newest(gateway: &Arc<Gateway>, notices: &watch::Receiver<ConfigNotice>) {
     let mut fetches = JoinSet::new();
     let mut asked = BTreeSet::new();
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -47,7 +47,7 @@
     holding: watch::Receiver<bool>,
     mut holder_link: watch::Receiver<HolderLink>,
 ) {
-    let mut follower = TableFollower::new(SERVERS_TABLE, CatchUp::InTurn);
+    let mut follower = TableFollower::new(SERVERS_TABLE, CatchUp::Alternate);
     let mut relist_until = Duration::ZERO;
     let mut unchanged_at = Duration::ZERO;
     loop {
--- a/src/gateway/feed/follower.rs
+++ b/src/gateway/feed/follower.rs
@@ -25,15 +25,13 @@
     Restored,
 }
 
-/// What is read first once the store answers again.
-///
-/// The changes of an outage may be more than one answer can bring.
+/// What a call asks for after failed ones: the changes of an outage may not fit into one answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum CatchUp {
-    /// All rows: few, and each change has a whole row.
+    /// All rows, for a table with few of them.
     Rows,
-    /// Changes and all rows in turn: all rows may take several calls.
-    InTurn,
+    /// Changes and all rows alternately, as all rows may take several calls.
+    Alternate,
 }
 
 /// Reads the changes of one table.
@@ -83,7 +81,7 @@
             wait
         };
         let sent_at = gateway.now();
-        let after = self.version.filter(|_| !self.rereads());
+        let after = self.version.filter(|_| !self.reads_all());
         let read_all = after.is_none();
         let result = match after {
             Some(version) => feed.changes_since(self.table, version, wait).await,
@@ -137,10 +135,10 @@
     }
 
     /// Whether all rows are read in place of the changes, after calls that failed.
-    const fn rereads(&self) -> bool {
+    const fn reads_all(&self) -> bool {
         match self.catch_up {
             CatchUp::Rows => self.failures > 0,
-            CatchUp::InTurn => self.failures > 0 && self.failures.is_multiple_of(2),
+            CatchUp::Alternate => self.failures > 0 && self.failures.is_multiple_of(2),
         }
     }
 
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -4,7 +4,6 @@
 //! other instance responds with the holder and the configuration that it knows, so that a new
 //! instance can join through any of them.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,27 +11,26 @@
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
 use prost::Message;
-use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, mpsc, watch};
+use tokio::net::TcpStream;
+use tokio::sync::watch;
 use tokio::time::{Instant, sleep, timeout};
 
-use super::exchange::{self, ConfigNotice};
+use super::exchange::ConfigNotice;
 use super::lease::LeaseRow;
-use super::orders::inbox::{DemandInbox, LinkReport};
-use super::protocol::Target;
-use super::quotas::message::QuotaReport;
-use super::room::message::RoomReport;
 use super::servers::EndpointView;
-use super::shared::{Gateway, ModelDemand, WaitingRequest};
+use super::shared::Gateway;
 use super::stream_origins::{OriginNotice, Scope};
 
+mod accept;
 mod evidence;
 mod limits;
 mod loads;
 mod message;
 mod ramps;
+mod report;
 
-use crate::peers::codec::{Frames, accepted_frames, frames};
+use crate::peers::codec::{Frames, frames};
+pub use accept::serve;
 pub use evidence::{BlamedPart, BrokenRequest, CrashEvidence, EndpointDeath, SoundAnswer};
 pub(super) use limits::apply_grants;
 pub use limits::{apply_limits, limit_entries};
@@ -42,6 +40,8 @@
 };
 pub(super) use ramps::apply_ramps;
 pub use ramps::{PaceEntry, RampEntry};
+pub use report::demand_report;
+use report::{first_report, later_report, quota_report, room_report};
 
 /// Timeout for opening a link.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
@@ -57,13 +57,6 @@
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 /// Longest time between two reads of the server list by a holder that the store answers.
 const MAX_LIST_GAP: Duration = Duration::from_millis(1500);
-/// Most links that others have opened.
-const MAX_LINKS: usize = 1024;
-/// Most large frames that arrive on them at a time.
-const MAX_LARGE_FRAMES: usize = 16;
-/// Most updates queued for a slow link.
-const MAX_QUEUED_UPDATES: usize = 64;
-
 /// State of the link to the lease holder.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct HolderLink {
@@ -148,80 +141,6 @@
     pub holder: Option<SocketAddr>,
 }
 
-/// Creates a report of the demand at this instance; takes the arrivals counted so far.
-#[must_use]
-pub fn demand_report(gateway: &Gateway) -> DemandReport {
-    let now = gateway.now();
-    let mut requested = Vec::new();
-    for ((service, target), demand) in gateway.demand.take_demand() {
-        requested.extend(target_counts(&service, &target, &demand, now));
-    }
-    let mut running = Vec::new();
-    let catalog = gateway.catalog();
-    for (service, _) in catalog.iter().flat_map(|c| c.engines()) {
-        for (id, target, count) in gateway.servers.running_requests(service) {
-            running.push(TargetCount {
-                count,
-                ..TargetCount::new(&id, &target)
-            });
-        }
-    }
-    DemandReport {
-        instance: gateway.settings.name.clone(),
-        config_version: config_version(gateway),
-        requested,
-        running,
-        aborted: gateway.crash_suspects().take_unreported(),
-        clock_echo: 0,
-        leaving: recently_leaving(gateway),
-        crashes: crash_report(gateway, false),
-        limits: limit_entries(gateway),
-        address: gateway.settings.peers_addr.to_string(),
-        cut_off: !gateway.cut_services.borrow().is_empty(),
-        reads_successors: true,
-        reports_closed: true,
-        fetches_config: true,
-        ..DemandReport::default()
-    }
-}
-
-/// Demand for a target, and beside it that of requests which may run at one software version only.
-fn target_counts(
-    service: &str,
-    target: &Target,
-    demand: &ModelDemand,
-    now: Duration,
-) -> Vec<TargetCount> {
-    let mut versions: BTreeMap<Option<&String>, Vec<&WaitingRequest>> =
-        BTreeMap::from([(None, Vec::new())]);
-    for request in demand.waiting.values() {
-        let software = request.software.as_ref();
-        versions.entry(software).or_default().push(request);
-    }
-    let counts = versions.into_iter().map(|(software, waiting)| {
-        let oldest = waiting.iter().map(|w| w.arrived_at).min().unwrap_or(now);
-        let objective = waiting.iter().map(|w| w.objective).max();
-        let in_time_until = waiting.iter().map(|w| w.arrived_at + w.objective).max();
-        let (arrivals, refused, ended, late) = match software {
-            None => (demand.arrivals, demand.refused, demand.ended, demand.late),
-            Some(_) => (0, 0, 0, 0),
-        };
-        TargetCount {
-            count: u32::try_from(waiting.len()).unwrap_or(u32::MAX),
-            arrivals,
-            refused,
-            ended,
-            late,
-            wait_ms: millis(now.saturating_sub(oldest)),
-            objective_ms: millis(objective.unwrap_or_default()),
-            left_ms: millis(in_time_until.unwrap_or(now).saturating_sub(now)),
-            software: software.cloned().unwrap_or_default(),
-            ..TargetCount::new(service, target)
-        }
-    });
-    counts.collect()
-}
-
 /// Takes over where streams began at other instances.
 pub(super) fn apply_origins(gateway: &Gateway, origins: Option<&OriginNotice>) {
     if let Some(notice) = origins {
@@ -240,12 +159,6 @@
     }
 }
 
-/// What this instance knows about parts of prompts under which endpoints end, if anything.
-fn crash_report(gateway: &Gateway, all: bool) -> Option<CrashEvidence> {
-    let report = gateway.crash_parts().report(all, gateway.now());
-    (report != CrashEvidence::default()).then_some(report)
-}
-
 /// Endpoints that were recently found to leave, as a message says it.
 #[must_use]
 pub fn recently_leaving(gateway: &Gateway) -> Vec<LeavingEndpoint> {
@@ -271,11 +184,6 @@
     }
 }
 
-fn config_version(gateway: &Gateway) -> u64 {
-    let in_force = gateway.active_config.borrow();
-    in_force.as_ref().map_or(0, |f| f.catalog.version)
-}
-
 /// Converts a duration to milliseconds as used in messages and log fields.
 #[must_use]
 pub fn millis(time: Duration) -> u32 {
@@ -292,107 +200,6 @@
     }
 }
 
-/// Accepts links from other instances until the process exits.
-pub async fn serve(
-    gateway: Arc<Gateway>,
-    listener: TcpListener,
-    holder_info: watch::Receiver<HolderInfo>,
-    inbox: Arc<DemandInbox>,
-) {
-    let mut link_id = 0;
-    let slots = Arc::new(Semaphore::new(MAX_LINKS));
-    let large = Arc::new(Semaphore::new(MAX_LARGE_FRAMES));
-    loop {
-        let Ok((stream, from)) = listener.accept().await else {
-            sleep(RETRY_DELAY).await;
-            continue;
-        };
-        let Ok(slot) = Arc::clone(&slots).try_acquire_owned() else {
-            log::warn!(from:% = from; "too many links; closing a new one");
-            continue;
-        };
-        link_id += 1;
-        log::debug!(from:% = from, link = link_id; "link opened");
-        if let Err(error) = stream.set_nodelay(true) {
-            log::debug!(error:% = error; "cannot set TCP_NODELAY on a link");
-        }
-        let task = serve_link(
-            Arc::clone(&gateway),
-            accepted_frames(stream, &large),
-            holder_info.clone(),
-            Arc::clone(&inbox),
-            link_id,
-        );
-        tokio::spawn(async move {
-            task.await;
-            drop(slot);
-        });
-    }
-}
-
-async fn serve_link(
-    gateway: Arc<Gateway>,
-    mut link: Frames,
-    holder_info: watch::Receiver<HolderInfo>,
-    inbox: Arc<DemandInbox>,
-    link_id: u64,
-) {
-    let (outgoing, mut updates) = mpsc::channel(MAX_QUEUED_UPDATES);
-    loop {
-        let update: Option<FleetUpdate> = tokio::select! {
-            frame = timeout(SILENCE_TIMEOUT, link.next()) => {
-                let Ok(Some(Ok(bytes))) = frame else { break };
-                let Ok(mut report) = DemandReport::decode(bytes) else { break };
-                apply_origins(&gateway, report.origins.take().as_ref());
-                if let Some(told) = report.exchange {
-                    if exchange::serve(&gateway, link, told).await.is_none() {
-                        log::trace!(link = link_id; "exchange ended");
-                    }
-                    return;
-                }
-                let quotas = report.quotas.take();
-                let room = report.room.take();
-                let is_whole = quotas.as_ref().is_none_or(|q| !q.only)
-                    && room.as_ref().is_none_or(|r| !r.only);
-                if let Some(quotas) = quotas {
-                    gateway.quotas.serve(&gateway, link_id, &report.instance, &quotas, &outgoing);
-                }
-                if let Some(room) = room {
-                    gateway.room.serve(&gateway, link_id, &room, &outgoing);
-                }
-                let known = holder_info.borrow().clone();
-                if !is_whole {
-                    None
-                } else if known.holding {
-                    // The instance knew what it reports after this reading of the holder's clock.
-                    gateway.record_known(Duration::from_millis(report.clock_echo));
-                    inbox.report(link_id, LinkReport {
-                        demand: report,
-                        updates: outgoing.clone(),
-                        heard_at: gateway.now(),
-                    });
-                    None
-                } else {
-                    Some(FleetUpdate {
-                        holder: known.holder.map(|h| h.to_string()).unwrap_or_default(),
-                        config: newer_config(&gateway, report.config_version),
-                        ..FleetUpdate::default()
-                    })
-                }
-            }
-            update = updates.recv() => update,
-        };
-        if let Some(update) = update
-            && send(&mut link, &update).await.is_none()
-        {
-            break;
-        }
-    }
-    inbox.close(link_id);
-    gateway.quotas.close(link_id, gateway.now());
-    gateway.room.close(link_id, gateway.now());
-}
-
 pub(super) async fn send(link: &mut Frames, message: &impl Message) -> Option<()> {
     let bytes = Bytes::from(message.encode_to_vec());
     timeout(SILENCE_TIMEOUT, link.send(bytes)).await.ok()?.ok()
@@ -475,12 +282,12 @@
                 let row_version = update.row_version;
                 let list_age = Duration::from_millis(update.list_age_ms.into());
                 let config_age = Duration::from_millis(update.config_age_ms.into());
-                let way = apply_update(gateway, update);
+                let delay = apply_update(gateway, update);
                 if !holding {
                     return redirect.filter(|redirect| *redirect != address);
                 }
                 let heard_at = gateway.now();
-                let sent_at = heard_at.saturating_sub(way);
+                let sent_at = heard_at.saturating_sub(delay);
                 let list_read_at = sent_at.saturating_sub(list_age);
                 let list_read_since = holder_link.borrow().unbroken_since(address, list_read_at);
                 let next = HolderLink {
@@ -538,55 +345,6 @@
     }
 }
 
-/// The first report on a link, with all that a new holder may lack, and the number of its last stream.
-fn first_report(gateway: &Gateway) -> (DemandReport, u64) {
-    let (origins, last_origin) = new_origins(gateway, 0, Scope::Own);
-    let mut first = DemandReport {
-        origins,
-        quotas: gateway.quotas.report(gateway),
-        crashes: crash_report(gateway, true),
-        leaving: all_leaving(gateway),
-        ..demand_report(gateway)
-    };
-    ramps::add_ramps(gateway, &mut first, true);
-    (first, last_origin)
-}
-
-/// A later report with the stream records after a number, and the number of the last one in it.
-fn later_report(gateway: &Gateway, origins_sent: u64) -> (DemandReport, u64) {
-    let (origins, last_origin) = new_origins(gateway, origins_sent, Scope::Own);
-    let mut report = DemandReport {
-        origins,
-        quotas: gateway.quotas.report(gateway),
-        ..demand_report(gateway)
-    };
-    ramps::add_ramps(gateway, &mut report, false);
-    (report, last_origin)
-}
-
-/// A report about quotas alone, sent as soon as a request waits for credit.
-fn quota_report(gateway: &Gateway) -> Option<DemandReport> {
-    let quotas = gateway.quotas.report(gateway)?;
-    Some(DemandReport {
-        instance: gateway.settings.name.clone(),
-        quotas: Some(QuotaReport {
-            only: true,
-            ..quotas
-        }),
-        ..DemandReport::default()
-    })
-}
-
-/// A report about room alone, sent as soon as a request waits for room or has ended.
-fn room_report(gateway: &Gateway) -> Option<DemandReport> {
-    let room = gateway.servers.room_report(gateway.now())?;
-    Some(DemandReport {
-        instance: gateway.settings.name.clone(),
-        room: Some(RoomReport { only: true, ..room }),
-        ..DemandReport::default()
-    })
-}
-
 /// Where streams began since a number of their records, and the number of the last one.
 pub(super) fn new_origins(
     gateway: &Gateway,
@@ -620,7 +378,7 @@
         gateway.servers.hear_room_holder(update.live_instances, now);
         gateway.servers.merge_brittle(&update.brittle, now);
     }
-    gateway.note_config(ConfigNotice {
+    gateway.announce_config(ConfigNotice {
         version: update.config_version,
         sources: update
             .config_sources
--- a/src/gateway/link/message.rs
+++ b/src/gateway/link/message.rs
@@ -194,7 +194,7 @@
     /// Whether `crashes` has what `aborted` has, with the endpoints.
     #[prost(bool, tag = "52")]
     pub reports_closed: bool,
-    /// Whether it fetches a configuration that it is told of.
+    /// Whether it fetches newer configurations that the holder announces.
     #[prost(bool, tag = "60")]
     pub fetches_config: bool,
 }
--- a/src/gateway/orders/publish.rs
+++ b/src/gateway/orders/publish.rs
@@ -51,7 +51,7 @@
     crashes_sent: LastSent,
     /// Digests of the loads that it was sent last.
     loads_sent: LastSent,
-    /// Version of the configuration that it was told of or sent last.
+    /// Version of the configuration that was last announced or sent to it.
     config_sent: u64,
 }
 
@@ -202,7 +202,7 @@
         }
     }
 
-    /// Newest configuration at any instance, and some instances that have it; noted here as well.
+    /// Newest configuration at any instance and some that have it; announced to this one as well.
     fn config_notice(&self, catalog: &Catalog) -> ConfigNotice {
         let newest = self.demands().map(|d| d.config_version).max();
         let version = newest.unwrap_or_default().max(catalog.version);
@@ -210,14 +210,14 @@
         let has_it = peers.filter(|d| d.config_version == version);
         let mut sources: Vec<SocketAddr> = has_it.filter_map(|d| d.address.parse().ok()).collect();
         if sources.is_empty() && catalog.version == version {
-            // Texts on the holder's own way delay its orders and echoes.
+            // Texts from the holder's own machine delay its orders and the echoes of its lease.
             sources.push(self.gateway.settings.peers_addr);
         }
         sources.shuffle(&mut rand::rng());
         sources.truncate(MAX_CONFIG_SOURCES);
         let notice = ConfigNotice { version, sources };
         let is_lacking = version > catalog.version;
-        self.gateway.note_config(ConfigNotice {
+        self.gateway.announce_config(ConfigNotice {
             version,
             sources: if is_lacking {
                 notice.sources.clone()
@@ -323,7 +323,7 @@
         }
     }
 
-    /// Version of the configuration that it has, is told of, or will have from this link.
+    /// Newest version of the configuration that it has, or that was announced or sent to it.
     fn config_known(&self) -> u64 {
         self.demand.config_version.max(self.config_sent)
     }
@@ -336,7 +336,7 @@
         link::newer_config(gateway, self.config_known())
     }
 
-    /// Version that was sent or told with an update, where the holder's own is `own`.
+    /// Version that an update announces or brings: the newest, or the text of the holder's `own`.
     const fn sent_config(&self, own: u64, newest: u64) -> u64 {
         if self.demand.fetches_config {
             newest
--- a/src/outbound.rs
+++ b/src/outbound.rs
@@ -8,11 +8,11 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
-use http_body_util::{BodyExt, Full};
+use bytes::Bytes;
+use http_body_util::Full;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::header::HeaderValue;
-use hyper::{HeaderMap, Request, Response, Version};
+use hyper::{HeaderMap, Request, Version};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
@@ -21,12 +21,14 @@
 mod connects;
 mod fault;
 mod meter;
+mod reply;
 
 pub use connects::{Connects, LastConnect};
 pub use fault::{SendError, SendFault};
 pub use meter::AnswerBody;
 pub(crate) use meter::is_garbled;
 use meter::{MAX_HEAD_BYTES, Meter, MeteredStream};
+pub use reply::{Answer, Reply};
 
 /// Shortest time between two keep-alive probes that the operating system takes.
 const PROBE_LEAST: Duration = Duration::from_secs(1);
@@ -110,25 +112,6 @@
     echo: String,
 }
 
-/// An answer whose body is still to be read.
-#[derive(Debug)]
-pub struct Reply {
-    /// Head and body.
-    pub response: Response<AnswerBody>,
-    /// The other end.
-    pub from: SocketAddr,
-    sender: Sender,
-}
-
-/// A whole answer.
-#[derive(Debug, Clone)]
-pub struct Answer {
-    /// Head.
-    pub head: hyper::http::response::Parts,
-    /// Body.
-    pub body: Bytes,
-}
-
 impl Outbound {
     /// Connections with these bounds.
     #[must_use]
@@ -258,7 +241,7 @@
     /// # Errors
     ///
     /// [`SendError`]; [`SendFault::Unended`] also where nothing came for a quarter of `body`.
-    pub async fn call_long(
+    pub async fn call_with_body(
         &self,
         to: SocketAddr,
         request: Request<Full<Bytes>>,
@@ -366,69 +349,6 @@
     headers.get(echo).filter(|id| !id.is_empty()).cloned()
 }
 
-impl Reply {
-    /// An answer that was taken apart before.
-    #[must_use]
-    pub const fn new(response: Response<AnswerBody>, from: SocketAddr, sender: Sender) -> Self {
-        Self {
-            response,
-            from,
-            sender,
-        }
-    }
-
-    /// Takes the answer apart; the sender keeps the connection open.
-    #[must_use]
-    pub fn into_parts(self) -> (Response<AnswerBody>, Sender) {
-        (self.response, self.sender)
-    }
-
-    /// Reads the whole body and gives the connection back.
-    ///
-    /// # Errors
-    ///
-    /// [`SendFault::Body`] where the body ends early, [`SendFault::Unended`] where it is larger than
-    /// `most` bytes or is no body.
-    pub async fn read(self, pool: &Outbound, most: usize) -> Result<Answer, SendError> {
-        self.read_while(pool, most, Duration::MAX).await
-    }
-
-    /// The same, where each part of the body comes within `pause` of the one before.
-    async fn read_while(
-        self,
-        pool: &Outbound,
-        most: usize,
-        pause: Duration,
-    ) -> Result<Answer, SendError> {
-        let from = self.from;
-        let (head, mut body) = self.response.into_parts();
-        // One buffer: a body in chunks of one byte takes many times its size as a list of frames.
-        let mut bytes = BytesMut::new();
-        loop {
-            let next = timeout(pause, body.frame()).await;
-            let next = next.map_err(|late| SendError::new(SendFault::Unended, from, &late))?;
-            let Some(frame) = next else { break };
-            let frame = frame.map_err(|error| {
-                let fault = if is_garbled(&error) {
-                    SendFault::Unended
-                } else {
-                    SendFault::Body
-                };
-                SendError::new(fault, from, &error)
-            })?;
-            let part = frame.into_data().unwrap_or_default();
-            if bytes.len() + part.len() > most {
-                let detail = format!("the body is larger than {most} bytes");
-                return Err(SendError::new(SendFault::Unended, from, &detail));
-            }
-            bytes.extend_from_slice(&part);
-        }
-        pool.put(from, self.sender);
-        let body = bytes.freeze();
-        Ok(Answer { head, body })
-    }
-}
-
 impl Link {
     /// Whether the connection carried a request before.
     #[must_use]
@@ -482,10 +402,6 @@
             let detail = format!("the answer carries the request id {echoed:?}");
             return Err(SendError::new(SendFault::Crossed, to, &detail));
         }
-        Ok(Reply {
-            response,
-            from: to,
-            sender: self.sender,
-        })
+        Ok(Reply::new(response, to, self.sender))
     }
 }
