Lease: its end is published while the store is asked

Cause, by the logs of a play that failed: the holder's token ends 2 s after the last echo, and no order or update is sent after that; but that it has ended is published between two calls to the store only. A call without an answer takes 0.9 s and the pause after it 0.8 s, so that grants of quota and of room, which go by what is published, went on for up to 1.7 s beside those of the successor.

--- a/src/gateway/renewal.rs
+++ b/src/gateway/renewal.rs
@@ -1,5 +1,6 @@
 //! Claims, renews and releases the lease row.
 
+use std::pin::pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -97,7 +98,7 @@
                 self.sleep_or_stop(&mut stopping, CHECK_INTERVAL).await;
                 continue;
             }
-            if (!holding || row_stale) && !self.read(holding).await {
+            if (!holding || row_stale) && !self.publish_during(self.read(holding)).await {
                 self.publish();
                 self.sleep_or_stop(&mut stopping, READ_INTERVAL).await;
                 continue;
@@ -107,7 +108,7 @@
             if let LeaseAction::Write(version) = action
                 && (holding || !lost_path.defers_claim(now))
             {
-                row_stale = !self.renew(version).await;
+                row_stale = !self.publish_during(self.renew(version)).await;
             }
             self.publish();
             let now = self.gateway.now();
@@ -128,11 +129,23 @@
 
     async fn sleep_or_stop(&self, stopping: &mut watch::Receiver<bool>, time: Duration) {
         tokio::select! {
-            () = sleep(time) => {}
+            () = self.publish_during(sleep(time)) => {}
             _ = stopping.wait_for(|s| *s) => {}
         }
     }
 
+    /// Runs `work`, and publishes meanwhile that the lease has ended.
+    async fn publish_during<T>(&self, work: impl Future<Output = T>) -> T {
+        let mut work = pin!(work);
+        loop {
+            tokio::select! {
+                biased;
+                done = &mut work => return done,
+                () = sleep(CHECK_INTERVAL) => self.publish(),
+            }
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, Lease> {
         self.lease.lock().unwrap_or_else(PoisonError::into_inner)
     }
