Callers' connections: receive buffers that shrink with their number

What the kernel has received and nobody has read counts as memory of the machine. 2,900 connections, each with the kernel's 128 kB, are 371 MB of 260. A connection has 128 kB while few are open, and a share of a 32nd of the memory, divided by their number, with many: 79 MB for 2,900 of them, as the kernel takes twice what is set. No connection is turned away for it.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -9,6 +9,7 @@
 pub mod body_room;
 pub mod budget;
 pub mod catalog;
+pub mod connection_buffers;
 pub mod crash_evidence;
 pub mod crash_parts;
 pub mod crash_suspects;
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -11,11 +11,11 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, watch};
 use tokio_util::task::TaskTracker;
 
+use super::connection_buffers;
 use super::serve;
 use super::shared::Gateway;
 use super::write_timeout::WriteTimeout;
@@ -28,8 +28,6 @@
 /// Smallest buffer for a request head that hyper accepts.
 const MIN_HEAD_BUFFER_BYTES: usize = 8192;
 
-/// Send buffer of a caller's connection, in bytes; the kernel takes twice as much.
-const SEND_BUFFER_BYTES: usize = 64 << 10;
 /// Most connections to a port for probes or metrics.
 const MAX_CONTROL_CONNECTIONS: usize = 256;
 /// Longest time from one request's end to the end of the next one's head there.
@@ -109,6 +107,9 @@
             log::warn!("connection limit reached; closing a new connection");
             return;
         };
+        let settings = &self.gateway.settings;
+        let open = settings.max_connections - self.slots.available_permits();
+        connection_buffers::tune(&stream, settings.memory_bytes, open);
         let connection = serve_connection(stream, Arc::clone(&self.gateway), self.close.clone());
         self.connections.spawn(async move {
             connection.await;
@@ -122,13 +123,6 @@
     gateway: Arc<Gateway>,
     mut close: watch::Receiver<bool>,
 ) {
-    if let Err(error) = stream.set_nodelay(true) {
-        log::debug!(error:% = error; "cannot set TCP_NODELAY on a caller's connection");
-    }
-    // The kernel would hold megabytes of answers that the caller does not read.
-    if let Err(error) = SockRef::from(&stream).set_send_buffer_size(SEND_BUFFER_BYTES) {
-        log::debug!(error:% = error; "cannot set the send buffer of a caller's connection");
-    }
     let limits = gateway.catalog().map(|c| c.limits).unwrap_or_default();
     let service = service_fn(move |request| {
         let gateway = Arc::clone(&gateway);
