Review: case 6, two machines give orders after the store came back from an older copy

Cause: a lease row of an older copy may be claimed five seconds after it was read, by any instance; the holder may go on without the store for up to 14 s on the echoes of the successors that its own newest row names. What the case shows: the holder is cut off from the store and from one zone, the store comes back from a copy 2.5 s old, and an instance is added in that zone. It claims the lease and gives orders while the holder, with a lower fence, gives orders to the same engines (rule ONE).

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Plays the case "relisted" of review/standin-2; the build of the deploy file and review/build-2.sh go first.
+# Plays the case "deep" of review/standin-2; the build of the deploy file and review/build-2.sh go first.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: no disruption.
 set -u
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
@@ -9,11 +9,7 @@
   echo "not built: target/release/brassrack-platform or $standin"
   exit 2
 fi
-# An instance may have 4,100 descriptors (limits.maxFds).
-if [ "$(ulimit -Sn)" != unlimited ] && [ "$(ulimit -Sn)" -lt 4100 ]; then
-  ulimit -Sn 4100 || exit 2
-fi
-timeout -k 5 115 "$standin" relisted "$folder"
+timeout -k 5 115 "$standin" deep "$folder"
 status=$?
 [ "$status" -le 2 ] || status=2
 exit "$status"
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -8,6 +8,7 @@
 mod deep;
 mod engine;
 mod heads;
+mod holders;
 mod http;
 mod json;
 mod memory;
@@ -55,6 +56,7 @@
         "heads" => heads::play(&record, trouble),
         "relisted" => relisted::play(&record, trouble),
         "silent" => silent::play(&record, trouble),
+        "holders" => holders::play(&record, trouble),
         "names" => names::play(&record, trouble),
         "paused" => paused::play(&record, trouble),
         "stale" => stale::play(&record, trouble),
--- a/review/standin-2/proxy.rs
+++ b/review/standin-2/proxy.rs
@@ -16,8 +16,12 @@
 
 impl Proxy {
     pub fn start(ip: IpAddr, to: SocketAddr) -> Arc<Proxy> {
+        Self::start_at(SocketAddr::new(ip, 8080), to)
+    }
+
+    pub fn start_at(address: SocketAddr, to: SocketAddr) -> Arc<Proxy> {
         let proxy = Arc::new(Proxy {
-            address: SocketAddr::new(ip, 8080),
+            address,
             to,
             is_up: AtomicBool::new(false),
             open: Mutex::default(),
