--- a/review/standin-2/crowd.rs
+++ b/review/standin-2/crowd.rs
@@ -40,7 +40,12 @@
         let part = left.min(MOST);
         left -= part;
         let child = Command::new(&own)
-            .args(["crowd", &to.to_string(), &part.to_string(), &format!("{sends:?}")])
+            .args([
+                "crowd",
+                &to.to_string(),
+                &part.to_string(),
+                &format!("{sends:?}"),
+            ])
             .arg(seconds.to_string())
             .stdin(Stdio::null())
             .spawn();
--- a/review/standin-2/deep.rs
+++ b/review/standin-2/deep.rs
@@ -26,7 +26,10 @@
 /// fifth crash.
 pub fn play(record: &Arc<Record>, trouble: bool) -> bool {
     let rig = Rig::start_engines(4, 2, if trouble { BAD } else { "" }, record);
-    let index = std::env::var("INDEX").ok().and_then(|i| i.parse().ok()).unwrap_or(INDEX);
+    let index = std::env::var("INDEX")
+        .ok()
+        .and_then(|i| i.parse().ok())
+        .unwrap_or(INDEX);
     let end = Instant::now() + TIME;
     let (mut count, mut calls) = (0, Vec::new());
     while Instant::now() < end {
@@ -53,7 +56,9 @@
             *ends.entry(end).or_insert(0) += 1;
         }
     }
-    record.say(&format!("ends of requests (with the part, status): {ends:?}"));
+    record.say(&format!(
+        "ends of requests (with the part, status): {ends:?}"
+    ));
     let mut reached: Vec<_> = rig
         .engines
         .iter()
--- a/review/standin-2/engine.rs
+++ b/review/standin-2/engine.rs
@@ -102,10 +102,15 @@
 
     /// A new incarnation; it holds nothing but at the first start.
     fn boot(self: &Arc<Self>, models: BTreeSet<String>) {
-        *self.state.lock().unwrap() = State { born: unix_ms(), models, ..State::default() };
+        *self.state.lock().unwrap() = State {
+            born: unix_ms(),
+            models,
+            ..State::default()
+        };
         self.sequence.store(0, Ordering::SeqCst);
         let serving = Arc::clone(self);
-        self.door.open(move |request, stream| serving.answer(request, stream));
+        self.door
+            .open(move |request, stream| serving.answer(request, stream));
         self.write_entry();
     }
 
@@ -194,7 +199,10 @@
             } else if state.models.contains(&model) == is_load {
                 200
             } else if is_load && state.models.len() >= FITS {
-                self.record.say(&format!("{} is ordered to load more than it holds", self.id));
+                self.record.say(&format!(
+                    "{} is ordered to load more than it holds",
+                    self.id
+                ));
                 409
             } else {
                 state.orders += 1;
@@ -210,7 +218,11 @@
             let engine = Arc::clone(self);
             let born = self.state.lock().unwrap().born;
             thread::spawn(move || {
-                thread::sleep(if is_load { LOAD_TIME } else { Duration::from_millis(20) });
+                thread::sleep(if is_load {
+                    LOAD_TIME
+                } else {
+                    Duration::from_millis(20)
+                });
                 let mut state = engine.state.lock().unwrap();
                 if state.born != born {
                     return;
@@ -231,23 +243,37 @@
     fn stream(self: &Arc<Self>, request: &Request, stream: &mut TcpStream) -> bool {
         let id = request.header("brassrack-request-id").to_owned();
         let echo = format!("brassrack-request-id: {id}\r\nbrassrack-server-load: 1,0,64\r\n");
-        if !self.state.lock().unwrap().models.contains(request.header("brassrack-model")) {
+        if !self
+            .state
+            .lock()
+            .unwrap()
+            .models
+            .contains(request.header("brassrack-model"))
+        {
             return reply(stream, 421, &echo, "");
         }
         let parts = request.header("brassrack-prompt-prefix");
-        let mut ids = parts.split(',').map(|part| part.split(':').next().unwrap_or_default());
+        let mut ids = parts
+            .split(',')
+            .map(|part| part.split(':').next().unwrap_or_default());
         let crashed = !self.bad_part.is_empty() && ids.any(|part| part == self.bad_part);
-        let reached = Reached { at: self.record.now(), id: id.clone(), crashed };
+        let reached = Reached {
+            at: self.record.now(),
+            id: id.clone(),
+            crashed,
+        };
         self.reached.lock().unwrap().push(reached);
         self.running.fetch_add(1, Ordering::SeqCst);
         thread::sleep(GAP);
         if crashed {
-            self.record.line(&format!("{id} reaches {} and crashes it", self.id));
+            self.record
+                .line(&format!("{id} reaches {} and crashes it", self.id));
             self.running.fetch_sub(1, Ordering::SeqCst);
             self.crash();
             return false;
         }
-        self.record.line(&format!("{id} reaches {} and runs", self.id));
+        self.record
+            .line(&format!("{id} reaches {} and runs", self.id));
         let head = format!(
             "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n{echo}\
              brassrack-response-signature: {}.{id}\r\ntransfer-encoding: chunked\r\n\r\n",
@@ -276,5 +302,9 @@
 }
 
 fn quoted(names: &[String]) -> String {
-    names.iter().map(|name| format!("\"{name}\"")).collect::<Vec<_>>().join(",")
+    names
+        .iter()
+        .map(|name| format!("\"{name}\""))
+        .collect::<Vec<_>>()
+        .join(",")
 }
--- a/review/standin-2/heads.rs
+++ b/review/standin-2/heads.rs
@@ -23,7 +23,9 @@
     thread::sleep(Duration::from_secs(2));
     let mut crowds = Vec::new();
     if trouble {
-        record.say(&format!("a crowd of {CONNECTIONS} sends heads to each instance"));
+        record.say(&format!(
+            "a crowd of {CONNECTIONS} sends heads to each instance"
+        ));
         for instance in &rig.instances {
             let to = instance.callers();
             crowds.extend(crowd::start(to, CONNECTIONS, Sends::Head, STAY.as_secs()));
--- a/review/standin-2/holders.rs
+++ b/review/standin-2/holders.rs
@@ -55,7 +55,10 @@
     let row = rig.store.value("lease", "orders").unwrap_or_default();
     let holder = Json::parse(&row).map(|row| row.get("holder").text().to_owned());
     record.say(&format!("lease row: {row}"));
-    let holder = rig.instances.iter().position(|i| Some(&i.name) == holder.as_ref());
+    let holder = rig
+        .instances
+        .iter()
+        .position(|i| Some(&i.name) == holder.as_ref());
     let Some(holder) = holder else {
         record.say("no instance holds the lease: the case cannot run");
         rig.stop();
@@ -66,7 +69,9 @@
     thread::sleep(AGE - AWAY);
     if trouble {
         let name = &rig.instances[holder].name;
-        record.say(&format!("{name} is cut off from the store and from the zone east-b"));
+        record.say(&format!(
+            "{name} is cut off from the store and from the zone east-b"
+        ));
         rig.links[holder].cut();
         rig.views[holder].is_cut.store(true, Ordering::SeqCst);
         // DRILL=0 leaves the store as it is.
@@ -118,17 +123,27 @@
         if highest.is_none_or(|high| order.fence >= high.fence) {
             highest = Some(order);
         }
-        let before = ordered[..at].iter().rev().take_while(|o| order.at - o.at < LEASE);
+        let before = ordered[..at]
+            .iter()
+            .rev()
+            .take_while(|o| order.at - o.at < LEASE);
         let others: Vec<&Ordered> = before.skip_while(|o| o.holder == order.holder).collect();
         turns += usize::from(others.iter().any(|o| o.holder == order.holder));
-        let same = ordered[..at].iter().any(|o| o.fence == order.fence && o.holder != order.holder);
+        let same = ordered[..at]
+            .iter()
+            .any(|o| o.fence == order.fence && o.holder != order.holder);
         if same {
-            record.say(&format!("{engine}: two holders with the fence {}", order.fence));
+            record.say(&format!(
+                "{engine}: two holders with the fence {}",
+                order.fence
+            ));
         }
         turns += usize::from(same);
     }
     if lower + turns > 0 {
-        record.say(&format!("{engine}: {lower} orders with a lower fence, {turns} in turn"));
+        record.say(&format!(
+            "{engine}: {lower} orders with a lower fence, {turns} in turn"
+        ));
     }
     lower + turns > 0
 }
--- a/review/standin-2/http.rs
+++ b/review/standin-2/http.rs
@@ -39,7 +39,11 @@
     }
 }
 
-fn read_exactly(stream: &mut TcpStream, buffer: &mut Vec<u8>, length: usize) -> io::Result<Vec<u8>> {
+fn read_exactly(
+    stream: &mut TcpStream,
+    buffer: &mut Vec<u8>,
+    length: usize,
+) -> io::Result<Vec<u8>> {
     while buffer.len() < length {
         let mut part = [0; 16384];
         match stream.read(&mut part)? {
@@ -152,7 +156,9 @@
         answer: impl Fn(&Request, &mut TcpStream) -> bool + Clone + Send + 'static,
     ) {
         let listener = TcpListener::bind(self.address).expect("port of a stand-in");
-        listener.set_nonblocking(true).expect("listener of a stand-in");
+        listener
+            .set_nonblocking(true)
+            .expect("listener of a stand-in");
         self.is_open.store(true, Ordering::SeqCst);
         let door = Arc::clone(self);
         thread::spawn(move || {
@@ -166,11 +172,9 @@
                     door.streams.lock().unwrap().push(kept);
                 }
                 let answer = answer.clone();
-                let _ = thread::Builder::new()
-                    .stack_size(256 << 10)
-                    .spawn(move || {
-                        let _ = serve_connection(stream, answer);
-                    });
+                let _ = thread::Builder::new().stack_size(256 << 10).spawn(move || {
+                    let _ = serve_connection(stream, answer);
+                });
             }
         });
     }
--- a/review/standin-2/json.rs
+++ b/review/standin-2/json.rs
@@ -14,7 +14,10 @@
 
 impl Json {
     pub fn parse(text: &str) -> Option<Json> {
-        let mut parser = Parser { text: text.as_bytes(), at: 0 };
+        let mut parser = Parser {
+            text: text.as_bytes(),
+            at: 0,
+        };
         parser.value()
     }
 
@@ -99,7 +102,11 @@
             b'n' => self.word(4, Json::Null),
             _ => {
                 let from = self.at;
-                while self.text.get(self.at).is_some_and(|b| b"+-.eE0123456789".contains(b)) {
+                while self
+                    .text
+                    .get(self.at)
+                    .is_some_and(|b| b"+-.eE0123456789".contains(b))
+                {
                     self.at += 1;
                 }
                 let number = std::str::from_utf8(&self.text[from..self.at]).ok()?;
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -50,7 +50,11 @@
             exit(2);
         }
     };
-    record.say(if trouble { "with the disruption" } else { "without the disruption" });
+    record.say(if trouble {
+        "with the disruption"
+    } else {
+        "without the disruption"
+    });
     let broken = match *case {
         "deep" => deep::play(&record, trouble),
         "heads" => heads::play(&record, trouble),
@@ -65,6 +69,10 @@
             exit(2);
         }
     };
-    record.say(if broken { "the rule was broken" } else { "the rule held" });
+    record.say(if broken {
+        "the rule was broken"
+    } else {
+        "the rule held"
+    });
     exit(i32::from(broken));
 }
--- a/review/standin-2/memory.rs
+++ b/review/standin-2/memory.rs
@@ -61,7 +61,15 @@
 pub fn count(clients: Clients, rig: &Rig, record: &Arc<Record>) {
     let tries = clients.stop();
     for (number, instance) in rig.instances.iter().enumerate() {
-        let own: Vec<_> = tries.iter().filter(|t| t.instance == number).cloned().collect();
-        record.say(&format!("{}: ordinary clients: {:?}", instance.name, ends(&own)));
+        let own: Vec<_> = tries
+            .iter()
+            .filter(|t| t.instance == number)
+            .cloned()
+            .collect();
+        record.say(&format!(
+            "{}: ordinary clients: {:?}",
+            instance.name,
+            ends(&own)
+        ));
     }
 }
--- a/review/standin-2/names.rs
+++ b/review/standin-2/names.rs
@@ -20,7 +20,9 @@
     thread::sleep(Duration::from_secs(2));
     let mut crowds = Vec::new();
     if trouble {
-        record.say(&format!("a crowd of {CLIENTS} asks each instance for models that nobody has"));
+        record.say(&format!(
+            "a crowd of {CLIENTS} asks each instance for models that nobody has"
+        ));
         for instance in &rig.instances {
             let to = instance.callers();
             crowds.extend(crowd::start(to, CLIENTS, Sends::Names, STAY.as_secs()));
--- a/review/standin-2/paused.rs
+++ b/review/standin-2/paused.rs
@@ -24,7 +24,10 @@
         server.reach_store(false);
     }
     thread::sleep(Duration::from_millis(500));
-    record.say(&format!("{} is full for half a second: Retry-After {PAUSE}", server.id));
+    record.say(&format!(
+        "{} is full for half a second: Retry-After {PAUSE}",
+        server.id
+    ));
     server.behaviour.lock().unwrap().turns_away = Some(PAUSE);
     thread::sleep(Duration::from_millis(500));
     server.behaviour.lock().unwrap().turns_away = None;
--- a/review/standin-2/relisted.rs
+++ b/review/standin-2/relisted.rs
@@ -9,11 +9,11 @@
 use crate::rig::{HOST, Record, Rig};
 
 /// Servers, and the requests that they may turn away in a second (`Server-Brittle`).
-const SERVERS: u32 = 6;
+const SERVERS: u32 = 8;
 const BRITTLE: usize = 2;
 /// Time that a request takes, and clients that send one after the other at each instance.
 const WORK: Duration = Duration::from_secs(3);
-const CLIENTS: usize = 20;
+const CLIENTS: usize = 28;
 
 /// Whether the servers fell over more often than 2 + a tenth of their number.
 pub fn play(record: &Arc<Record>, trouble: bool) -> bool {
@@ -48,7 +48,9 @@
                     record.line(&format!("client: {id}: {status}"));
                     *ends.lock().unwrap().entry(status).or_default() += 1;
                     if status != 200 {
-                        let after = answer.ok().and_then(|a| a.headers.get("retry-after")?.parse().ok());
+                        let after = answer
+                            .ok()
+                            .and_then(|a| a.headers.get("retry-after")?.parse().ok());
                         thread::sleep(Duration::from_secs_f64(after.unwrap_or(0.5_f64).min(4.0)));
                     }
                 }
@@ -67,7 +69,10 @@
     going.store(false, Ordering::SeqCst);
     thread::sleep(Duration::from_secs(1));
     let falls: u64 = servers.iter().map(|s| s.falls.load(Ordering::SeqCst)).sum();
-    record.say(&format!("answers: {:?}; the servers fell over {falls} times", ends.lock().unwrap()));
+    record.say(&format!(
+        "answers: {:?}; the servers fell over {falls} times",
+        ends.lock().unwrap()
+    ));
     rig.stop();
     falls as f64 > 2.0 + 0.1 * f64::from(SERVERS)
 }
--- a/review/standin-2/rig.rs
+++ b/review/standin-2/rig.rs
@@ -31,7 +31,10 @@
     pub fn create(folder: &Path) -> io::Result<Arc<Record>> {
         let file = File::create(folder.join("record.txt"))?;
         let file = Mutex::new(file);
-        Ok(Arc::new(Record { begun: Instant::now(), file }))
+        Ok(Arc::new(Record {
+            begun: Instant::now(),
+            file,
+        }))
     }
 
     pub fn now(&self) -> f64 {
@@ -65,15 +68,26 @@
     pub fn new() -> Addresses {
         // Processes that start at the same moment have different ids.
         let id = std::process::id().wrapping_mul(0x9e37_79b1);
-        Addresses { network: [64 + (id >> 16 & 127) as u8, (id >> 24) as u8], next: 2 }
+        Addresses {
+            network: [64 + (id >> 16 & 127) as u8, (id >> 24) as u8],
+            next: 2,
+        }
     }
 
     pub fn next(&mut self) -> IpAddr {
         loop {
-            let ip = IpAddr::V4(Ipv4Addr::new(127, self.network[0], self.network[1], self.next));
+            let ip = IpAddr::V4(Ipv4Addr::new(
+                127,
+                self.network[0],
+                self.network[1],
+                self.next,
+            ));
             self.next += 1;
             let is_free = |port: u16| TcpListener::bind((ip, port)).is_ok();
-            if [8080, 8141, 8142, 8144, 8149, 9464].into_iter().all(is_free) {
+            if [8080, 8141, 8142, 8144, 8149, 9464]
+                .into_iter()
+                .all(is_free)
+            {
                 return ip;
             }
         }
@@ -170,7 +184,8 @@
         self.rejected.lock().unwrap().clear();
         self.sequence.store(0, Ordering::SeqCst);
         let serving = Arc::clone(self);
-        self.door.open(move |request, stream| serving.answer(request, stream));
+        self.door
+            .open(move |request, stream| serving.answer(request, stream));
         self.write_entry();
     }
 
@@ -195,16 +210,22 @@
         self.reaches_store.store(reaches, Ordering::SeqCst);
         if reaches {
             self.write_entry();
-            self.record.say(&format!("{} reaches the store again and writes its entry", self.id));
+            self.record.say(&format!(
+                "{} reaches the store again and writes its entry",
+                self.id
+            ));
             return;
         }
-        self.record.say(&format!("{} is cut off from the store", self.id));
+        self.record
+            .say(&format!("{} is cut off from the store", self.id));
         let server = Arc::clone(self);
         thread::spawn(move || {
             thread::sleep(HEARTBEAT * 3);
             if !server.reaches_store.load(Ordering::SeqCst) {
                 server.store.put("servers", &server.id, None);
-                server.record.say(&format!("the store removes the entry of {}", server.id));
+                server
+                    .record
+                    .say(&format!("the store removes the entry of {}", server.id));
             }
         });
     }
@@ -222,7 +243,10 @@
             return;
         }
         self.falls.fetch_add(1, Ordering::SeqCst);
-        self.record.say(&format!("{} turns {count} requests away in a second: it falls over", self.id));
+        self.record.say(&format!(
+            "{} turns {count} requests away in a second: it falls over",
+            self.id
+        ));
         let server = Arc::clone(self);
         thread::spawn(move || {
             thread::sleep(BACK_AFTER);
@@ -233,7 +257,11 @@
 
     fn answer(self: &Arc<Self>, request: &Request, stream: &mut TcpStream) -> bool {
         let id = request.header("brassrack-request-id").to_owned();
-        let Behaviour { turns_away, work, brittle } = self.behaviour.lock().unwrap().clone();
+        let Behaviour {
+            turns_away,
+            work,
+            brittle,
+        } = self.behaviour.lock().unwrap().clone();
         let mut own = format!("brassrack-instance-id: {}\r\n", self.id);
         if let Some(bound) = brittle {
             own += &format!("server-brittle: {bound}\r\n");
@@ -259,22 +287,37 @@
         let load = format!("brassrack-server-load: {running},0,{SLOTS}\r\n");
         let echo = format!("{own}brassrack-request-id: {id}\r\n{load}");
         let is_full = brittle.is_some() && running >= SLOTS;
-        let status = if turns_away.is_some() || is_full { 503 } else { 200 };
+        let status = if turns_away.is_some() || is_full {
+            503
+        } else {
+            200
+        };
         let at = self.record.now();
-        self.arrivals.lock().unwrap().push(Arrival { at, id: id.clone(), status });
+        self.arrivals.lock().unwrap().push(Arrival {
+            at,
+            id: id.clone(),
+            status,
+        });
         if let Some(seconds) = turns_away {
-            self.record.line(&format!("{id} reaches {}: 503, Retry-After {seconds}", self.id));
+            self.record.line(&format!(
+                "{id} reaches {}: 503, Retry-After {seconds}",
+                self.id
+            ));
             let refused = format!("{echo}brassrack-not-executed: 1\r\nretry-after: {seconds}\r\n");
             return reply(stream, 503, &refused, "");
         }
         if let Some(bound) = brittle.filter(|_| is_full) {
-            self.record.line(&format!("{id} reaches {}, which has no slot: 503", self.id));
+            self.record
+                .line(&format!("{id} reaches {}, which has no slot: 503", self.id));
             let refused = format!("{echo}brassrack-not-executed: 1\r\n");
             let whole = reply(stream, 503, &refused, "");
             self.reject(bound);
             return whole;
         }
-        self.record.line(&format!("{id} reaches {} of {} and runs", self.id, self.service));
+        self.record.line(&format!(
+            "{id} reaches {} of {} and runs",
+            self.id, self.service
+        ));
         let born = *self.born.lock().unwrap();
         thread::sleep(work);
         if *self.born.lock().unwrap() == born {
@@ -338,7 +381,11 @@
         route("status", "safe", 1500),
         route("activate", "unsafe", 15000),
         route("survey", "safe", 12000).replace("\"sloMs\":100", "\"sloMs\":4000"),
-        if version % 2 == 0 { moved.replace("\"desk\"", "\"annex\"") } else { moved }
+        if version % 2 == 0 {
+            moved.replace("\"desk\"", "\"annex\"")
+        } else {
+            moved
+        }
     )
 }
 
@@ -385,7 +432,8 @@
                 panic!("the program of the deploy file cannot be started: {error}");
             }
         }
-        self.record.line(&format!("{} is started at {}", self.name, self.ip));
+        self.record
+            .line(&format!("{} is started at {}", self.name, self.ip));
     }
 
     /// Kills the process and waits for its end.
@@ -400,7 +448,10 @@
     pub fn signal(&self, signal: &str) {
         let id = self.child.lock().unwrap().as_ref().map_or(0, Child::id);
         if id > 0 {
-            let _ = Command::new("kill").arg(format!("-{signal}")).arg(id.to_string()).status();
+            let _ = Command::new("kill")
+                .arg(format!("-{signal}"))
+                .arg(id.to_string())
+                .status();
         }
     }
 
@@ -416,13 +467,22 @@
     pub fn memory_kb(&self) -> u64 {
         let id = self.child.lock().unwrap().as_ref().map_or(0, Child::id);
         let status = fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
-        let line = status.lines().find(|l| l.starts_with("VmRSS")).unwrap_or_default();
-        line.split_whitespace().nth(1).and_then(|kb| kb.parse().ok()).unwrap_or(0)
+        let line = status
+            .lines()
+            .find(|l| l.starts_with("VmRSS"))
+            .unwrap_or_default();
+        line.split_whitespace()
+            .nth(1)
+            .and_then(|kb| kb.parse().ok())
+            .unwrap_or(0)
     }
 
     /// Status of the readiness check; 0 without an answer.
     pub fn ready_status(&self) -> u16 {
-        let text = format!("GET /readyz HTTP/1.1\r\nhost: {}\r\nconnection: close\r\n\r\n", self.ip);
+        let text = format!(
+            "GET /readyz HTTP/1.1\r\nhost: {}\r\nconnection: close\r\n\r\n",
+            self.ip
+        );
         let at = SocketAddr::new(self.ip, 8141);
         http::call(at, &text, Duration::from_secs(1)).map_or(0, |answer| answer.status)
     }
@@ -462,7 +522,12 @@
 
     /// Instances before engines that hold a part of many models. The last one, in a zone of its own, is
     /// not started yet, and finds the others through paths that can be cut.
-    pub fn start_models(engines: u32, models: usize, instances: usize, record: &Arc<Record>) -> Rig {
+    pub fn start_models(
+        engines: u32,
+        models: usize,
+        instances: usize,
+        record: &Arc<Record>,
+    ) -> Rig {
         Self::launch(1, engines, "", models, instances, record)
     }
 
@@ -489,7 +554,14 @@
                 let known: Vec<String> = (0..models).map(|model| format!("m{model}")).collect();
                 let first = (number as usize - 1) * FITS % models;
                 let held = known.iter().skip(first).take(FITS).cloned().collect();
-                Engine::start(number, addresses.next(), bad_part, (known, held), &store, record)
+                Engine::start(
+                    number,
+                    addresses.next(),
+                    bad_part,
+                    (known, held),
+                    &store,
+                    record,
+                )
             })
             .collect();
         let folder = std::env::temp_dir().join(format!("brassrack-review-{}", std::process::id()));
@@ -532,7 +604,11 @@
             let file = folder.join(format!("{name}.conf"));
             // The one apart finds the holder in the store; its only seed is its own address.
             let own = format!("{ip}:8144");
-            let seeds = if is_apart(number) { own } else { seeds.join(",") };
+            let seeds = if is_apart(number) {
+                own
+            } else {
+                seeds.join(",")
+            };
             let text = settings(&name, zone, *ip, &seeds, stores[number]);
             fs::write(&file, text).expect("settings file");
             let instance = Instance {
@@ -551,9 +627,20 @@
             instance
         };
         let instances = ips.iter().enumerate().map(start).collect();
-        let rig = Rig { store, views, links, paths, servers, engines, instances, record: Arc::clone(record), folder };
+        let rig = Rig {
+            store,
+            views,
+            links,
+            paths,
+            servers,
+            engines,
+            instances,
+            record: Arc::clone(record),
+            folder,
+        };
         let end = Instant::now() + Duration::from_secs(15);
-        let is_ready = |(number, i): (usize, &Arc<Instance>)| is_apart(number) || i.ready_status() == 200;
+        let is_ready =
+            |(number, i): (usize, &Arc<Instance>)| is_apart(number) || i.ready_status() == 200;
         while !rig.instances.iter().enumerate().all(is_ready) {
             if Instant::now() > end {
                 record.say("the instances are not ready after 15 s: the case cannot run");
@@ -646,13 +733,23 @@
                             Err(error) => format!("no answer ({error})"),
                         };
                         record.line(&format!("client: {id} to {}: {text}", instance.name));
-                        tries.lock().unwrap().push(Try { at, instance: number, client, id, end });
+                        tries.lock().unwrap().push(Try {
+                            at,
+                            instance: number,
+                            client,
+                            id,
+                            end,
+                        });
                         thread::sleep(pace.saturating_sub(began.elapsed()));
                     }
                 }));
             }
         }
-        Clients { tries, going, threads }
+        Clients {
+            tries,
+            going,
+            threads,
+        }
     }
 
     /// Ends the clients and returns their tries.
@@ -671,7 +768,11 @@
          Brassrack-Deadline: 1500\r\nConnection: close\r\n\r\n"
     );
     let answer = http::call(to, &text, Duration::from_millis(1500));
-    let Answer { status, headers, body } = answer.map_err(|error| error.kind().to_string())?;
+    let Answer {
+        status,
+        headers,
+        body,
+    } = answer.map_err(|error| error.kind().to_string())?;
     if status == 200 && body != format!("answer to {id}").as_bytes() {
         return Err(String::from("a body that is not the server's"));
     }
--- a/review/standin-2/silent.rs
+++ b/review/standin-2/silent.rs
@@ -23,9 +23,16 @@
     thread::sleep(Duration::from_secs(2));
     let mut crowds = Vec::new();
     if trouble {
-        record.say(&format!("a crowd of {CONNECTIONS} connects to each instance and is silent"));
+        record.say(&format!(
+            "a crowd of {CONNECTIONS} connects to each instance and is silent"
+        ));
         for instance in &rig.instances {
-            crowds.extend(crowd::start(instance.callers(), CONNECTIONS, Sends::Nothing, STAY));
+            crowds.extend(crowd::start(
+                instance.callers(),
+                CONNECTIONS,
+                Sends::Nothing,
+                STAY,
+            ));
         }
     }
     let end = Instant::now() + Duration::from_secs(STAY + 2);
@@ -45,10 +52,20 @@
     let tries = clients.stop();
     let mut broken = false;
     for (number, instance) in rig.instances.iter().enumerate() {
-        let own: Vec<Try> = tries.iter().filter(|t| t.instance == number).cloned().collect();
-        record.say(&format!("{}: ordinary clients: {:?}", instance.name, ends(&own)));
+        let own: Vec<Try> = tries
+            .iter()
+            .filter(|t| t.instance == number)
+            .cloned()
+            .collect();
+        record.say(&format!(
+            "{}: ordinary clients: {:?}",
+            instance.name,
+            ends(&own)
+        ));
         let ready = |from: f64, to: f64| {
-            let mut within = probes.iter().filter(|(at, n, _)| *n == number && *at >= from && *at <= to);
+            let mut within = probes
+                .iter()
+                .filter(|(at, n, _)| *n == number && *at >= from && *at <= to);
             within.all(|(_, _, status)| *status == 200)
         };
         if let Some((from, to)) = shut_window(&own, &ready) {
--- a/review/standin-2/stale.rs
+++ b/review/standin-2/stale.rs
@@ -44,7 +44,8 @@
             record.say(&format!("{} stands still", frozen.name));
             thread::sleep(Duration::from_millis(100));
         }
-        rig.store.put("op", "config", Some(config(version).as_bytes()));
+        rig.store
+            .put("op", "config", Some(config(version).as_bytes()));
         record.say(&format!("version {version} is acknowledged"));
         let (mut added, mut moved) = (Vec::new(), Vec::new());
         let end = Instant::now() + TIME;
@@ -52,9 +53,23 @@
         while Instant::now() < end {
             number += 1;
             let path = format!("/added{version}/2f");
-            added.push(send(cut_off, record, "GET", path, format!("a{version}n"), number));
+            added.push(send(
+                cut_off,
+                record,
+                "GET",
+                path,
+                format!("a{version}n"),
+                number,
+            ));
             let path = String::from("/moved/2f");
-            moved.push(send(cut_off, record, "POST", path, format!("m{version}n"), number));
+            moved.push(send(
+                cut_off,
+                record,
+                "POST",
+                path,
+                format!("m{version}n"),
+                number,
+            ));
             thread::sleep(PACE);
         }
         if trouble {
@@ -62,7 +77,10 @@
             record.say(&format!("{} goes on", frozen.name));
         }
         let join = |calls: Vec<thread::JoinHandle<Sent>>| -> Vec<Sent> {
-            calls.into_iter().filter_map(|call| call.join().ok()).collect()
+            calls
+                .into_iter()
+                .filter_map(|call| call.join().ok())
+                .collect()
         };
         let (added, moved) = (join(added), join(moved));
         if trouble {
@@ -104,9 +122,16 @@
 /// Times at which servers of a service ran requests with such ids, by the numbers of these.
 fn runs(rig: &Rig, service: &str, ids: &str) -> BTreeMap<u32, f64> {
     let mut runs = BTreeMap::new();
-    for server in rig.servers.iter().filter(|server| server.service == service) {
+    for server in rig
+        .servers
+        .iter()
+        .filter(|server| server.service == service)
+    {
         for arrival in server.arrivals.lock().unwrap().iter() {
-            let number = arrival.id.strip_prefix(ids).and_then(|number| number.parse().ok());
+            let number = arrival
+                .id
+                .strip_prefix(ids)
+                .and_then(|number| number.parse().ok());
             if let Some(number) = number.filter(|_| arrival.status == 200) {
                 runs.insert(number, arrival.at);
             }
@@ -119,7 +144,9 @@
 fn refused_late(rig: &Rig, version: u32, added: &[Sent], record: &Record) -> usize {
     let runs = runs(rig, "desk", &format!("a{version}n"));
     let seen = runs.values().copied().fold(f64::MAX, f64::min);
-    let late = added.iter().filter(|(at, _, status)| *status == 404 && *at > seen + SLACK);
+    let late = added
+        .iter()
+        .filter(|(at, _, status)| *status == 404 && *at > seen + SLACK);
     let late: Vec<f64> = late.map(|(at, ..)| *at).collect();
     record.say(&format!("statuses on the new route: {:?}", statuses(added)));
     let Some(last) = late.iter().copied().reduce(f64::max) else {
@@ -136,15 +163,25 @@
 /// Whether requests ran at the old service of a route later than the slack after the first run at the
 /// new one.
 fn moved_back_late(rig: &Rig, version: u32, moved: &[Sent], record: &Record) -> usize {
-    let (new, old) = if version % 2 == 0 { ("annex", "desk") } else { ("desk", "annex") };
+    let (new, old) = if version % 2 == 0 {
+        ("annex", "desk")
+    } else {
+        ("desk", "annex")
+    };
     let ids = format!("m{version}n");
-    let seen = runs(rig, new, &ids).values().copied().fold(f64::MAX, f64::min);
+    let seen = runs(rig, new, &ids)
+        .values()
+        .copied()
+        .fold(f64::MAX, f64::min);
     let old_runs = runs(rig, old, &ids);
-    let late = moved.iter().filter(|(at, number, _)| {
-        old_runs.contains_key(number) && *at > seen + SLACK
-    });
+    let late = moved
+        .iter()
+        .filter(|(at, number, _)| old_runs.contains_key(number) && *at > seen + SLACK);
     let late: Vec<f64> = late.map(|(at, ..)| *at).collect();
-    record.say(&format!("statuses on the moved route: {:?}", statuses(moved)));
+    record.say(&format!(
+        "statuses on the moved route: {:?}",
+        statuses(moved)
+    ));
     let Some(last) = late.iter().copied().reduce(f64::max) else {
         return 0;
     };
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -83,7 +83,9 @@
     /// Value of a row.
     pub fn value(&self, table: &str, key: &str) -> Option<String> {
         let rows = self.rows.lock().unwrap();
-        let cell = rows.cells.get(&(table.to_owned(), String::new(), key.to_owned()))?;
+        let cell = rows
+            .cells
+            .get(&(table.to_owned(), String::new(), key.to_owned()))?;
         Some(String::from_utf8_lossy(cell.0.as_ref()?).into_owned())
     }
 
@@ -167,7 +169,10 @@
             let left = end.saturating_duration_since(Instant::now());
             if !found.is_empty() || left.is_zero() {
                 found.sort_by_key(|(_, cell)| cell.1);
-                let page: Vec<String> = found.into_iter().map(|(k, c)| encode(k, &seen(k, c, view))).collect();
+                let page: Vec<String> = found
+                    .into_iter()
+                    .map(|(k, c)| encode(k, &seen(k, c, view)))
+                    .collect();
                 let body = format!(
                     "{{\"rows\":[{}],\"ver\":{},\"nowMs\":{}}}",
                     page.join(","),
@@ -216,7 +221,10 @@
             rows.cells.insert(key(row), (None, version));
         }
         self.changed.notify_all();
-        (200, format!("{{\"ver\":{version},\"nowMs\":{}}}", self.now_ms()))
+        (
+            200,
+            format!("{{\"ver\":{version},\"nowMs\":{}}}", self.now_ms()),
+        )
     }
 }
 
