Crash parts: a part is found at any place of a prompt

Cause: part_ids took the first eight parts of a prompt, so that a later one was never evidence. Evidence: with the part at the third place it is blamed after three ends.

All parts are evidence now. Sound prompts are kept as text and digested only while there are suspects. The holder asks for sound answers with a later part before it blames it. A holder of an earlier build gets suspects in the places of first parts.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -26,6 +26,7 @@
 pub mod orders;
 pub mod pauses;
 pub mod planner;
+pub mod prompt_parts;
 pub mod protocol;
 pub mod quotas;
 pub mod ramp;
--- a/src/gateway/crash_parts.rs
+++ b/src/gateway/crash_parts.rs
@@ -13,13 +13,16 @@
 
 use super::crash_suspects::Fingerprint;
 use super::link::{BlamedPart, BrokenRequest, CrashEvidence, EndpointDeath, SoundAnswer, millis};
+use super::prompt_parts::PromptParts;
 
 mod death;
+mod later;
 mod sound;
 mod verdict;
 
 use death::{ALIVE_MARGIN, Break, Death};
-use sound::SoundTimes;
+use later::{MAX_LATER_PARTS, distinct};
+use sound::{Parts, SoundPrompts, SoundTimes};
 
 /// Time after which an endpoint's end no longer counts.
 const DEATH_TTL: Duration = Duration::from_mins(5);
@@ -35,7 +38,7 @@
 const MAX_BLAME_TIME: Duration = Duration::from_hours(2);
 /// Most ends of endpoints that are kept.
 const MAX_DEATHS: usize = 128;
-/// Most parts kept of one prompt.
+/// Most first parts of a prompt, which are reported at once.
 const MAX_PARTS: usize = 8;
 /// Most ends of endpoints in one report.
 const MAX_REPORTED_DEATHS: usize = 8;
@@ -77,8 +80,21 @@
 /// ```
 #[must_use]
 pub fn part_ids(parts: &[String]) -> Vec<PartId> {
-    let known = parts.iter().take(MAX_PARTS);
-    known.map(|part| digest(part, 0)).collect()
+    parts.iter().map(|part| part_id(part)).collect()
+}
+
+/// Digest of the id of a prompt's part.
+///
+/// # Examples
+///
+/// ```
+/// use brassrack::gateway::crash_parts::part_id;
+///
+/// assert_ne!(part_id("91bd"), part_id("e440"));
+/// ```
+#[must_use]
+pub fn part_id(part: &str) -> PartId {
+    digest(part, 0)
 }
 
 /// Digest of an incarnation of an endpoint, from its id and its start in Unix milliseconds.
@@ -111,9 +127,20 @@
 pub struct CrashParts {
     deaths: BTreeMap<IncarnationId, Death>,
     sound: SoundTimes,
+    prompts: SoundPrompts,
+    /// Parts of which sound answers are looked for: suspects, blamed ones, and what is asked about.
+    candidates: BTreeSet<PartId>,
+    /// Time from which kept prompts may hold candidates that were not looked for yet.
+    unread_since: Option<Duration>,
+    pruned_at: Duration,
     blamed: BTreeMap<PartId, Blame>,
-    /// Digests that the lease holder asks about, and those of which this instance tells others.
-    watched: BTreeSet<u64>,
+    /// Digests that the lease holder asks about, since when, and those of which this instance tells
+    /// others.
+    watched: BTreeMap<u64, Duration>,
+    /// Whether this instance publishes what it asks about, as the lease holder.
+    is_publishing: bool,
+    /// Whether the lease holder reads later parts of prompts; none before it was heard.
+    reads_later: Option<bool>,
     cleared: BTreeSet<PartId>,
     heard_at: Duration,
     judged_at: Duration,
@@ -129,14 +156,7 @@
         parts: &[PartId],
         now: Duration,
     ) {
-        let broken = Break {
-            request,
-            parts: parts.iter().copied().chain([request]).collect(),
-            at: now,
-            heard_at: now,
-            local: true,
-        };
-        self.add_break(endpoint, broken, now);
+        self.add_break(endpoint, Break::local(request, parts, now), now);
     }
 
     /// Records that an endpoint has answered, whatever it has.
@@ -147,14 +167,23 @@
     /// Records that the answer to a request with these parts began at an endpoint.
     pub fn record_begun(&mut self, endpoint: IncarnationId, parts: &[PartId], now: Duration) {
         self.record_sound(endpoint, now);
-        for part in parts {
-            self.record_sound(*part, now);
-        }
+        self.add_sound_prompt(Parts::Digested(parts.to_vec()), now);
+    }
+
+    /// Records that the answer to a request with this prompt began at an endpoint.
+    pub fn record_begun_prompt(
+        &mut self,
+        endpoint: IncarnationId,
+        prompt: &PromptParts,
+        now: Duration,
+    ) {
+        self.record_sound(endpoint, now);
+        self.add_sound_prompt(Parts::Named(prompt.clone()), now);
     }
 
     /// Records that a request has a whole answer; only of interest for one that broke before.
     pub fn record_whole(&mut self, request: Fingerprint, now: Duration) {
-        if self.watched.contains(&request) || self.own_breaks(request).next().is_some() {
+        if self.watched.contains_key(&request) || self.own_breaks(request).next().is_some() {
             self.record_sound(request, now);
         }
     }
@@ -196,11 +225,31 @@
 
     /// Time for which a request with these parts is refused, and the index of the blamed part.
     pub fn refusal(&mut self, parts: &[PartId], now: Duration) -> Option<(usize, Duration)> {
+        self.refusal_by(parts.iter().copied(), now)
+    }
+
+    /// The same for a prompt.
+    pub fn prompt_refusal(
+        &mut self,
+        prompt: &PromptParts,
+        now: Duration,
+    ) -> Option<(usize, Duration)> {
+        self.refusal_by(prompt.iter().map(part_id), now)
+    }
+
+    fn refusal_by(
+        &mut self,
+        parts: impl Iterator<Item = PartId>,
+        now: Duration,
+    ) -> Option<(usize, Duration)> {
         if now > self.heard_at + ALONE_TIME && now > self.judged_at + VERDICT_INTERVAL {
             self.judge(now);
         }
-        parts.iter().enumerate().find_map(|(index, part)| {
-            let blame = self.blamed.get(part).filter(|b| now < b.until)?;
+        if self.blamed.is_empty() {
+            return None;
+        }
+        parts.enumerate().find_map(|(index, part)| {
+            let blame = self.blamed.get(&part).filter(|b| now < b.until)?;
             Some((index, blame.until.saturating_sub(now)))
         })
     }
@@ -210,10 +259,26 @@
     /// The first part is left out, as nearly all requests share it.
     #[must_use]
     pub fn is_suspect(&self, parts: &[PartId], now: Duration) -> bool {
+        self.is_any_suspect(parts.iter().copied(), now)
+    }
+
+    /// The same for a prompt.
+    #[must_use]
+    pub fn is_suspect_prompt(&self, prompt: &PromptParts, now: Duration) -> bool {
+        self.is_any_suspect(prompt.iter().map(part_id), now)
+    }
+
+    fn is_any_suspect(&self, parts: impl Iterator<Item = PartId>, now: Duration) -> bool {
+        if self.watched.is_empty() && self.deaths.is_empty() {
+            return false;
+        }
         let own = self.tallies(now, Duration::ZERO);
-        parts.iter().skip(1).any(|part| {
-            self.watched.contains(part)
-                || own.get(part).is_some_and(|t| t.moments() >= SUSPECT_DEATHS)
+        let mut others = parts.skip(1);
+        others.any(|part| {
+            self.watched.contains_key(&part)
+                || own
+                    .get(&part)
+                    .is_some_and(|t| t.moments() >= SUSPECT_DEATHS)
         })
     }
 
@@ -222,47 +287,58 @@
     #[must_use]
     pub fn report(&self, all: bool, now: Duration) -> CrashEvidence {
         let is_due = |b: &&Break| b.local && (all || now < b.at + REPORT_TIME);
-        let mut local: Vec<(Duration, EndpointDeath)> = Vec::new();
+        let mut local: Vec<(Duration, IncarnationId, Vec<&Break>)> = Vec::new();
         for (endpoint, death) in &self.deaths {
-            let due = death.breaks.iter().filter(is_due);
-            let Some(last) = due.clone().map(|b| b.at).max() else {
-                continue;
-            };
-            let requests = due.map(|b| b.to_message(now)).collect();
-            let endpoint = *endpoint;
-            local.push((last, EndpointDeath { endpoint, requests }));
+            let due: Vec<&Break> = death.breaks.iter().filter(is_due).collect();
+            if let Some(last) = due.iter().map(|b| b.at).max() {
+                local.push((last, *endpoint, due));
+            }
         }
-        local.sort_by_key(|(last, _)| std::cmp::Reverse(*last));
-        let deaths = local.into_iter().take(MAX_REPORTED_DEATHS);
+        local.sort_by_key(|(last, ..)| std::cmp::Reverse(*last));
+        local.truncate(MAX_REPORTED_DEATHS);
         CrashEvidence {
-            deaths: deaths.map(|(_, death)| death).collect(),
+            deaths: self.reported_deaths(&local, all, now),
             sound: self.sound_answers(now),
             blamed: self.blamed_parts(now),
             watched: Vec::new(),
+            reads_later: false,
         }
     }
 
     /// What the lease holder publishes to all instances.
     #[must_use]
     pub fn notice(&mut self, now: Duration) -> CrashEvidence {
+        self.is_publishing = true;
+        self.read_prompts();
         let mut watched = BTreeSet::new();
         let tallies = self.tallies(now, Duration::ZERO);
         let suspects = tallies
             .iter()
             .filter(|(_, t)| t.moments() >= SUSPECT_DEATHS);
         for (part, tally) in suspects {
-            watched.insert(*part);
-            watched.extend(&tally.endpoints);
+            let rank = std::cmp::Reverse(tally.moments());
+            watched.insert((rank, *part));
+            watched.extend(tally.endpoints.iter().map(|endpoint| (rank, *endpoint)));
         }
         // An answer of one of these endpoints lifts the blame.
         let blames = self.blamed.values().filter(|b| now < b.until);
-        watched.extend(blames.flat_map(|b| b.deaths.iter().map(|(endpoint, _)| *endpoint)));
-        self.watched = watched.into_iter().take(MAX_WATCHED).collect();
+        let first = std::cmp::Reverse(usize::MAX);
+        watched
+            .extend(blames.flat_map(|b| b.deaths.iter().map(|(endpoint, _)| (first, *endpoint))));
+        let mut asked = BTreeMap::new();
+        for (_, id) in watched {
+            if asked.len() >= MAX_WATCHED {
+                break;
+            }
+            asked.insert(id, self.watched.get(&id).copied().unwrap_or(now));
+        }
+        self.watched = asked;
         CrashEvidence {
             deaths: Vec::new(),
             sound: self.sound_answers(now),
             blamed: self.blamed_parts(now),
-            watched: self.watched.iter().copied().collect(),
+            watched: self.watched.keys().copied().collect(),
+            reads_later: true,
         }
     }
 
@@ -277,12 +353,15 @@
                 request,
                 parts,
                 age_ms,
+                later_parts,
             } in requests
             {
                 let broken = Break {
                     request: *request,
                     // The request's own fingerprint comes after the parts.
                     parts: parts.iter().take(MAX_PARTS + 1).copied().collect(),
+                    later: distinct(later_parts.iter().take(MAX_LATER_PARTS).copied()),
+                    later_heard: now,
                     at: ago(*age_ms),
                     heard_at: now,
                     local: false,
@@ -318,8 +397,15 @@
     /// Takes over what the lease holder publishes.
     pub fn apply_notice(&mut self, notice: &CrashEvidence, now: Duration) {
         self.merge(notice, now, now);
-        self.watched = notice.watched.iter().take(MAX_WATCHED).copied().collect();
+        let asked = notice.watched.iter().take(MAX_WATCHED).copied();
+        self.watched = asked.map(|id| (id, now)).collect();
+        self.is_publishing = false;
+        self.reads_later = Some(notice.reads_later);
         self.heard_at = now;
+        let is_new = |id: &&u64| !self.candidates.contains(*id);
+        let new: Vec<u64> = self.watched.keys().filter(is_new).copied().collect();
+        self.add_candidates(new, Duration::ZERO);
+        self.read_prompts();
     }
 
     fn add_break(&mut self, endpoint: IncarnationId, broken: Break, now: Duration) {
@@ -331,6 +417,8 @@
             let answered = sound.last(*endpoint).unwrap_or_default();
             now < death.last() + DEATH_TTL && answered <= death.last() + ALIVE_MARGIN
         });
+        let (parts, at) = (broken.all_parts().copied().collect(), broken.at);
+        self.add_candidates(parts, at);
         self.deaths.entry(endpoint).or_default().add(broken);
         if self.deaths.len() > MAX_DEATHS {
             let oldest = self.deaths.iter().min_by_key(|(_, d)| d.last());
@@ -338,6 +426,7 @@
                 self.deaths.remove(&oldest);
             }
         }
+        self.bound_later_parts();
     }
 
     fn record_sound(&mut self, id: u64, at: Duration) {
@@ -358,7 +447,9 @@
 
     /// Last sound answers with what the lease holder asks about or what was cleared.
     fn sound_answers(&self, now: Duration) -> Vec<SoundAnswer> {
-        let ids = self.watched.union(&self.cleared);
+        let cleared = self.cleared.iter();
+        let cleared = cleared.filter(|id| !self.watched.contains_key(*id));
+        let ids = self.watched.keys().chain(cleared);
         ids.filter_map(|id| {
             let age_ms = millis(now.saturating_sub(self.sound.last(*id)?));
             Some(SoundAnswer { id: *id, age_ms })
@@ -382,6 +473,7 @@
 
     fn insert_blame(&mut self, part: PartId, blame: Blame) {
         self.cleared.remove(&part);
+        self.add_candidates(vec![part], blame.at);
         self.blamed.insert(part, blame);
         while self.blamed.len() > MAX_BLAMED {
             let oldest = self.blamed.iter().min_by_key(|(_, b)| b.at);
--- a/src/gateway/crash_parts/death.rs
+++ b/src/gateway/crash_parts/death.rs
@@ -4,7 +4,8 @@
 
 use super::super::crash_suspects::Fingerprint;
 use super::super::link::{BrokenRequest, millis};
-use super::PartId;
+use super::later::distinct;
+use super::{MAX_PARTS, PartId};
 
 /// Most closed connections kept of one incarnation.
 const MAX_BREAKS: usize = 64;
@@ -15,7 +16,12 @@
 #[derive(Debug, Clone)]
 pub(super) struct Break {
     pub(super) request: Fingerprint,
+    /// The first parts, and the request's fingerprint after them.
     pub(super) parts: Vec<PartId>,
+    /// The other parts in order, less those that were found to be sound.
+    pub(super) later: Vec<PartId>,
+    /// When the later parts became known here.
+    pub(super) later_heard: Duration,
     pub(super) at: Duration,
     /// When it became known here.
     pub(super) heard_at: Duration,
@@ -24,11 +30,49 @@
 }
 
 impl Break {
-    pub(super) fn to_message(&self, now: Duration) -> BrokenRequest {
+    /// A request of this instance with all parts of its prompt.
+    pub(super) fn local(request: Fingerprint, parts: &[PartId], now: Duration) -> Self {
+        let (first, later) = parts.split_at(parts.len().min(MAX_PARTS));
+        Self {
+            request,
+            parts: first.iter().copied().chain([request]).collect(),
+            later: distinct(later.iter().copied()),
+            later_heard: now,
+            at: now,
+            heard_at: now,
+            local: true,
+        }
+    }
+
+    /// The first parts, the request's fingerprint and the later parts.
+    pub(super) fn all_parts(&self) -> impl Iterator<Item = &PartId> {
+        self.parts.iter().chain(&self.later)
+    }
+
+    pub(super) fn to_message(&self, later_parts: Vec<PartId>, now: Duration) -> BrokenRequest {
         BrokenRequest {
             request: self.request,
             parts: self.parts.clone(),
             age_ms: millis(now.saturating_sub(self.at)),
+            later_parts,
+        }
+    }
+
+    /// The same for a lease holder that reads the first parts only: suspects take their places.
+    pub(super) fn to_first_parts(&self, suspects: &[PartId], now: Duration) -> BrokenRequest {
+        let first = self.parts.first().filter(|p| **p != self.request);
+        let others = suspects.iter().filter(|p| Some(*p) != first);
+        let others = others.take(MAX_PARTS - 1);
+        BrokenRequest {
+            request: self.request,
+            parts: first
+                .into_iter()
+                .chain(others)
+                .chain([&self.request])
+                .copied()
+                .collect(),
+            age_ms: millis(now.saturating_sub(self.at)),
+            later_parts: Vec::new(),
         }
     }
 }
@@ -51,8 +95,17 @@
         let same = |b: &&mut Break| b.request == broken.request && b.parts == broken.parts;
         if let Some(known) = self.breaks.iter_mut().find(same) {
             // Reports of one event differ by the time that they took.
+            if known.later.is_empty() && !broken.later.is_empty() {
+                known.later.clone_from(&broken.later);
+                known.later_heard = broken.later_heard;
+            }
             if broken.at > known.at + ALIVE_MARGIN {
-                *known = broken;
+                let (later, later_heard) = (std::mem::take(&mut known.later), known.later_heard);
+                *known = Break {
+                    later,
+                    later_heard,
+                    ..broken
+                };
             }
             return;
         }
--- a/src/gateway/crash_parts/verdict.rs
+++ b/src/gateway/crash_parts/verdict.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use super::death::{ALIVE_MARGIN, Death};
-use super::{BLAME_TIME, Blame, CrashParts, IncarnationId, MAX_BLAME_TIME, PartId};
+use super::{
+    BLAME_TIME, Blame, CrashParts, IncarnationId, MAX_BLAME_TIME, MAX_PARTS, PartId, SUSPECT_DEATHS,
+};
 
 /// Deaths at different times after which a request or a part is blamed.
 const BLAME_DEATHS: usize = 3;
@@ -25,6 +27,8 @@
     /// Largest index of the part in a prompt.
     depth: usize,
     is_first: bool,
+    /// Whether it is among the first parts of a prompt.
+    is_early: bool,
     /// Whether it is a request, not a part.
     is_request: bool,
     pub(super) endpoints: BTreeSet<IncarnationId>,
@@ -100,6 +104,8 @@
     /// ```
     pub fn judge(&mut self, now: Duration) {
         self.judged_at = now;
+        self.read_prompts();
+        self.prune_later_parts(now);
         self.lift_disproved(now);
         let blame_kept = |b: &Blame| now < b.until + BLAME_TIME;
         self.blamed.retain(|_, blame| blame_kept(blame));
@@ -152,20 +158,56 @@
         let proved = self
             .tallies(now, SETTLE_TIME)
             .into_iter()
-            .filter(|(part, tally)| tally.is_proved(self.blamed.contains_key(part)));
+            .filter(|(part, tally)| tally.is_proved(self.blamed.contains_key(part)))
+            .filter(|(part, tally)| tally.is_early || self.is_asked(*part, now));
         proved.max_by_key(|(_, t)| (!t.is_first, t.moments(), t.depth))
     }
 
-    /// What speaks against each part, by deaths that have been known for `settled`.
+    /// Whether all instances had time to tell of sound answers with a later part.
+    ///
+    /// Its sound answers are known only once the lease holder has asked; an instance by itself goes by
+    /// its own.
+    fn is_asked(&self, part: PartId, now: Duration) -> bool {
+        let asked_at = self.watched.get(&part);
+        !self.is_publishing || asked_at.is_some_and(|at| now >= *at + SETTLE_TIME)
+    }
+
+    /// Parts on which several deaths bear, and those that were blamed before.
+    fn recurring(&self) -> BTreeSet<PartId> {
+        let mut all: Vec<PartId> = Vec::new();
+        for death in self.deaths.values() {
+            let breaks = death.breaks.iter();
+            let mut parts: Vec<PartId> = breaks.flat_map(|b| b.all_parts().copied()).collect();
+            parts.sort_unstable();
+            parts.dedup();
+            all.append(&mut parts);
+        }
+        all.sort_unstable();
+        let runs = all.chunk_by(|a, b| a == b);
+        let several = runs.filter(|run| run.len() >= SUSPECT_DEATHS);
+        let several = several.filter_map(|run| run.first().copied());
+        several.chain(self.blamed.keys().copied()).collect()
+    }
+
+    /// What speaks against each recurring part, by deaths that have been known for `settled`.
     pub(super) fn tallies(&self, now: Duration, settled: Duration) -> BTreeMap<PartId, Tally> {
         let mut tallies: BTreeMap<PartId, Tally> = BTreeMap::new();
+        if self.deaths.is_empty() {
+            return tallies;
+        }
+        let recurring = self.recurring();
         for (endpoint, death) in self.deaths.iter().filter(|(_, d)| !self.explains(d)) {
             let answered = self.sound.last(*endpoint).unwrap_or_default();
             let mut times: BTreeMap<PartId, Duration> = BTreeMap::new();
             let breaks = death.breaks.iter();
             let counted = breaks.filter(|b| now >= b.heard_at + settled);
             for broken in counted.filter(|b| answered <= b.at + ALIVE_MARGIN) {
-                for (depth, part) in broken.parts.iter().enumerate() {
+                let is_settled = now >= broken.later_heard + settled;
+                let later = broken.later.iter().filter(|_| is_settled);
+                for (depth, part) in broken.parts.iter().chain(later).enumerate() {
+                    if !recurring.contains(part) {
+                        continue;
+                    }
                     if self.sound.last(*part).is_some_and(|at| at >= broken.at) {
                         continue;
                     }
@@ -176,6 +218,7 @@
                     tally.endpoints.insert(*endpoint);
                     tally.depth = tally.depth.max(depth);
                     tally.is_request |= *part == broken.request;
+                    tally.is_early |= depth <= MAX_PARTS && depth < broken.parts.len();
                     tally.is_first |= depth == 0 && *part != broken.request;
                 }
             }
@@ -192,7 +235,7 @@
     fn explains(&self, death: &Death) -> bool {
         let mut breaks = death.breaks.iter();
         breaks.any(|broken| {
-            let mut blames = broken.parts.iter().filter_map(|p| self.blamed.get(p));
+            let mut blames = broken.all_parts().filter_map(|p| self.blamed.get(p));
             blames.any(|blame| broken.at < blame.until)
         })
     }
--- a/src/gateway/link/evidence.rs
+++ b/src/gateway/link/evidence.rs
@@ -8,12 +8,15 @@
     /// Digest of its path and body.
     #[prost(fixed64, tag = "1")]
     pub request: u64,
-    /// Digests of the parts of its prompt in order, without the last one.
+    /// Digests of the first parts of its prompt in order, without the last one, and its own.
     #[prost(fixed64, repeated, tag = "2")]
     pub parts: Vec<u64>,
     /// Time since the endpoint closed its connection, in milliseconds.
     #[prost(uint32, tag = "3")]
     pub age_ms: u32,
+    /// Digests of later parts that have no sound answer since, in order; none until some time has passed.
+    #[prost(fixed64, repeated, tag = "4")]
+    pub later_parts: Vec<u64>,
 }
 
 /// What an instance saw of the end of an incarnation of an endpoint.
@@ -70,6 +73,9 @@
     /// Digests of which the lease holder asks for the last sound answer.
     #[prost(fixed64, repeated, tag = "4")]
     pub watched: Vec<u64>,
+    /// Whether the sender reads later parts of prompts.
+    #[prost(bool, tag = "5")]
+    pub reads_later: bool,
 }
 
 impl CrashEvidence {
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -12,6 +12,7 @@
 
 use super::accounts::{DetourProof, KeyDigest};
 use super::catalog::Catalog;
+use super::prompt_parts::PromptParts;
 use crate::BoxFuture;
 use crate::http::Body;
 use crate::table::TableError;
@@ -196,7 +197,7 @@
     /// Id of the prompt prefix, which several requests may share.
     pub prefix_id: Option<String>,
     /// Ids of the prompt's parts in order, without the last one, which is the request's own.
-    pub shared_parts: Vec<String>,
+    pub shared_parts: PromptParts,
     /// Id of the last event that the caller has received.
     pub last_event: Option<u64>,
     /// Id of the attempt that brought the first event of the stream that this one resumes.
--- a/src/gateway/routing.rs
+++ b/src/gateway/routing.rs
@@ -233,7 +233,7 @@
         }
         self.check_key(history)?;
         // A part may have been blamed while the request waited or ran.
-        let blamed = refusal_for(&self.gateway, &self.head, self.fingerprint, &self.parts);
+        let blamed = refusal_for(&self.gateway, &self.head, self.fingerprint);
         blamed.map_or(
             Ok(()),
             |blamed| Err(blamed.raise_verdict(history.verdict())),
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -11,7 +11,6 @@
 use super::accounts::Account;
 use super::body_room::{BodyPermit, read_body};
 use super::catalog::{Catalog, Route};
-use super::crash_parts::{PartId, part_ids};
 use super::crash_suspects::{Fingerprint, fingerprint};
 use super::headers::strip_connection_headers;
 use super::protocol::RequestHead;
@@ -74,8 +73,6 @@
     pub permit: Option<BodyPermit>,
     /// Digest of path, query and body, which identifies requests that crash endpoints.
     pub fingerprint: Fingerprint,
-    /// Digests of the prompt's parts, without the last one.
-    pub parts: Vec<PartId>,
     /// Credit taken out of the account's quota.
     pub charged: Option<Charged>,
     /// When the head had been received.
@@ -132,9 +129,7 @@
     let target = parts.uri.path_and_query();
     let target = target.map_or_else(|| parts.uri.path(), |t| t.as_str());
     let fingerprint = fingerprint(target, &body);
-    let prompt_parts = part_ids(&head.shared_parts);
-    if let Some(refusal) = crash_evidence::refusal_for(&gateway, &head, fingerprint, &prompt_parts)
-    {
+    if let Some(refusal) = crash_evidence::refusal_for(&gateway, &head, fingerprint) {
         return refuse(&gateway, &refusal, &id, &route.name, arrived_at);
     }
     let Some(service) = route.pick_service(rand::random()).map(str::to_owned) else {
@@ -159,7 +154,6 @@
         body,
         permit: Some(permit),
         fingerprint,
-        parts: prompt_parts,
         charged,
         arrived_at,
         deadline,
