Outbound: a status that is no final answer's is not passed on

Cause: whatever the HTTP library parses as a head passed for a final answer. Evidence: 000, 099 and 199, which it cannot parse or skips, were not passed on.

A status outside 200 to 599 is a garbled head now, for all answers that are read here. A stored answer with such a status becomes 502 instead of 200.

--- a/src/admin/answer.rs
+++ b/src/admin/answer.rs
@@ -15,7 +15,8 @@
 /// A JSON answer with a status.
 pub(super) fn json(status: u16, body: &Value) -> Answer {
     let mut answer = Response::new(Full::from(format!("{body}\n")));
-    *answer.status_mut() = hyper::StatusCode::from_u16(status).unwrap_or_default();
+    *answer.status_mut() =
+        hyper::StatusCode::from_u16(status).unwrap_or(hyper::StatusCode::INTERNAL_SERVER_ERROR);
     let headers = answer.headers_mut();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     headers.insert(CACHE_CONTROL, HeaderValue::from_static("no-store"));
--- a/src/at_most_once.rs
+++ b/src/at_most_once.rs
@@ -13,7 +13,7 @@
 use crate::http::Body;
 use crate::idempotency::{self, Call, Claim, ClaimToken, SettleError};
 use crate::members::Member;
-use crate::outbound::{Answer, Freshness, SendError};
+use crate::outbound::{self, Answer, Freshness, SendError};
 use crate::residency_controller::unix_time;
 use crate::rules::Repeat;
 use crate::service_calls::ServiceCall;
@@ -233,10 +233,13 @@
     }
 }
 
-/// Converts a stored answer.
+/// Converts a stored answer; one with a status that is no final answer's becomes a failure.
 fn stored_answer(answer: idempotency::Answer) -> Answer {
     let mut response = Response::new(());
-    *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
+    *response.status_mut() = StatusCode::from_u16(answer.status)
+        .ok()
+        .filter(|status| outbound::is_final(*status))
+        .unwrap_or(StatusCode::BAD_GATEWAY);
     if let Ok(kind) = HeaderValue::from_str(&answer.kind) {
         response.headers_mut().insert(CONTENT_TYPE, kind);
     }
--- a/src/outbound.rs
+++ b/src/outbound.rs
@@ -12,7 +12,7 @@
 use http_body_util::Full;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::header::HeaderValue;
-use hyper::{HeaderMap, Request, Version};
+use hyper::{HeaderMap, Request, StatusCode, Version};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
@@ -344,6 +344,14 @@
     }
 }
 
+/// Whether a status is that of a final answer.
+///
+/// Interim answers come before it; there is no upgrade to which 101 could lead.
+#[must_use]
+pub fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Id of a request, as it or its answer carries it.
 fn named(headers: &HeaderMap, echo: &str) -> Option<HeaderValue> {
     headers.get(echo).filter(|id| !id.is_empty()).cloned()
@@ -393,6 +401,11 @@
             };
             SendError::new(fault, to, &error)
         })?;
+        let status = response.status();
+        if !is_final(status) {
+            let detail = format!("status {status} is no final answer's");
+            return Err(SendError::new(SendFault::Garbled, to, &detail));
+        }
         let mut response = response.map(|body| AnswerBody::new(body, meter));
         // Passed on in an older version, a body would end with the caller's connection.
         *response.version_mut() = Version::HTTP_11;
--- a/src/outbound/fault.rs
+++ b/src/outbound/fault.rs
@@ -16,7 +16,7 @@
     Closed,
     /// The head of the answer did not come in time.
     Silent,
-    /// Bytes came that are no head of an answer.
+    /// Bytes came that are no head of a final answer.
     Garbled,
     /// The answer belongs to another request.
     Crossed,
