Answers: all that an instance reads share one bound of memory

A process ended with the requests of all its callers: answers without end from some endpoints, 120 at a time, took it to 1,611 MB (bodies) and 250 MB (events) on a machine of 96 MB. Cause: each answer was bounded, 8 MB whole and 1 MB for an event, their sum was not.

Answers and incomplete events take memory from a sixteenth of the machine's, until the caller has them. Where there is none, the largest arriving answer of the endpoint whose answers hold most is given up, so that sound answers are read beside endless ones. Queued events of a stream are bounded in bytes.

--- a/src/gateway/body_room/reader.rs
+++ b/src/gateway/body_room/reader.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
 use tokio::sync::Notify;
@@ -12,10 +12,9 @@
 use super::{BodyPermit, BodyRoom};
 use crate::request::discard_body;
 use crate::request_context::RequestLimits;
+use crate::segments::Segments;
 use crate::verdict::{Cause, Refusal};
 
-/// Size of the segments by which a body grows.
-const SEGMENT_BYTES: usize = 16 << 10;
 /// Retry-after time where there is no memory for a body.
 const RETRY_DELAY: Duration = Duration::from_millis(500);
 
@@ -78,65 +77,22 @@
         let Ok(part) = frame.into_data() else {
             continue;
         };
-        if read.length + part.len() > most {
+        if read.length() + part.len() > most {
             return Err(too_large(most));
         }
-        if !read.push(&part, stated, &permit).await {
-            return Err(out_of_memory());
-        }
-    }
-    permit.complete();
-    Ok((read.join(), permit))
-}
-
-/// A body that is still arriving.
-///
-/// It grows by segments of one size: a buffer of the stated length may take memory before anything has
-/// arrived, and one that doubles leaves gaps of many sizes.
-#[derive(Debug, Default)]
-struct Segments {
-    segments: Vec<BytesMut>,
-    length: usize,
-}
-
-impl Segments {
-    /// Adds a part; false if there is no memory for it.
-    async fn push(&mut self, mut part: &[u8], stated: Option<usize>, permit: &BodyPermit) -> bool {
+        let mut part: &[u8] = &part;
         while !part.is_empty() {
-            let free = match self.segments.last() {
-                Some(last) => last.capacity() - last.len(),
-                None => 0,
-            };
-            if free == 0 {
-                let left = stated.map_or(SEGMENT_BYTES, |s| s.saturating_sub(self.length));
-                let size = left.clamp(part.len().min(SEGMENT_BYTES), SEGMENT_BYTES);
+            if let Some(size) = read.missing(part.len(), stated) {
                 if !permit.take(size).await {
-                    return false;
+                    return Err(out_of_memory());
                 }
-                self.segments.push(BytesMut::with_capacity(size));
-                continue;
-            }
-            let (now, later) = part.split_at(free.min(part.len()));
-            if let Some(last) = self.segments.last_mut() {
-                last.extend_from_slice(now);
+                read.add(size);
             }
-            self.length += now.len();
-            part = later;
-        }
-        true
-    }
-
-    /// The whole body. Nothing is awaited, so that one body at a time takes twice its memory.
-    fn join(mut self) -> Bytes {
-        if self.segments.len() < 2 {
-            return self.segments.pop().unwrap_or_default().freeze();
-        }
-        let mut whole = BytesMut::with_capacity(self.length);
-        for segment in self.segments {
-            whole.extend_from_slice(&segment);
+            part = read.fill(part);
         }
-        whole.freeze()
     }
+    permit.complete();
+    Ok((read.join(), permit))
 }
 
 fn too_large(most: usize) -> Refusal {
--- a/src/gateway/link/accept.rs
+++ b/src/gateway/link/accept.rs
@@ -21,7 +21,7 @@
 /// Most links that others have opened.
 const MAX_LINKS: usize = 1024;
 /// Most large frames that arrive on them at a time.
-const MAX_LARGE_FRAMES: usize = 16;
+const MAX_LARGE_FRAMES: usize = 8;
 /// Most updates queued for a slow link.
 const MAX_QUEUED_UPDATES: usize = 64;
 
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -198,8 +198,10 @@
     pub(super) origins_told: Notify,
 }
 
-/// Share of the memory that bodies of requests may take, as a divisor.
+/// Share of the memory that bodies of requests and answers may take, as a divisor.
 const BODY_SHARE: usize = 4;
+/// Share of the memory that answers may take of it, as a divisor of the whole.
+const ANSWER_SHARE: usize = 16;
 /// Assumed number of live instances until the lease holder has reported it.
 pub(super) const DEFAULT_INSTANCES: u32 = 8;
 
@@ -213,12 +215,15 @@
         settings: GatewaySettings,
         platform: PlatformApi,
     ) -> Result<Arc<Self>, MetricsError> {
+        let answer_bytes = settings.memory_bytes / ANSWER_SHARE;
+        let body_bytes = settings.memory_bytes / BODY_SHARE - answer_bytes;
         let outbound = Outbound::new(OutboundSettings {
             connect: CONNECT_TIMEOUT,
             idle: IDLE_TIMEOUT,
             kept: MAX_IDLE_CONNECTIONS,
             echo: settings.echo_header.clone(),
             late_copy: LATE_COPY_TIME,
+            memory: answer_bytes,
             ..OutboundSettings::default()
         });
         Ok(Arc::new(Self {
@@ -257,7 +262,7 @@
             told_loads: Mutex::default(),
             quotas: Quotas::new(rand::random()),
             room: RoomSharing::default(),
-            body_room: BodyRoom::new(settings.memory_bytes / BODY_SHARE),
+            body_room: BodyRoom::new(body_bytes),
             origins_told: Notify::new(),
             settings,
         }))
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod admin;
 pub mod admission;
+pub mod answer_room;
 mod assembly;
 pub mod at_most_once;
 pub mod balancer;
@@ -48,6 +49,7 @@
 pub mod residency_controller;
 pub mod rules;
 pub mod rules_sync;
+pub mod segments;
 pub mod service_calls;
 pub mod settings;
 pub mod state_chart;
--- a/src/outbound.rs
+++ b/src/outbound.rs
@@ -18,6 +18,8 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout};
 
+use crate::answer_room::AnswerRoom;
+
 mod connects;
 mod fault;
 mod meter;
@@ -53,6 +55,8 @@
     pub echo: String,
     /// Time within which a second copy of an answer may come on its connection.
     pub late_copy: Duration,
+    /// Memory that all answers may hold, in bytes.
+    pub memory: usize,
 }
 
 impl Default for OutboundSettings {
@@ -64,6 +68,7 @@
             unacked: Duration::from_secs(3),
             echo: crate::http::REQUEST_ID.to_owned(),
             late_copy: Duration::ZERO,
+            memory: 16 << 20,
         }
     }
 }
@@ -101,6 +106,7 @@
     settings: OutboundSettings,
     idle: Arc<Mutex<BTreeMap<SocketAddr, Vec<Idle>>>>,
     connects: Arc<Connects>,
+    answers: Arc<AnswerRoom>,
 }
 
 /// An open connection that carries no request yet.
@@ -110,6 +116,7 @@
     to: SocketAddr,
     reused: bool,
     echo: String,
+    answers: Arc<AnswerRoom>,
 }
 
 impl Outbound {
@@ -117,12 +124,19 @@
     #[must_use]
     pub fn new(settings: OutboundSettings) -> Self {
         Self {
+            answers: Arc::new(AnswerRoom::new(settings.memory)),
             settings,
             idle: Arc::default(),
             connects: Arc::default(),
         }
     }
 
+    /// Memory that the answers share.
+    #[must_use]
+    pub const fn answers(&self) -> &Arc<AnswerRoom> {
+        &self.answers
+    }
+
     /// Outcomes of the last connects.
     #[must_use]
     pub const fn connects(&self) -> &Arc<Connects> {
@@ -168,6 +182,7 @@
             to,
             reused,
             echo: self.settings.echo.clone(),
+            answers: Arc::clone(&self.answers),
         })
     }
 
@@ -406,7 +421,8 @@
             let detail = format!("status {status} is no final answer's");
             return Err(SendError::new(SendFault::Garbled, to, &detail));
         }
-        let mut response = response.map(|body| AnswerBody::new(body, meter));
+        let permit = self.answers.admit(to);
+        let mut response = response.map(|body| AnswerBody::new(body, meter, permit));
         // Passed on in an older version, a body would end with the caller's connection.
         *response.version_mut() = Version::HTTP_11;
         // A request without an id has no answer with one: that is another's, late.
--- a/src/outbound/meter.rs
+++ b/src/outbound/meter.rs
@@ -16,6 +16,7 @@
 use tokio::net::TcpStream;
 
 use super::connects::LastHeard;
+use crate::answer_room::AnswerPermit;
 
 /// Most bytes of a head, and of each read.
 pub(super) const MAX_HEAD_BYTES: usize = 64 << 10;
@@ -97,11 +98,21 @@
 pub struct AnswerBody {
     body: Incoming,
     meter: Meter,
+    permit: Option<AnswerPermit>,
 }
 
 impl AnswerBody {
-    pub(super) const fn new(body: Incoming, meter: Meter) -> Self {
-        Self { body, meter }
+    pub(super) const fn new(body: Incoming, meter: Meter, permit: AnswerPermit) -> Self {
+        Self {
+            body,
+            meter,
+            permit: Some(permit),
+        }
+    }
+
+    /// Memory of what is kept of the body; none once it was taken.
+    pub fn take_permit(&mut self) -> Option<AnswerPermit> {
+        self.permit.take()
     }
 }
 
--- a/src/outbound/reply.rs
+++ b/src/outbound/reply.rs
@@ -3,13 +3,15 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::Response;
+use hyper::body::Body as _;
 use tokio::time::timeout;
 
 use super::meter::{AnswerBody, is_garbled};
 use super::{Outbound, SendError, SendFault, Sender};
+use crate::segments::Segments;
 
 /// An answer whose body is still to be read.
 #[derive(Debug)]
@@ -52,7 +54,7 @@
     /// # Errors
     ///
     /// [`SendFault::Body`] where the body ends early, [`SendFault::Unended`] where it is larger than
-    /// `most` bytes or is no body.
+    /// `most` bytes or is no body, or there is no memory for it.
     pub async fn read(self, pool: &Outbound, most: usize) -> Result<Answer, SendError> {
         self.read_while(pool, most, Duration::MAX).await
     }
@@ -66,10 +68,19 @@
     ) -> Result<Answer, SendError> {
         let from = self.from;
         let (head, mut body) = self.response.into_parts();
-        // One buffer: a body in chunks of one byte takes many times its size as a list of frames.
-        let mut bytes = BytesMut::new();
+        let out_of_memory =
+            || SendError::new(SendFault::Unended, from, &"no memory for the answer");
+        let permit = body.take_permit().ok_or_else(out_of_memory)?;
+        let stated = body.size_hint().exact();
+        let stated = stated.and_then(|length| usize::try_from(length).ok());
+        // A body in chunks of one byte takes many times its size as a list of frames.
+        let mut read = Segments::default();
+        let mut held = 0;
         loop {
-            let next = timeout(pause, body.frame()).await;
+            let next = tokio::select! {
+                next = timeout(pause, body.frame()) => next,
+                () = permit.evicted() => return Err(out_of_memory()),
+            };
             let next = next.map_err(|late| SendError::new(SendFault::Unended, from, &late))?;
             let Some(frame) = next else { break };
             let frame = frame.map_err(|error| {
@@ -81,14 +92,24 @@
                 SendError::new(fault, from, &error)
             })?;
             let part = frame.into_data().unwrap_or_default();
-            if bytes.len() + part.len() > most {
+            if read.length() + part.len() > most {
                 let detail = format!("the body is larger than {most} bytes");
                 return Err(SendError::new(SendFault::Unended, from, &detail));
             }
-            bytes.extend_from_slice(&part);
+            let mut part: &[u8] = &part;
+            while !part.is_empty() {
+                if let Some(size) = read.missing(part.len(), stated) {
+                    held += size;
+                    if !permit.hold(held).await {
+                        return Err(out_of_memory());
+                    }
+                    read.add(size);
+                }
+                part = read.fill(part);
+            }
         }
         pool.put(from, self.sender);
-        let body = bytes.freeze();
+        let body = permit.complete(read.join());
         Ok(Answer { head, body })
     }
 }
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -11,9 +11,10 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
-use tokio::sync::mpsc;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
 use tokio::time::{Instant, timeout};
 
+use crate::answer_room::AnswerPermit;
 use crate::http::Body;
 use crate::outbound::{AnswerBody, is_garbled};
 
@@ -23,10 +24,14 @@
 const DONE_EVENT: &[u8] = b"data: [DONE]";
 /// Maximum number of frames that are buffered for a slow caller.
 const MAX_QUEUED_FRAMES: usize = 32;
+/// Maximum number of bytes of these, beside one larger frame.
+const MAX_QUEUED_BYTES: u32 = 64 << 10;
 /// Maximum time without a read by the caller while the frame buffer is full.
 const CALLER_STALL_TIMEOUT: Duration = Duration::from_secs(30);
 /// Size of the longest end of an event: a line end and a blank line.
 const MAX_EVENT_END_BYTES: usize = 3;
+/// Size up to which an incomplete event takes no memory that answers share.
+const FREE_EVENT_BYTES: usize = 4 << 10;
 /// Maximum size of an incomplete event.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
@@ -104,13 +109,17 @@
     lines.all(|line| matches!(line, [] | [b'\r'] | [b':', ..]))
 }
 
+/// Complete events that the caller has not read, with their share of the queue.
+type QueuedFrame = (Bytes, OwnedSemaphorePermit);
+
 /// The caller's side of a stream.
 ///
 /// The response is complete only after [`CallerStream::finish`]. A stream that is dropped before, in
 /// whatever way, ends the response with an error.
 #[derive(Debug)]
 pub struct CallerStream {
-    frames: mpsc::Sender<Result<Frame<Bytes>, std::io::Error>>,
+    frames: mpsc::Sender<QueuedFrame>,
+    queue_room: Arc<Semaphore>,
     finished: Arc<AtomicBool>,
     sent_events: u64,
     done: bool,
@@ -126,7 +135,7 @@
         let stream = futures_util::stream::unfold(open, |open| async move {
             let (mut queue, finished) = open?;
             match queue.recv().await {
-                Some(frame) => Some((frame, Some((queue, finished)))),
+                Some((events, _share)) => Some((Ok(Frame::data(events)), Some((queue, finished)))),
                 None if finished.load(Ordering::Acquire) => None,
                 None => {
                     let broken = std::io::Error::from(std::io::ErrorKind::UnexpectedEof);
@@ -137,6 +146,7 @@
         let body = StreamBody::new(stream).boxed_unsync();
         let caller = Self {
             frames,
+            queue_room: Arc::new(Semaphore::new(MAX_QUEUED_BYTES as usize)),
             finished,
             sent_events: 0,
             done: false,
@@ -164,10 +174,21 @@
     pub async fn send(&mut self, events: Bytes) -> bool {
         self.sent_events += event_ends(&events).count() as u64;
         self.done |= events.windows(DONE_EVENT.len()).any(|w| w == DONE_EVENT);
-        let sent = self.frames.send(Ok(Frame::data(events)));
+        let share = u32::try_from(events.len()).unwrap_or(u32::MAX);
+        let share = share.min(MAX_QUEUED_BYTES);
+        let queue_room = Arc::clone(&self.queue_room);
+        let sent = async {
+            tokio::select! {
+                share = queue_room.acquire_many_owned(share) => {
+                    let share = share.ok()?;
+                    self.frames.send((events, share)).await.ok()
+                }
+                () = self.frames.closed() => None,
+            }
+        };
         timeout(CALLER_STALL_TIMEOUT, sent)
             .await
-            .is_ok_and(|sent| sent.is_ok())
+            .is_ok_and(|sent| sent.is_some())
     }
 
     /// Relays the events of one endpoint until they end; waits at most `limit` for each event.
@@ -216,14 +237,17 @@
 pub struct EventReader {
     body: AnswerBody,
     events: EventSplitter,
+    /// Memory of the incomplete event.
+    permit: Option<AnswerPermit>,
     ended_cleanly: bool,
 }
 
 impl EventReader {
     /// Creates a reader for an unread response body.
     #[must_use]
-    pub fn new(body: AnswerBody) -> Self {
+    pub fn new(mut body: AnswerBody) -> Self {
         Self {
+            permit: body.take_permit(),
             body,
             events: EventSplitter::default(),
             ended_cleanly: false,
@@ -241,16 +265,39 @@
     /// # Errors
     ///
     /// [`StreamEnd::Cut`] at the end of the body, [`StreamEnd::Invalid`] where an event is too
-    /// large, [`StreamEnd::Silent`] where no event is complete within the limit.
+    /// large or there is no memory for it, [`StreamEnd::Silent`] where no event is complete within the limit.
     pub async fn next(&mut self, limit: Duration) -> Result<Bytes, StreamEnd> {
         timeout(limit, self.read_events())
             .await
             .unwrap_or(Err(StreamEnd::Silent))
     }
 
+    /// Reads a frame; none where there is no memory for the incomplete event.
+    async fn read_frame(&mut self) -> Option<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        let Some(permit) = &self.permit else {
+            return Some(self.body.frame().await);
+        };
+        let pending = self.events.pending_bytes();
+        let held = if pending > FREE_EVENT_BYTES {
+            pending
+        } else {
+            0
+        };
+        if !permit.hold(held).await {
+            return None;
+        }
+        tokio::select! {
+            frame = self.body.frame() => Some(frame),
+            () = permit.evicted() => None,
+        }
+    }
+
     async fn read_events(&mut self) -> Result<Bytes, StreamEnd> {
         loop {
-            let frame = match self.body.frame().await {
+            let Some(frame) = self.read_frame().await else {
+                return Err(StreamEnd::Invalid);
+            };
+            let frame = match frame {
                 Some(Ok(frame)) => frame,
                 Some(Err(error)) => {
                     log::debug!(error:% = error; "cannot read a response stream to its end");
--- a/tests/connection_memory.rs
+++ b/tests/connection_memory.rs
@@ -9,7 +9,7 @@
 const HEAD_BYTES: usize = 16 << 10;
 
 /// Guards against a machine that runs out of memory under connections whose bytes nobody reads: what
-/// the kernel holds of them, their heads and the bodies leave a quarter to everything else.
+/// the kernel holds of them, their heads, the bodies and the answers leave a quarter to everything else.
 #[test]
 fn connections_leave_memory() {
     let kernel: usize = (0..CONNECTIONS)
