Demand: only models and adapters that the configuration has are counted

Cause: demand was counted before anything looked whether the service has the model.

Instances count and report the demand of configured models only, with adapter names of up to 200 bytes; the holder looks as well, as earlier builds report all, and keeps at most 16,384 targets.

--- a/src/gateway/catalog.rs
+++ b/src/gateway/catalog.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use super::accounts::Accounts;
+use super::protocol::Target;
 
 /// How a request whose answer is incomplete may be retried.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
@@ -144,6 +145,9 @@
     pub adapter_mb: f64,
 }
 
+/// Longest name of an adapter, in bytes.
+const MAX_ADAPTER_NAME_BYTES: usize = 200;
+
 /// Properties of the engines of a service.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Engine {
@@ -270,6 +274,15 @@
         routes.map(|r| r.timeout).max().unwrap_or_default()
     }
 
+    /// Whether a service may have a target: its model is configured, and the name of its adapter is
+    /// one that a store holds.
+    #[must_use]
+    pub fn has_target(&self, service: &str, target: &Target) -> bool {
+        let engine = self.services.get(service).and_then(|s| s.engine.as_ref());
+        let has_model = engine.is_some_and(|e| e.models.contains_key(&target.model));
+        has_model && target.adapter_name().len() <= MAX_ADAPTER_NAME_BYTES
+    }
+
     /// The services whose endpoints are model servers, with the properties of their engines.
     pub fn engines(&self) -> impl Iterator<Item = (&str, &Engine)> {
         let services = self.services.iter();
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -7,6 +7,7 @@
 
 use xtra::prelude::*;
 
+use super::catalog::Catalog;
 use super::catalog::Engine;
 use super::lease::Lease;
 use super::link::{self, DemandReport};
@@ -45,6 +46,8 @@
 use throttle::PlanThrottle;
 use views::EngineViews;
 
+/// Most models and adapters of which demand is kept.
+const MAX_TARGETS: usize = 16_384;
 /// Capacity of the actor's mailbox.
 const MAILBOX_MESSAGES: usize = 1024;
 /// Interval between plans when no event triggers one.
@@ -82,6 +85,11 @@
     ramps: RampHolder,
 }
 
+/// Whether a target is among those kept, or there is a place for one more.
+fn has_place<T>(kept: &BTreeMap<DemandKey, T>, key: &DemandKey) -> bool {
+    kept.len() < MAX_TARGETS || kept.contains_key(key)
+}
+
 /// Asks for a plan, at an interval or because demand at this instance changed.
 #[derive(Debug, Clone, Copy)]
 struct Tick;
@@ -141,19 +149,26 @@
 
     fn record_demand(&mut self, demand: &DemandReport) {
         let now = self.gateway.now();
-        for count in demand.requested.iter().filter(|c| c.arrivals > 0) {
-            let key = (count.scope.clone(), count.target());
-            self.rates.entry(key).or_default().add(count.arrivals, now);
-        }
-        for count in demand.requested.iter().filter(|c| c.refused > 0) {
-            let key = (count.scope.clone(), count.target());
-            let refusals = self.refusals.entry(key).or_default();
-            refusals.add(count.refused, now);
-        }
-        for count in demand.requested.iter().filter(|c| c.ended > 0) {
+        let catalog = self.gateway.catalog();
+        for count in &demand.requested {
             let key = (count.scope.clone(), count.target());
-            let share = self.late_shares.entry(key).or_default();
-            share.add(count.ended, count.late, now);
+            // Earlier builds report whatever callers name.
+            let has_target = |c: &Arc<Catalog>| c.has_target(&key.0, &key.1);
+            if !catalog.as_ref().is_some_and(has_target) {
+                continue;
+            }
+            if count.arrivals > 0 && has_place(&self.rates, &key) {
+                let rate = self.rates.entry(key.clone()).or_default();
+                rate.add(count.arrivals, now);
+            }
+            if count.refused > 0 && has_place(&self.refusals, &key) {
+                let refusals = self.refusals.entry(key.clone()).or_default();
+                refusals.add(count.refused, now);
+            }
+            if count.ended > 0 && has_place(&self.late_shares, &key) {
+                let share = self.late_shares.entry(key).or_default();
+                share.add(count.ended, count.late, now);
+            }
         }
         if demand.reports_closed {
             return;
--- a/src/gateway/routing.rs
+++ b/src/gateway/routing.rs
@@ -165,7 +165,7 @@
                 let retry_in = ready_in.unwrap_or(NO_ENDPOINT_RETRY_DELAY);
                 return Err(refusal(Cause::DeadlineTooShort).retry_after(retry_in));
             }
-            if waiting.is_none() {
+            if waiting.is_none() && self.configured_target().is_some() {
                 waiting = Some(self.register_wait(target, pinned));
                 if limited.is_none() && !lacks_room && full.is_none() {
                     self.log_wait(target, pinned, send_by.saturating_sub(now));
@@ -328,7 +328,7 @@
         }
         log::info!(id = self.head.id.as_str(), endpoint = selected.id.as_str(),
             wait_ms = super::link::millis(selected.expected_wait); "engines are full");
-        if let Some(target) = &self.head.target {
+        if let Some(target) = self.configured_target() {
             self.gateway.demand.record_refusal(&self.service, target);
         }
         let retry = admission::retry_after(selected.expected_wait, rand::random());
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -13,7 +13,7 @@
 use super::catalog::{Catalog, Route};
 use super::crash_suspects::{Fingerprint, fingerprint};
 use super::headers::strip_connection_headers;
-use super::protocol::RequestHead;
+use super::protocol::{RequestHead, Target};
 use super::quotas::admission::{self, Charged, QuotaRequest};
 use super::shared::Gateway;
 use super::{crash_evidence, detour, forward, key_check, stream};
@@ -250,11 +250,19 @@
             let (priority, now) = (self.priority(), self.now());
             self.gateway.urgency().record(&self.service, priority, now);
         }
-        if let Some(target) = &self.head.target {
+        if let Some(target) = self.configured_target() {
             self.gateway.demand.record_arrival(&self.service, target);
         }
     }
 
+    /// The requested model or adapter, if the configuration has it.
+    ///
+    /// Demand for others is not counted: callers may name anything.
+    pub(super) fn configured_target(&self) -> Option<&Target> {
+        let (target, catalog) = (self.head.target.as_ref()?, self.gateway.catalog()?);
+        catalog.has_target(&self.service, target).then_some(target)
+    }
+
     /// Current time of the instance's clock.
     #[must_use]
     pub fn now(&self) -> Duration {
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -189,7 +189,7 @@
         (false, false) => Lateness::InTime,
     };
     gateway.stats.record_lateness(&request.service, lateness);
-    if let Some(target) = &request.head.target {
+    if let Some(target) = request.configured_target() {
         let late = lateness != Lateness::InTime;
         gateway
             .demand
