Callers: an idle connection gives way where there is no place for a new one

Where all places are taken, the connection that has been idle for longest is closed, first among those that never carried a request. One with a request or an answer under way stays; a request that crosses the close is refused as not run, and not passed on.

Failed before: hostile_clients::silent_connections (the first of 20 new connections was closed).

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -19,6 +19,7 @@
 pub mod feed;
 pub mod forward;
 pub mod headers;
+pub mod idle_connections;
 pub mod key_check;
 pub mod lease;
 pub mod link;
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -12,17 +12,24 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, watch};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
+use tokio::time::timeout;
 use tokio_util::task::TaskTracker;
 
 use super::connection_buffers;
+use super::idle_connections::{CallerConnection, IdleConnections};
 use super::serve;
 use super::shared::Gateway;
 use super::write_timeout::WriteTimeout;
 use crate::http::{Body, full};
+use crate::verdict::{Cause, Refusal};
 
 /// Delay after a failed accept, for example when file descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Longest time in which an idle connection closes for a new one.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(50);
+/// Retry-after time of a request that crosses the close of its connection.
+const CLOSED_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Time without a new connection after which a closing listener stops.
 const QUIET_TIME: Duration = Duration::from_millis(20);
 /// Smallest buffer for a request head that hyper accepts.
@@ -46,6 +53,7 @@
     let mut callers = Callers {
         slots: Arc::new(Semaphore::new(gateway.settings.max_connections)),
         connections: TaskTracker::new(),
+        idle: Arc::default(),
         close: close.clone(),
         gateway,
     };
@@ -87,6 +95,7 @@
     gateway: Arc<Gateway>,
     slots: Arc<Semaphore>,
     connections: TaskTracker,
+    idle: Arc<IdleConnections>,
     close: watch::Receiver<bool>,
 }
 
@@ -103,14 +112,15 @@
             tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             return;
         };
-        let Ok(slot) = Arc::clone(&self.slots).try_acquire_owned() else {
+        let Some(slot) = self.slot().await else {
             log::warn!("connection limit reached; closing a new connection");
             return;
         };
         let settings = &self.gateway.settings;
         let open = settings.max_connections - self.slots.available_permits();
         connection_buffers::tune(&stream, settings.memory_bytes, open);
-        let connection = serve_connection(stream, Arc::clone(&self.gateway), self.close.clone());
+        let gateway = Arc::clone(&self.gateway);
+        let connection = serve_connection(stream, gateway, self.idle.add(), self.close.clone());
         self.connections.spawn(async move {
             connection.await;
             drop(slot);
@@ -118,15 +128,41 @@
     }
 }
 
+impl Callers {
+    /// A place for a new connection, that of an idle one where there is no other.
+    async fn slot(&self) -> Option<OwnedSemaphorePermit> {
+        let slots = &self.slots;
+        if let Ok(slot) = Arc::clone(slots).try_acquire_owned() {
+            return Some(slot);
+        }
+        if !self.idle.close_one() {
+            return None;
+        }
+        log::debug!("connection limit reached; closing an idle connection");
+        let slot = timeout(CLOSE_TIMEOUT, Arc::clone(slots).acquire_owned());
+        slot.await.ok()?.ok()
+    }
+}
+
 async fn serve_connection(
     stream: TcpStream,
     gateway: Arc<Gateway>,
+    caller: CallerConnection,
     mut close: watch::Receiver<bool>,
 ) {
     let limits = gateway.catalog().map(|c| c.limits).unwrap_or_default();
+    let caller = Arc::new(caller);
+    let serving = Arc::clone(&caller);
     let service = service_fn(move |request| {
-        let gateway = Arc::clone(&gateway);
-        async move { Ok::<_, Infallible>(handle_caller_request(gateway, request).await) }
+        let (gateway, caller) = (Arc::clone(&gateway), Arc::clone(&serving));
+        async move {
+            let response = if caller.begin_request() {
+                handle_caller_request(gateway, request).await
+            } else {
+                refuse_on_close(&gateway)
+            };
+            Ok::<_, Infallible>(response.map(|body| caller.answer(body)))
+        }
     });
     let closing = *close.borrow();
     let connection = hyper::server::conn::http1::Builder::new()
@@ -144,6 +180,7 @@
         tokio::select! {
             ended = connection.as_mut() => return log_connection_end(ended),
             _ = close.wait_for(|closing| *closing) => connection.as_mut().graceful_shutdown(),
+            () = caller.closed() => connection.as_mut().graceful_shutdown(),
         }
     }
     log_connection_end(connection.await);
@@ -155,6 +192,15 @@
     }
 }
 
+/// Response to a request that crosses the close of its connection.
+fn refuse_on_close(gateway: &Gateway) -> Response<Body> {
+    let refusal = Refusal::not_run(Cause::Overload).retry_after(CLOSED_RETRY_DELAY);
+    let mut response = gateway.platform.wire.refusal_response(&refusal, "");
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(CONNECTION, close);
+    response
+}
+
 async fn handle_caller_request(
     gateway: Arc<Gateway>,
     request: Request<Incoming>,
