--- a/src/caller_listener.rs
+++ b/src/caller_listener.rs
@@ -109,7 +109,7 @@
     }
     let service = service_fn(move |request| {
         let context = context.clone();
-        async move { Ok::<_, std::convert::Infallible>(respond(context, mode, request).await) }
+        async move { Ok::<_, std::convert::Infallible>(Box::pin(respond(context, mode, request)).await) }
     });
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
--- a/src/gateway/idle_connections.rs
+++ b/src/gateway/idle_connections.rs
@@ -105,6 +105,7 @@
     }
 
     /// The body of the request's answer; once it is written or given up, the connection is idle.
+    #[must_use]
     pub fn answer(self: &Arc<Self>, body: Body) -> Body {
         let answer = AnswerBody {
             body,
--- a/src/gateway/lease/echoes.rs
+++ b/src/gateway/lease/echoes.rs
@@ -85,9 +85,10 @@
                 .get(instance)
                 .is_some_and(|since| now >= *since + NOTICE_TIME);
             // Earlier builds take over after the term whether they are named or not.
-            let silence = match echo.reads_row {
-                true => now.saturating_sub(echo.heard_at),
-                false => Duration::ZERO,
+            let silence = if echo.reads_row {
+                now.saturating_sub(echo.heard_at)
+            } else {
+                Duration::ZERO
             };
             if is_announced && silence > REPORT_SILENCE {
                 self.left_out.insert(instance.clone());
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -283,12 +283,8 @@
                 let holding = update.holding;
                 let redirect = update.holder.parse().ok();
                 let row_version = update.row_version;
-                let counted_at = match update.report_ms {
-                    0 => None,
-                    report_ms => Some(Duration::from_millis(report_ms)),
-                };
-                let list_age = Duration::from_millis(update.list_age_ms.into());
-                let config_age = Duration::from_millis(update.config_age_ms.into());
+                let counted_at = update.counted_at();
+                let (list_age, config_age) = update.read_ages();
                 let delay = apply_update(gateway, update);
                 if !holding {
                     return redirect.filter(|redirect| *redirect != address);
--- a/src/gateway/link/message.rs
+++ b/src/gateway/link/message.rs
@@ -421,3 +421,21 @@
     #[prost(uint64, tag = "70")]
     pub report_ms: u64,
 }
+
+impl FleetUpdate {
+    /// Times since the sender last read the server list and the configuration.
+    #[must_use]
+    pub fn read_ages(&self) -> (Duration, Duration) {
+        let age = |age_ms: u32| Duration::from_millis(age_ms.into());
+        (age(self.list_age_ms), age(self.config_age_ms))
+    }
+
+    /// Time of the receiver's newest report that the lease holder has; none where it does not say.
+    #[must_use]
+    pub const fn counted_at(&self) -> Option<Duration> {
+        match self.report_ms {
+            0 => None,
+            report_ms => Some(Duration::from_millis(report_ms)),
+        }
+    }
+}
--- a/src/gateway/prompt_parts.rs
+++ b/src/gateway/prompt_parts.rs
@@ -41,9 +41,9 @@
 }
 
 impl<'a> FromIterator<&'a str> for PromptParts {
-    fn from_iter<I: IntoIterator<Item = &'a str>>(ids: I) -> Self {
+    fn from_iter<I: IntoIterator<Item = &'a str>>(iter: I) -> Self {
         let mut text = String::new();
-        for id in ids {
+        for id in iter {
             text.push_str(id);
             text.push(END);
         }
--- a/src/outbound/reply.rs
+++ b/src/outbound/reply.rs
@@ -75,7 +75,7 @@
         let stated = stated.and_then(|length| usize::try_from(length).ok());
         // A body in chunks of one byte takes many times its size as a list of frames.
         let mut read = Segments::default();
-        let mut held = 0;
+        let mut taken = 0;
         loop {
             let next = tokio::select! {
                 next = timeout(pause, body.frame()) => next,
@@ -99,8 +99,8 @@
             let mut part: &[u8] = &part;
             while !part.is_empty() {
                 if let Some(size) = read.missing(part.len(), stated) {
-                    held += size;
-                    if !permit.hold(held).await {
+                    taken += size;
+                    if !permit.hold(taken).await {
                         return Err(out_of_memory());
                     }
                     read.add(size);
--- a/tests/crash_parts/later.rs
+++ b/tests/crash_parts/later.rs
@@ -117,7 +117,7 @@
     known.record_begun(endpoint(50), &prompt(300, 250, "own"), at(10_100));
     known.judge(at(10_200));
     let parts = |now| -> Vec<PartId> {
-        let report: CrashEvidence = known.report(false, now);
+        let report = known.report(false, now);
         let requests = |d: &EndpointDeath| d.requests.clone();
         let all = report.deaths.iter().flat_map(requests);
         all.flat_map(|r| r.parts).collect()
--- a/tests/lease_model.rs
+++ b/tests/lease_model.rs
@@ -466,7 +466,8 @@
             next_at = held_at;
         }
     });
-    next_at.unwrap() - Duration::from_millis(killed_at + lead)
+    let drill_at = Duration::from_millis(killed_at + lead);
+    next_at.unwrap().saturating_sub(drill_at)
 }
 
 /// Guards against orders that wait for the longest time after each drill: a holder that ended beside it
