Answers: small ones have a reserve beside large ones that wait for slow callers

Two answers of 8 MB that slow callers read take all memory of answers on a machine with 260 MB, and all other callers would get 502.

--- a/src/answer_room.rs
+++ b/src/answer_room.rs
@@ -16,6 +16,10 @@
 
 /// Memory where none is set, in bytes.
 const DEFAULT_BYTES: usize = 16 << 20;
+/// Largest answer that may take the memory that is reserved for small ones.
+const SMALL_ANSWER_BYTES: usize = 64 << 10;
+/// Share of the memory that is reserved for small answers, as a divisor.
+const SMALL_SHARE: usize = 8;
 /// Longest wait for the memory of an evicted answer.
 const EVICTION_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -136,7 +140,13 @@
             return false;
         };
         let others = total - held.taken;
-        if bytes > held.taken && others > 0 && others + bytes > self.room.bytes {
+        // Large answers that wait for slow callers leave room for the others.
+        let reserved = if bytes > SMALL_ANSWER_BYTES {
+            self.room.bytes / SMALL_SHARE
+        } else {
+            0
+        };
+        if bytes > held.taken && others > 0 && others + bytes + reserved > self.room.bytes {
             return false;
         }
         let is_less = bytes < held.taken;
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -272,10 +272,12 @@
             .unwrap_or(Err(StreamEnd::Silent))
     }
 
-    /// Reads a frame; none where there is no memory for the incomplete event.
-    async fn read_frame(&mut self) -> Option<Option<Result<Frame<Bytes>, hyper::Error>>> {
+    /// Reads a frame, if there is memory for the incomplete event.
+    async fn read_frame(
+        &mut self,
+    ) -> Result<Option<Result<Frame<Bytes>, hyper::Error>>, StreamEnd> {
         let Some(permit) = &self.permit else {
-            return Some(self.body.frame().await);
+            return Ok(self.body.frame().await);
         };
         let pending = self.events.pending_bytes();
         let held = if pending > FREE_EVENT_BYTES {
@@ -284,20 +286,17 @@
             0
         };
         if !permit.hold(held).await {
-            return None;
+            return Err(StreamEnd::Invalid);
         }
         tokio::select! {
-            frame = self.body.frame() => Some(frame),
-            () = permit.evicted() => None,
+            frame = self.body.frame() => Ok(frame),
+            () = permit.evicted() => Err(StreamEnd::Invalid),
         }
     }
 
     async fn read_events(&mut self) -> Result<Bytes, StreamEnd> {
         loop {
-            let Some(frame) = self.read_frame().await else {
-                return Err(StreamEnd::Invalid);
-            };
-            let frame = match frame {
+            let frame = match self.read_frame().await? {
                 Some(Ok(frame)) => frame,
                 Some(Err(error)) => {
                     log::debug!(error:% = error; "cannot read a response stream to its end");
