Answers: one that has to give way does not wait for the memory of others

Two large answers that ask for memory at once evicted each other, and each waited for the other's memory for 0.3 s. An answer that was evicted evicts nobody and gives up at once, also while it waits.

Failed before: answer_room::evicted_answer_does_not_wait (300 ms, and the other one had to go as well). Now the one gives up at once, and the other is read.

--- a/src/answer_room.rs
+++ b/src/answer_room.rs
@@ -108,9 +108,14 @@
         }
     }
 
-    /// Evicts the largest answer of the endpoint whose answers hold most; false if that is `asking`.
+    /// Evicts the largest answer of the endpoint whose answers hold most; false if that is `asking`, or
+    /// that one has to go itself.
     fn evict(&self, asking: u64) -> bool {
         let mut state = self.state();
+        let has_to_go = |held: &Held| held.evict.is_none();
+        if state.answers.get(&asking).is_none_or(has_to_go) {
+            return false;
+        }
         let mut totals: BTreeMap<SocketAddr, usize> = BTreeMap::new();
         for held in state.answers.values() {
             *totals.entry(held.from).or_default() += held.taken;
@@ -168,9 +173,18 @@
             if self.try_hold(bytes) {
                 return true;
             }
-            if !self.room.evict(self.id) || timeout_at(end, freed).await.is_err() {
+            if !self.room.evict(self.id) {
                 return self.try_hold(bytes);
             }
+            tokio::select! {
+                freed = timeout_at(end, freed) => {
+                    if freed.is_err() {
+                        return self.try_hold(bytes);
+                    }
+                }
+                // Answers that wait for the memory of each other would all be given up.
+                () = self.evicted() => return false,
+            }
         }
     }
 
--- a/tests/answer_room.rs
+++ b/tests/answer_room.rs
@@ -6,7 +6,7 @@
 
 use brassrack::answer_room::{AnswerPermit, AnswerRoom};
 use bytes::Bytes;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 const ROOM: usize = 1 << 20;
 
@@ -99,3 +99,21 @@
     drop(rest);
     assert_eq!(room.taken(), 0);
 }
+
+/// Guards against answers that evict each other, and wait for each other until both are given up.
+#[tokio::test(start_paused = true)]
+async fn evicted_answer_does_not_wait() {
+    let room = room();
+    let (first, second) = (room.admit(from(1)), room.admit(from(2)));
+    assert!(first.hold(ROOM / 16 * 7).await);
+    assert!(second.hold(ROOM / 16 * 7).await);
+    let begun = Instant::now();
+    let giving = async {
+        let is_held = second.hold(ROOM / 2).await;
+        drop(second);
+        is_held
+    };
+    assert_eq!(tokio::join!(first.hold(ROOM / 2), giving), (true, false));
+    assert_eq!(begun.elapsed(), Duration::ZERO);
+    assert!(!is_evicted(&first).await);
+}
