Callers: a connection refuses only where it is being closed

Whether a connection closes was inferred from its absence among the idle ones, so that a request read before the last answer was known to be written would have been refused on a connection that stays open. It is stated now. No such refusal was seen.

Failed before: idle_connections::only_a_closing_connection_refuses. The body that tells when a connection is idle has a name of its own, apart from the body of an endpoint's answer.

--- a/src/gateway/idle_connections.rs
+++ b/src/gateway/idle_connections.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll};
 
@@ -45,7 +46,14 @@
     since: Instant,
     /// Whether it has carried a request.
     is_used: bool,
-    close: Arc<Notify>,
+    close: Arc<Close>,
+}
+
+/// Tells a connection that it has to close.
+#[derive(Debug, Default)]
+struct Close {
+    is_due: AtomicBool,
+    notify: Notify,
 }
 
 /// A caller's connection.
@@ -53,7 +61,7 @@
 pub struct CallerConnection {
     connections: Arc<IdleConnections>,
     id: u64,
-    close: Arc<Notify>,
+    close: Arc<Close>,
 }
 
 impl IdleConnections {
@@ -63,7 +71,7 @@
 
     /// Adds a connection on which nothing has come yet.
     pub fn add(self: &Arc<Self>) -> CallerConnection {
-        let close = Arc::new(Notify::new());
+        let close = Arc::new(Close::default());
         let mut state = self.state();
         state.last_id += 1;
         let id = state.last_id;
@@ -90,7 +98,8 @@
             return false;
         };
         if let Some(idle) = state.idle.remove(&id) {
-            idle.close.notify_one();
+            idle.close.is_due.store(true, Ordering::Relaxed);
+            idle.close.notify.notify_one();
         }
         true
     }
@@ -101,17 +110,18 @@
     /// be passed on.
     #[must_use]
     pub fn begin_request(&self) -> bool {
-        self.connections.state().idle.remove(&self.id).is_some()
+        self.connections.state().idle.remove(&self.id);
+        !self.close.is_due.load(Ordering::Relaxed)
     }
 
     /// The body of the request's answer; once it is written or given up, the connection is idle.
     #[must_use]
-    pub fn answer(self: &Arc<Self>, body: Body) -> Body {
-        let answer = AnswerBody {
+    pub fn track_answer(self: &Arc<Self>, body: Body) -> Body {
+        let tracked = TrackedBody {
             body,
             connection: Arc::clone(self),
         };
-        answer.boxed_unsync()
+        tracked.boxed_unsync()
     }
 
     fn end_request(&self) {
@@ -125,7 +135,7 @@
 
     /// Waits until the connection is to be closed.
     pub async fn closed(&self) {
-        self.close.notified().await;
+        self.close.notify.notified().await;
     }
 }
 
@@ -136,12 +146,12 @@
 }
 
 /// Body of an answer on a connection, which is idle after it.
-struct AnswerBody {
+struct TrackedBody {
     body: Body,
     connection: Arc<CallerConnection>,
 }
 
-impl HttpBody for AnswerBody {
+impl HttpBody for TrackedBody {
     type Data = Bytes;
     type Error = std::io::Error;
 
@@ -161,7 +171,7 @@
     }
 }
 
-impl Drop for AnswerBody {
+impl Drop for TrackedBody {
     fn drop(&mut self) {
         self.connection.end_request();
     }
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -161,7 +161,7 @@
             } else {
                 refuse_on_close(&gateway)
             };
-            Ok::<_, Infallible>(response.map(|body| caller.answer(body)))
+            Ok::<_, Infallible>(response.map(|body| caller.track_answer(body)))
         }
     });
     let closing = *close.borrow();
