Crash parts: later parts of all requests reach the lease holder, and those that recur are kept

A part that crashes engines stayed unknown where its request ended beside many others with long prompts: the report was filled by the first requests that it came across, and what was over the bound was cut whether it recurred or not.

Half of a report is for the most suspect parts, the other half goes round among the rest for 3 s; a part is sent once for an incarnation. What recurs in several ends is cut last. A report that repeats parts which the receiver knows to be sound adds nothing.

Failed before: crash_parts::later::part_among_many_long_prompts_is_reported and recurring_part_outlives_the_bound. earlier_holder_is_told_of_suspects expected that suspects are sent for 1.2 s; now it expects them for all of the 3 s in which an end is reported, and nothing after that.

--- a/src/gateway/crash_parts.rs
+++ b/src/gateway/crash_parts.rs
@@ -21,7 +21,7 @@
 mod verdict;
 
 use death::{ALIVE_MARGIN, Break, Death};
-use later::{MAX_LATER_PARTS, distinct};
+use later::{MAX_REPORTED_PARTS, distinct};
 use sound::{Parts, SoundPrompts, SoundTimes};
 
 /// Time after which an endpoint's end no longer counts.
@@ -297,7 +297,7 @@
         local.sort_by_key(|(last, ..)| std::cmp::Reverse(*last));
         local.truncate(MAX_REPORTED_DEATHS);
         CrashEvidence {
-            deaths: self.reported_deaths(&local, all, now),
+            deaths: self.reported_deaths(&local, now),
             sound: self.sound_answers(now),
             blamed: self.blamed_parts(now),
             watched: Vec::new(),
@@ -356,13 +356,17 @@
                 later_parts,
             } in requests
             {
+                let at = ago(*age_ms);
+                // A report repeats parts of which this instance knows a sound answer by now.
+                let is_sound = |part: &PartId| self.sound.last(*part).is_some_and(|s| s >= at);
+                let later = later_parts.iter().take(MAX_REPORTED_PARTS).copied();
                 let broken = Break {
                     request: *request,
                     // The request's own fingerprint comes after the parts.
                     parts: parts.iter().take(MAX_PARTS + 1).copied().collect(),
-                    later: distinct(later_parts.iter().take(MAX_LATER_PARTS).copied()),
+                    later: distinct(later.filter(|part| !is_sound(part))),
                     later_heard: now,
-                    at: ago(*age_ms),
+                    at,
                     heard_at: now,
                     local: false,
                 };
--- a/src/gateway/crash_parts/death.rs
+++ b/src/gateway/crash_parts/death.rs
@@ -95,8 +95,10 @@
         let same = |b: &&mut Break| b.request == broken.request && b.parts == broken.parts;
         if let Some(known) = self.breaks.iter_mut().find(same) {
             // Reports of one event differ by the time that they took.
-            if known.later.is_empty() && !broken.later.is_empty() {
-                known.later.clone_from(&broken.later);
+            let before = known.later.len();
+            let both = known.later.iter().chain(&broken.later).copied();
+            known.later = distinct(both);
+            if known.later.len() > before {
                 known.later_heard = broken.later_heard;
             }
             if broken.at > known.at + ALIVE_MARGIN {
--- a/src/gateway/crash_parts/later.rs
+++ b/src/gateway/crash_parts/later.rs
@@ -1,30 +1,28 @@
 //! Parts of prompts after the first ones: which are looked for, kept and reported.
 //!
-//! A head may list thousands of parts. Those with a sound answer since are dropped, and what is left is
-//! bounded at each instance and in each report. All instances leave out the same parts where there are
-//! too many, so that a part which recurs is kept by all or by none; one that recurs at an instance goes
-//! first.
+//! A head may list thousands of parts. Those with a sound answer since are dropped. What is left is
+//! bounded at each instance; parts that recur there stay. Reports have some at a time, so that those of
+//! all requests reach the lease holder within seconds; parts that recur go first.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use super::super::link::{BrokenRequest, EndpointDeath};
+use super::super::link::EndpointDeath;
 use super::death::Break;
 use super::sound::Parts;
 use super::{CrashParts, IncarnationId, PartId};
 
-/// Most later parts of one request in a report.
-pub(super) const MAX_LATER_PARTS: usize = 512;
 /// Most later parts in one report.
-const MAX_REPORTED_PARTS: usize = 2048;
+pub(super) const MAX_REPORTED_PARTS: usize = 2048;
 /// Most later parts kept of all requests.
 const MAX_KEPT_PARTS: usize = 65_536;
 /// Candidates from which those of forgotten requests are dropped.
 const MAX_CANDIDATES: usize = 4 * MAX_KEPT_PARTS;
 /// Time after a closed connection in which sound answers take parts out, before the others are reported.
 const REPORT_DELAY: Duration = Duration::from_millis(400);
-/// Time after a closed connection until which they are repeated.
-const REPORT_END: Duration = Duration::from_millis(1200);
+/// Time for which a report has the same part of them, before the next part follows.
+const SLICE_TIME: Duration = Duration::from_millis(200);
 /// Interval between two searches for parts with a sound answer.
 const PRUNE_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -94,107 +92,126 @@
         self.drop_candidates();
     }
 
-    /// Bounds the later parts of all requests; those with most of them are cut first.
+    /// Bounds the later parts of all requests.
+    ///
+    /// The requests with most of them are cut first. What recurs stays, and then what has the smallest
+    /// digest, which is the same at all instances.
     pub(super) fn bound_later_parts(&mut self) {
-        let count = |parts: &Self| -> usize {
-            let breaks = parts.deaths.values().flat_map(|d| &d.breaks);
-            breaks.map(|b| b.later.len()).sum()
-        };
-        let mut kept = count(self);
-        while kept > MAX_KEPT_PARTS {
+        let breaks = self.deaths.values().flat_map(|d| &d.breaks);
+        let mut kept: usize = breaks.map(|b| b.later.len()).sum();
+        if kept <= MAX_KEPT_PARTS {
+            return;
+        }
+        let deaths = self.death_counts(|_| true);
+        while kept > MAX_KEPT_PARTS / 4 * 3 {
             let breaks = self.deaths.values_mut().flat_map(|d| &mut d.breaks);
             let Some(longest) = breaks.max_by_key(|b| b.later.len()) else {
                 return;
             };
             let before = longest.later.len();
-            let smallest = smallest(&longest.later, before / 2);
-            longest.later.retain(|part| smallest.contains(part));
+            let mut ranked = longest.later.clone();
+            ranked.sort_by_cached_key(|part| (Reverse(deaths.get(part)), *part));
+            ranked.truncate(before / 2);
+            let ranked: BTreeSet<PartId> = ranked.into_iter().collect();
+            longest.later.retain(|part| ranked.contains(part));
             longest.later.shrink_to_fit();
             kept -= before - longest.later.len();
         }
     }
 
-    /// Ends of endpoints as a report has them; `all` leaves no later part out for its age.
+    /// Ends of endpoints as a report has them, with some of the later parts.
+    ///
+    /// Where there are more than one report may have, the next reports have the others.
     pub(super) fn reported_deaths(
         &self,
         deaths: &[(Duration, IncarnationId, Vec<&Break>)],
-        all: bool,
         now: Duration,
     ) -> Vec<EndpointDeath> {
-        let recurrences = self.own_recurrences();
-        let mut room = MAX_REPORTED_PARTS;
+        let is_due = |b: &Break| !b.later.is_empty() && now >= b.at + REPORT_DELAY;
+        let due: Vec<&Break> = deaths
+            .iter()
+            .flat_map(|(.., breaks)| breaks.iter().copied())
+            .filter(|b| is_due(b))
+            .collect();
+        let own_deaths = if due.is_empty() {
+            BTreeMap::new()
+        } else {
+            self.death_counts(|b| b.local)
+        };
+        let suspects = self.suspects(&due, &own_deaths);
+        let slice = slice(&suspects, MAX_REPORTED_PARTS / deaths.len().max(1), now);
         let mut reported = Vec::new();
         for (_, endpoint, breaks) in deaths {
-            let mut requests: Vec<BrokenRequest> = Vec::new();
-            for broken in breaks {
-                let is_due = now >= broken.at + REPORT_DELAY;
-                let is_new = all || now < broken.at + REPORT_END;
-                if broken.later.is_empty() || !is_due || !is_new || self.reads_later.is_none() {
-                    requests.push(broken.to_message(Vec::new(), now));
-                    continue;
+            // One request of an incarnation stands for all that share a part.
+            let mut missing = slice.clone();
+            let requests = breaks.iter().map(|broken| match self.reads_later {
+                Some(true) if is_due(broken) => {
+                    let later = broken.later.iter().filter(|p| missing.remove(*p));
+                    broken.to_message(later.copied().collect(), now)
                 }
-                let suspects = self.suspects(broken, &recurrences, room.min(MAX_LATER_PARTS));
-                if self.reads_later == Some(false) {
-                    requests.push(broken.to_first_parts(&suspects, now));
-                    continue;
+                Some(false) if is_due(broken) => {
+                    let suspects = self.suspects(&[broken], &own_deaths);
+                    broken.to_first_parts(&suspects, now)
                 }
-                let suspects: BTreeSet<PartId> = suspects.into_iter().collect();
-                let later = broken.later.iter().filter(|p| suspects.contains(p));
-                let later: Vec<PartId> = later.copied().collect();
-                room -= later.len().min(room);
-                requests.push(broken.to_message(later, now));
-            }
-            let endpoint = *endpoint;
-            reported.push(EndpointDeath { endpoint, requests });
+                _ => broken.to_message(Vec::new(), now),
+            });
+            reported.push(EndpointDeath {
+                endpoint: *endpoint,
+                requests: requests.collect(),
+            });
         }
         reported
     }
 
-    /// Deaths at this instance that each later part was in.
-    fn own_recurrences(&self) -> BTreeMap<PartId, usize> {
-        let mut recurrences = BTreeMap::new();
+    /// Deaths that each later part was in, by those of the closed connections that count.
+    fn death_counts(&self, is_counted: impl Fn(&Break) -> bool) -> BTreeMap<PartId, usize> {
+        let mut counts = BTreeMap::new();
         for death in self.deaths.values() {
-            let own = death.breaks.iter().filter(|b| b.local);
-            let mut parts: Vec<PartId> = own.flat_map(|b| b.later.iter().copied()).collect();
-            parts.sort_unstable();
-            parts.dedup();
+            let breaks = death.breaks.iter().filter(|b| is_counted(b));
+            let parts: BTreeSet<PartId> = breaks.flat_map(|b| b.later.iter().copied()).collect();
             for part in parts {
-                *recurrences.entry(part).or_default() += 1;
+                *counts.entry(part).or_default() += 1;
             }
         }
-        recurrences
+        counts
     }
 
-    /// Later parts of a request that nothing clears, the most suspect first.
-    fn suspects(
-        &self,
-        broken: &Break,
-        recurrences: &BTreeMap<PartId, usize>,
-        most: usize,
-    ) -> Vec<PartId> {
-        let parts = broken.later.iter().copied();
-        let unsound = |p: &PartId| self.sound.last(*p).is_none_or(|last| last < broken.at);
-        let mut suspects: Vec<PartId> = parts.filter(unsound).collect();
+    /// Later parts that nothing clears, the most suspect first.
+    fn suspects(&self, breaks: &[&Break], own_deaths: &BTreeMap<PartId, usize>) -> Vec<PartId> {
+        let unsound = |part: PartId, since: Duration| {
+            let last = self.sound.last(part);
+            last.is_none_or(|last| last < since)
+        };
+        let suspects: BTreeSet<PartId> = breaks
+            .iter()
+            .flat_map(|b| b.later.iter().copied().filter(|p| unsound(*p, b.at)))
+            .collect();
+        let mut suspects: Vec<PartId> = suspects.into_iter().collect();
         suspects.sort_by_cached_key(|part| {
             let is_known = self.blamed.contains_key(part) || self.watched.contains_key(part);
-            let count = recurrences.get(part).copied().unwrap_or_default();
-            (!is_known, std::cmp::Reverse(count), *part)
+            (!is_known, Reverse(own_deaths.get(part)), *part)
         });
-        suspects.truncate(most);
         suspects
     }
 }
 
+/// The suspects whose turn it is: the first half of a report is for the most suspect ones, the rest
+/// goes round.
+fn slice(suspects: &[PartId], most: usize, now: Duration) -> BTreeSet<PartId> {
+    if suspects.len() <= most {
+        return suspects.iter().copied().collect();
+    }
+    let (first, others) = suspects.split_at(most / 2);
+    let size = (most - first.len()).max(1);
+    let slices = others.len().div_ceil(size).max(1);
+    let turn = now.as_millis() / SLICE_TIME.as_millis();
+    let turn = usize::try_from(turn).unwrap_or_default() % slices;
+    let others = others.iter().skip(turn * size).take(size);
+    first.iter().chain(others).copied().collect()
+}
+
 /// Parts in order, each once.
 pub(super) fn distinct(parts: impl Iterator<Item = PartId>) -> Vec<PartId> {
     let mut seen = BTreeSet::new();
     parts.filter(|part| seen.insert(*part)).collect()
 }
-
-/// The smallest parts by their digests.
-fn smallest(parts: &[PartId], most: usize) -> BTreeSet<PartId> {
-    let mut sorted = parts.to_vec();
-    sorted.sort_unstable();
-    sorted.truncate(most);
-    sorted.into_iter().collect()
-}
--- a/tests/crash_parts/later.rs
+++ b/tests/crash_parts/later.rs
@@ -1,7 +1,5 @@
 //! Parts of long prompts, after the first ones.
 
-use std::time::Duration;
-
 use brassrack::gateway::crash_parts::{CrashParts, PartId, part_ids};
 use brassrack::gateway::link::{CrashEvidence, EndpointDeath};
 use prost::Message;
@@ -124,5 +122,47 @@
     };
     assert_eq!(parts(at(10_200)).len(), 9);
     assert_eq!(parts(at(10_600)), [bad[0], bad[250], 7]);
-    assert_eq!(parts(at(10_600) + Duration::from_secs(1)).len(), 9);
+    assert_eq!(parts(at(12_900)), [bad[0], bad[250], 7]);
+    assert!(parts(at(13_100)).is_empty());
+}
+
+/// Guards against BUDGET: the requests beside the one with the bad part fill the report, so that the
+/// lease holder never learns of the part.
+#[test]
+fn part_among_many_long_prompts_is_reported() {
+    let mut fleet = Fleet::default();
+    for n in 0..4 {
+        let now = 10_000 + n * 1500;
+        for other in 0..40 {
+            let names: Vec<String> = (0..300).map(|part| format!("{n}x{other}x{part}")).collect();
+            let request = 1000 + n * 100 + other;
+            fleet.instances[0].record_break(endpoint(n), request, &part_ids(&names), at(now));
+        }
+        let mut names: Vec<String> = (0..300).map(|part| format!("{n}y{part}")).collect();
+        "bad".clone_into(&mut names[250]);
+        fleet.instances[0].record_break(endpoint(n), n, &part_ids(&names), at(now));
+        fleet.run(now + 100, now + 1400);
+    }
+    fleet.run(16_000, 17_500);
+    let refused = fleet.instances[1].refusal(&part_ids(&["bad".to_owned()]), at(17_500));
+    assert!(refused.is_some());
+}
+
+/// Guards against BUDGET: a part that recurs is cut from the evidence, as there is too much of it.
+#[test]
+fn recurring_part_outlives_the_bound() {
+    let mut known = CrashParts::default();
+    for n in 0..4 {
+        let now = at(10_000 + n * 1500);
+        for other in 0..60 {
+            let names: Vec<String> = (0..300).map(|part| format!("{n}x{other}x{part}")).collect();
+            known.record_break(endpoint(n), 1000 + n * 100 + other, &part_ids(&names), now);
+        }
+        let mut names: Vec<String> = (0..MOST_PARTS).map(|part| format!("{n}y{part}")).collect();
+        "bad".clone_into(&mut names[5000]);
+        known.record_break(endpoint(n), n, &part_ids(&names), now);
+    }
+    known.judge(at(16_000));
+    let refused = known.refusal(&part_ids(&["bad".to_owned()]), at(16_000));
+    assert!(refused.is_some());
 }
