Endpoints: an incarnation whose entry is removed and comes back is the same one

Cause: the entry's removal dropped the load and the pause, and the holder granted the whole room once more. Evidence: the report of an instance says that it has nothing there, while its requests go on.

An incarnation is kept without its entry while requests of this instance run there or its pause holds; its load is reported, and it is listed again as it was. A removed endpoint gives no permit.

--- a/src/gateway/servers.rs
+++ b/src/gateway/servers.rs
@@ -25,6 +25,7 @@
 mod room;
 mod select;
 mod server;
+mod unlisted;
 
 pub use copy::{CopiedEndpoint, CopiedMark};
 pub use leaving::{LeavingMark, LeavingMarks};
@@ -68,6 +69,7 @@
     run_time: Option<Duration>,
     servers: SlotMap<ServerKey, Server>,
     keys: BTreeMap<String, ServerKey>,
+    unlisted: unlisted::Unlisted,
     leaving: LeavingMarks,
     limits: EndpointLimits,
     /// Paces of the services whose endpoints have stated one.
@@ -88,6 +90,7 @@
             run_time: None,
             servers: SlotMap::default(),
             keys: BTreeMap::new(),
+            unlisted: unlisted::Unlisted::new(),
             leaving: LeavingMarks::default(),
             limits: EndpointLimits::default(),
             paces: BTreeMap::new(),
@@ -176,7 +179,7 @@
     #[must_use]
     pub fn software_versions(&self) -> BTreeSet<(String, String)> {
         let state = self.state();
-        let endpoints = state.servers.values().map(|s| &s.endpoint);
+        let endpoints = state.listed().map(|s| &s.endpoint);
         endpoints
             .map(|e| (e.service.clone(), e.software.clone()))
             .collect()
@@ -192,6 +195,7 @@
     pub fn upsert(&self, endpoint: Endpoint, now: Duration) -> bool {
         let has_changed = {
             let mut state = self.state();
+            state.forget_unlisted(now);
             let known = state.keys.get(&endpoint.id).copied();
             if let Some(server) = known.and_then(|k| state.servers.get_mut(k)) {
                 let before = (server.endpoint.start_ms, server.endpoint.state);
@@ -202,6 +206,12 @@
                     state.record_new(key, now);
                 }
                 was_expiring || before != after
+            } else if let Some(key) = state.list_again(&endpoint, now) {
+                let is_leaving = state.leaving.contains(&endpoint.id, endpoint.start_ms);
+                if let Some(server) = state.servers.get_mut(key).filter(|_| is_leaving) {
+                    server.endpoint.state = EndpointState::Draining;
+                }
+                true
             } else {
                 let id = endpoint.id.clone();
                 let mut server = Server::new(endpoint);
@@ -250,7 +260,7 @@
         let Some(key) = state.keys.remove(id) else {
             return;
         };
-        if let Some(Server { endpoint, .. }) = state.servers.remove(key) {
+        if let Some(endpoint) = state.unlist(key) {
             if state.removed.len() >= MAX_REMOVED {
                 state.removed.pop_first();
             }
@@ -300,7 +310,7 @@
     #[must_use]
     pub fn next_removal(&self) -> Option<Duration> {
         let state = self.state();
-        state.servers.values().filter_map(|s| s.expires_at).min()
+        state.listed().filter_map(|s| s.expires_at).min()
     }
 
     /// Removes the endpoints whose scheduled removal is due.
@@ -308,7 +318,7 @@
         let expired: Vec<String> = {
             let state = self.state();
             let due = |s: &&Server| s.expires_at.is_some_and(|at| at <= now);
-            let ids = state.servers.values().filter(due);
+            let ids = state.listed().filter(due);
             ids.map(|s| s.endpoint.id.clone()).collect()
         };
         for id in expired {
@@ -342,7 +352,7 @@
             paused: s.pause.left(now).is_some(),
             limit: state.limits.rate(&s.endpoint.id, s.endpoint.start_ms),
         };
-        state.servers.values().filter(matches).map(listed).collect()
+        state.listed().filter(matches).map(listed).collect()
     }
 
     /// Requests of this instance in progress at a service, by endpoint and model.
@@ -399,7 +409,7 @@
     /// Records that an endpoint wants no request of this instance until a time.
     pub fn begin_pause(&self, id: &str, until: Duration) {
         let mut state = self.state();
-        let key = state.keys.get(id).copied();
+        let key = state.known_key(id);
         if let Some(server) = key.and_then(|k| state.servers.get_mut(k)) {
             server.pause.begin(until);
         }
--- a/src/gateway/servers/copy.rs
+++ b/src/gateway/servers/copy.rs
@@ -29,7 +29,7 @@
     #[must_use]
     pub fn copy(&self, now: Duration) -> Vec<CopiedEndpoint> {
         let state = self.state();
-        let copied = state.servers.values().map(|server| {
+        let copied = state.listed().map(|server| {
             let mut endpoint = server.endpoint.clone();
             endpoint.models.clone_from(&server.models);
             endpoint
--- a/src/gateway/servers/room.rs
+++ b/src/gateway/servers/room.rs
@@ -99,8 +99,11 @@
 
     pub(super) fn take_room(&mut self, selected: &SelectedEndpoint, now: Duration) -> bool {
         let Some(server) = self.servers.get(selected.key) else {
-            return true;
+            return false;
         };
+        if !server.is_listed {
+            return false;
+        }
         self.room.take(&server.room_target(), now)
     }
 }
--- a/src/gateway/servers/server.rs
+++ b/src/gateway/servers/server.rs
@@ -57,6 +57,8 @@
 pub struct Server {
     /// Its own description, as listed.
     pub endpoint: Endpoint,
+    /// Whether the list has it; one without an entry takes no new requests.
+    pub(super) is_listed: bool,
     /// Models that it holds, as far as known.
     pub models: HeldModels,
     /// Number of orders that it has accepted, as far as known.
@@ -95,6 +97,7 @@
 impl Server {
     pub(super) fn new(endpoint: Endpoint) -> Self {
         Self {
+            is_listed: true,
             models: endpoint.models.clone(),
             accepted_orders: 0,
             endpoint,
@@ -142,7 +145,7 @@
     /// Whether it accepts new requests.
     #[must_use]
     pub fn accepts_requests(&self) -> bool {
-        self.endpoint.state == EndpointState::Ready
+        self.is_listed && self.endpoint.state == EndpointState::Ready
     }
 
     /// Whether it can run a request for a model or adapter.
