Links, outbound, crash parts, orders, servers and tests: one job a file; plainer names

Moved only: the state of the link to the holder, views of engines, a connection in use, what instances tell each other about ends of endpoints, demand over time, requests at endpoints; the model of the lease in its world and its tests, flaws of answers, crowds of endless answers. FIRST_PARTS, ID_END, SoundParts and lacks_proof are named anew, and the drill that the lease model plans has named fields. tests/demand_rates.rs shows the bound on what callers name at the lease holder itself, which earlier builds can reach.

--- a/src/gateway/crash_parts.rs
+++ b/src/gateway/crash_parts.rs
@@ -12,22 +12,20 @@
 use std::time::Duration;
 
 use super::crash_suspects::Fingerprint;
-use super::link::{BlamedPart, BrokenRequest, CrashEvidence, EndpointDeath, SoundAnswer, millis};
+use super::link::millis;
 use super::prompt_parts::PromptParts;
 
 mod death;
+mod exchange;
 mod later;
 mod sound;
 mod verdict;
 
 use death::{ALIVE_MARGIN, Break, Death};
-use later::{MAX_REPORTED_PARTS, distinct};
-use sound::{Parts, SoundPrompts, SoundTimes};
+use sound::{SoundParts, SoundPrompts, SoundTimes};
 
 /// Time after which an endpoint's end no longer counts.
 const DEATH_TTL: Duration = Duration::from_mins(5);
-/// Time for which an instance repeats an end of an endpoint in its reports.
-const REPORT_TIME: Duration = Duration::from_secs(3);
 /// Time without word of the lease holder after which an instance judges by itself.
 const ALONE_TIME: Duration = Duration::from_millis(1500);
 /// Interval between two verdicts of an instance without a lease holder.
@@ -38,14 +36,10 @@
 const MAX_BLAME_TIME: Duration = Duration::from_hours(2);
 /// Most ends of endpoints that are kept.
 const MAX_DEATHS: usize = 128;
-/// Most first parts of a prompt, which are reported at once.
-const MAX_PARTS: usize = 8;
-/// Most ends of endpoints in one report.
-const MAX_REPORTED_DEATHS: usize = 8;
+/// Number of parts at the beginning of a prompt that are reported at once; later ones follow.
+const FIRST_PARTS: usize = 8;
 /// Most parts that are blamed at a time.
 const MAX_BLAMED: usize = 256;
-/// Most digests that the lease holder asks about.
-const MAX_WATCHED: usize = 128;
 /// Deaths at different times from which a request with a part is not sent a second time.
 const SUSPECT_DEATHS: usize = 2;
 /// Deaths at this instance at which it refuses a request before they are joined with others'.
@@ -134,8 +128,7 @@
     unread_since: Option<Duration>,
     pruned_at: Duration,
     blamed: BTreeMap<PartId, Blame>,
-    /// Digests that the lease holder asks about, since when, and those of which this instance tells
-    /// others.
+    /// Parts, requests and endpoints whose last sound answers the lease holder asks for, and since when.
     watched: BTreeMap<u64, Duration>,
     /// Whether this instance publishes what it asks about, as the lease holder.
     is_publishing: bool,
@@ -167,7 +160,7 @@
     /// Records that the answer to a request with these parts began at an endpoint.
     pub fn record_begun(&mut self, endpoint: IncarnationId, parts: &[PartId], now: Duration) {
         self.record_sound(endpoint, now);
-        self.add_sound_prompt(Parts::Digested(parts.to_vec()), now);
+        self.add_sound_prompt(SoundParts::Digested(parts.to_vec()), now);
     }
 
     /// Records that the answer to a request with this prompt began at an endpoint.
@@ -178,7 +171,7 @@
         now: Duration,
     ) {
         self.record_sound(endpoint, now);
-        self.add_sound_prompt(Parts::Named(prompt.clone()), now);
+        self.add_sound_prompt(SoundParts::Named(prompt.clone()), now);
     }
 
     /// Records that a request has a whole answer; only of interest for one that broke before.
@@ -282,136 +275,6 @@
         })
     }
 
-    /// What this instance reports to the lease holder; `all` adds ends of endpoints that it
-    /// reported before, for a holder that may not know them.
-    #[must_use]
-    pub fn report(&self, all: bool, now: Duration) -> CrashEvidence {
-        let is_due = |b: &&Break| b.local && (all || now < b.at + REPORT_TIME);
-        let mut local: Vec<(Duration, IncarnationId, Vec<&Break>)> = Vec::new();
-        for (endpoint, death) in &self.deaths {
-            let due: Vec<&Break> = death.breaks.iter().filter(is_due).collect();
-            if let Some(last) = due.iter().map(|b| b.at).max() {
-                local.push((last, *endpoint, due));
-            }
-        }
-        local.sort_by_key(|(last, ..)| std::cmp::Reverse(*last));
-        local.truncate(MAX_REPORTED_DEATHS);
-        CrashEvidence {
-            deaths: self.reported_deaths(&local, now),
-            sound: self.sound_answers(now),
-            blamed: self.blamed_parts(now),
-            watched: Vec::new(),
-            reads_later: false,
-        }
-    }
-
-    /// What the lease holder publishes to all instances.
-    #[must_use]
-    pub fn notice(&mut self, now: Duration) -> CrashEvidence {
-        self.is_publishing = true;
-        self.read_prompts();
-        let mut watched = BTreeSet::new();
-        let tallies = self.tallies(now, Duration::ZERO);
-        let suspects = tallies
-            .iter()
-            .filter(|(_, t)| t.moments() >= SUSPECT_DEATHS);
-        for (part, tally) in suspects {
-            let rank = std::cmp::Reverse(tally.moments());
-            watched.insert((rank, *part));
-            watched.extend(tally.endpoints.iter().map(|endpoint| (rank, *endpoint)));
-        }
-        // An answer of one of these endpoints lifts the blame.
-        let blames = self.blamed.values().filter(|b| now < b.until);
-        let first = std::cmp::Reverse(usize::MAX);
-        watched
-            .extend(blames.flat_map(|b| b.deaths.iter().map(|(endpoint, _)| (first, *endpoint))));
-        let mut asked = BTreeMap::new();
-        for (_, id) in watched {
-            if asked.len() >= MAX_WATCHED {
-                break;
-            }
-            asked.insert(id, self.watched.get(&id).copied().unwrap_or(now));
-        }
-        self.watched = asked;
-        CrashEvidence {
-            deaths: Vec::new(),
-            sound: self.sound_answers(now),
-            blamed: self.blamed_parts(now),
-            watched: self.watched.keys().copied().collect(),
-            reads_later: true,
-        }
-    }
-
-    /// Takes over what another instance knows, as of `now`.
-    pub fn merge(&mut self, evidence: &CrashEvidence, heard_at: Duration, now: Duration) {
-        let ago = |age_ms: u32| heard_at.saturating_sub(Duration::from_millis(age_ms.into()));
-        for SoundAnswer { id, age_ms } in &evidence.sound {
-            self.record_sound(*id, ago(*age_ms));
-        }
-        for EndpointDeath { endpoint, requests } in &evidence.deaths {
-            for BrokenRequest {
-                request,
-                parts,
-                age_ms,
-                later_parts,
-            } in requests
-            {
-                let at = ago(*age_ms);
-                // A report repeats parts of which this instance knows a sound answer by now.
-                let is_sound = |part: &PartId| self.sound.last(*part).is_some_and(|s| s >= at);
-                let later = later_parts.iter().take(MAX_REPORTED_PARTS).copied();
-                let broken = Break {
-                    request: *request,
-                    // The request's own fingerprint comes after the parts.
-                    parts: parts.iter().take(MAX_PARTS + 1).copied().collect(),
-                    later: distinct(later.filter(|part| !is_sound(part))),
-                    later_heard: now,
-                    at,
-                    heard_at: now,
-                    local: false,
-                };
-                self.add_break(*endpoint, broken, now);
-            }
-        }
-        self.merge_blamed(&evidence.blamed, heard_at);
-    }
-
-    /// Takes over what another instance blames.
-    pub fn merge_blamed(&mut self, blamed: &[BlamedPart], heard_at: Duration) {
-        let ago = |age_ms: u32| heard_at.saturating_sub(Duration::from_millis(age_ms.into()));
-        for blamed in blamed {
-            let at = ago(blamed.age_ms);
-            let until = heard_at + Duration::from_millis(blamed.left_ms.into());
-            let known = self.blamed.get(&blamed.part);
-            if self.sound.last(blamed.part).is_some_and(|sound| sound > at)
-                || known.is_some_and(|b| b.rounds >= blamed.rounds)
-            {
-                continue;
-            }
-            let blame = Blame {
-                at,
-                until,
-                rounds: blamed.rounds,
-                deaths: Vec::new(),
-            };
-            self.insert_blame(blamed.part, blame);
-        }
-    }
-
-    /// Takes over what the lease holder publishes.
-    pub fn apply_notice(&mut self, notice: &CrashEvidence, now: Duration) {
-        self.merge(notice, now, now);
-        let asked = notice.watched.iter().take(MAX_WATCHED).copied();
-        self.watched = asked.map(|id| (id, now)).collect();
-        self.is_publishing = false;
-        self.reads_later = Some(notice.reads_later);
-        self.heard_at = now;
-        let is_new = |id: &&u64| !self.candidates.contains(*id);
-        let new: Vec<u64> = self.watched.keys().filter(is_new).copied().collect();
-        self.add_candidates(new, Duration::ZERO);
-        self.read_prompts();
-    }
-
     fn add_break(&mut self, endpoint: IncarnationId, broken: Break, now: Duration) {
         if now >= broken.at + DEATH_TTL {
             return;
@@ -449,32 +312,6 @@
         }
     }
 
-    /// Last sound answers with what the lease holder asks about or what was cleared.
-    fn sound_answers(&self, now: Duration) -> Vec<SoundAnswer> {
-        let cleared = self.cleared.iter();
-        let cleared = cleared.filter(|id| !self.watched.contains_key(*id));
-        let ids = self.watched.keys().chain(cleared);
-        ids.filter_map(|id| {
-            let age_ms = millis(now.saturating_sub(self.sound.last(*id)?));
-            Some(SoundAnswer { id: *id, age_ms })
-        })
-        .collect()
-    }
-
-    /// What is blamed, as a message says it.
-    #[must_use]
-    pub fn blamed_parts(&self, now: Duration) -> Vec<BlamedPart> {
-        let blamed = self.blamed.iter();
-        blamed
-            .map(|(part, blame)| BlamedPart {
-                part: *part,
-                age_ms: millis(now.saturating_sub(blame.at)),
-                left_ms: millis(blame.until.saturating_sub(now)),
-                rounds: blame.rounds,
-            })
-            .collect()
-    }
-
     fn insert_blame(&mut self, part: PartId, blame: Blame) {
         self.cleared.remove(&part);
         self.add_candidates(vec![part], blame.at);
--- a/src/gateway/crash_parts/death.rs
+++ b/src/gateway/crash_parts/death.rs
@@ -5,7 +5,7 @@
 use super::super::crash_suspects::Fingerprint;
 use super::super::link::{BrokenRequest, millis};
 use super::later::distinct;
-use super::{MAX_PARTS, PartId};
+use super::{FIRST_PARTS, PartId};
 
 /// Most closed connections kept of one incarnation.
 const MAX_BREAKS: usize = 64;
@@ -32,7 +32,7 @@
 impl Break {
     /// A request of this instance with all parts of its prompt.
     pub(super) fn local(request: Fingerprint, parts: &[PartId], now: Duration) -> Self {
-        let (first, later) = parts.split_at(parts.len().min(MAX_PARTS));
+        let (first, later) = parts.split_at(parts.len().min(FIRST_PARTS));
         Self {
             request,
             parts: first.iter().copied().chain([request]).collect(),
@@ -62,7 +62,7 @@
     pub(super) fn to_first_parts(&self, suspects: &[PartId], now: Duration) -> BrokenRequest {
         let first = self.parts.first().filter(|p| **p != self.request);
         let others = suspects.iter().filter(|p| Some(*p) != first);
-        let others = others.take(MAX_PARTS - 1);
+        let others = others.take(FIRST_PARTS - 1);
         BrokenRequest {
             request: self.request,
             parts: first
--- a/src/gateway/crash_parts/later.rs
+++ b/src/gateway/crash_parts/later.rs
@@ -10,7 +10,7 @@
 
 use super::super::link::EndpointDeath;
 use super::death::Break;
-use super::sound::Parts;
+use super::sound::SoundParts;
 use super::{CrashParts, IncarnationId, PartId};
 
 /// Most later parts in one report.
@@ -28,7 +28,7 @@
 
 impl CrashParts {
     /// Keeps the prompt of an answer that has begun, and takes note of candidates in it.
-    pub(super) fn add_sound_prompt(&mut self, mut parts: Parts, now: Duration) {
+    pub(super) fn add_sound_prompt(&mut self, mut parts: SoundParts, now: Duration) {
         self.read_prompts();
         if !self.candidates.is_empty() {
             let ids = parts.digested().iter();
--- a/src/gateway/crash_parts/sound.rs
+++ b/src/gateway/crash_parts/sound.rs
@@ -49,18 +49,18 @@
 #[derive(Debug)]
 struct SoundPrompt {
     at: Duration,
-    parts: Parts,
+    parts: SoundParts,
     bytes: usize,
 }
 
 /// Parts of a prompt, digested or not yet.
 #[derive(Debug)]
-pub(super) enum Parts {
+pub(super) enum SoundParts {
     Named(PromptParts),
     Digested(Vec<PartId>),
 }
 
-impl Parts {
+impl SoundParts {
     fn bytes(&self) -> usize {
         match self {
             Self::Named(parts) => parts.bytes(),
@@ -82,7 +82,7 @@
 
 impl SoundPrompts {
     /// Adds a prompt; the oldest give way where there are too many.
-    pub(super) fn add(&mut self, parts: Parts, at: Duration) {
+    pub(super) fn add(&mut self, parts: SoundParts, at: Duration) {
         let bytes = parts.bytes() + PROMPT_OVERHEAD;
         self.bytes += bytes;
         self.prompts.push_back(SoundPrompt { at, parts, bytes });
--- a/src/gateway/crash_parts/verdict.rs
+++ b/src/gateway/crash_parts/verdict.rs
@@ -5,7 +5,8 @@
 
 use super::death::{ALIVE_MARGIN, Death};
 use super::{
-    BLAME_TIME, Blame, CrashParts, IncarnationId, MAX_BLAME_TIME, MAX_PARTS, PartId, SUSPECT_DEATHS,
+    BLAME_TIME, Blame, CrashParts, FIRST_PARTS, IncarnationId, MAX_BLAME_TIME, PartId,
+    SUSPECT_DEATHS,
 };
 
 /// Deaths at different times after which a request or a part is blamed.
@@ -218,7 +219,7 @@
                     tally.endpoints.insert(*endpoint);
                     tally.depth = tally.depth.max(depth);
                     tally.is_request |= *part == broken.request;
-                    tally.is_early |= depth <= MAX_PARTS && depth < broken.parts.len();
+                    tally.is_early |= depth <= FIRST_PARTS && depth < broken.parts.len();
                     tally.is_first |= depth == 0 && *part != broken.request;
                 }
             }
--- a/src/gateway/lease.rs
+++ b/src/gateway/lease.rs
@@ -199,7 +199,7 @@
 
     /// Whether the row is an older copy which does not tell if this instance takes over after the term.
     #[must_use]
-    pub fn is_unproved(&self) -> bool {
+    pub fn lacks_proof(&self) -> bool {
         self.restored_at.is_some_and(|restored_at| {
             self.counted_at
                 .is_none_or(|counted_at| counted_at + PROOF_TIME < restored_at)
@@ -350,7 +350,7 @@
         } = self.timing;
         let longest_wait = MAX_EXTENSION.max(term) + handover_delay + claim_delay;
         match &self.row {
-            _ if self.is_unproved() => observed_at + longest_wait,
+            _ if self.lacks_proof() => observed_at + longest_wait,
             _ if self.restored_at.is_some() => observed_at + term + handover_delay + claim_delay,
             None => observed_at + claim_delay,
             Some(row) if row.holder == self.own_row.holder => observed_at,
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -7,13 +7,12 @@
 
 use xtra::prelude::*;
 
-use super::catalog::Catalog;
 use super::catalog::Engine;
 use super::lease::Lease;
 use super::link::{self, DemandReport};
 use super::planner::{self, EngineAction, Fleet, PlannedAction, StoreCapacity, WeightSource};
 use super::ramp::RampHolder;
-use super::shared::{DemandKey, Gateway};
+use super::shared::Gateway;
 
 mod engine_events;
 mod fleet;
@@ -25,6 +24,7 @@
 pub mod port;
 mod publish;
 mod ramps;
+pub mod rates;
 pub mod record;
 pub mod records;
 pub mod send;
@@ -35,27 +35,22 @@
 
 use engine_events::ChangeEnded;
 use inbox::DemandInbox;
-use late_share::LateShare;
 use limit_ledger::LimitLedger;
 use port::PlatformEngine;
 use publish::Peer;
-use record::ArrivalRate;
+use rates::DemandRates;
 use records::EngineRecords;
 use send::OrderSender;
 use store_loads::StoreLoads;
 use throttle::PlanThrottle;
 use views::EngineViews;
 
-/// Most models and adapters of which demand is kept.
-const MAX_TARGETS: usize = 16_384;
 /// Capacity of the actor's mailbox.
 const MAILBOX_MESSAGES: usize = 1024;
 /// Interval between plans when no event triggers one.
 const PLAN_INTERVAL: Duration = Duration::from_millis(50);
 /// Minimum interval between publications, except after the start or end of a change.
 const PUBLISH_INTERVAL: Duration = Duration::from_millis(45);
-/// Arrival rate below which a model's entry is dropped.
-const MIN_RATE_PER_S: f64 = 1e-3;
 /// Silence after which the demand of an instance no longer counts.
 const PEER_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -75,21 +70,13 @@
     /// Whether a change of an engine started or ended since the last publication.
     dirty: bool,
     views: EngineViews,
-    rates: BTreeMap<DemandKey, ArrivalRate>,
-    /// Requests that were refused for want of room.
-    refusals: BTreeMap<DemandKey, ArrivalRate>,
-    late_shares: BTreeMap<DemandKey, LateShare>,
+    rates: DemandRates,
     records: EngineRecords,
     store_loads: StoreLoads,
     limit_ledger: LimitLedger,
     ramps: RampHolder,
 }
 
-/// Whether a target is among those kept, or there is a place for one more.
-fn has_place<T>(kept: &BTreeMap<DemandKey, T>, key: &DemandKey) -> bool {
-    kept.len() < MAX_TARGETS || kept.contains_key(key)
-}
-
 /// Asks for a plan, at an interval or because demand at this instance changed.
 #[derive(Debug, Clone, Copy)]
 struct Tick;
@@ -115,9 +102,7 @@
                 published: Duration::ZERO,
                 dirty: false,
                 views: EngineViews::default(),
-                rates: BTreeMap::new(),
-                refusals: BTreeMap::new(),
-                late_shares: BTreeMap::new(),
+                rates: DemandRates::default(),
                 records: EngineRecords::default(),
                 store_loads: StoreLoads::new(window),
                 limit_ledger: LimitLedger::default(),
@@ -149,26 +134,8 @@
 
     fn record_demand(&mut self, demand: &DemandReport) {
         let now = self.gateway.now();
-        let catalog = self.gateway.catalog();
-        for count in &demand.requested {
-            let key = (count.scope.clone(), count.target());
-            // Earlier builds report whatever callers name.
-            let has_target = |c: &Arc<Catalog>| c.has_target(&key.0, &key.1);
-            if !catalog.as_ref().is_some_and(has_target) {
-                continue;
-            }
-            if count.arrivals > 0 && has_place(&self.rates, &key) {
-                let rate = self.rates.entry(key.clone()).or_default();
-                rate.add(count.arrivals, now);
-            }
-            if count.refused > 0 && has_place(&self.refusals, &key) {
-                let refusals = self.refusals.entry(key.clone()).or_default();
-                refusals.add(count.refused, now);
-            }
-            if count.ended > 0 && has_place(&self.late_shares, &key) {
-                let share = self.late_shares.entry(key).or_default();
-                share.add(count.ended, count.late, now);
-            }
+        if let Some(catalog) = self.gateway.catalog() {
+            self.rates.record(&demand.requested, &catalog, now);
         }
         if demand.reports_closed {
             return;
@@ -233,12 +200,10 @@
         self.record_demand(&own);
         self.own_demand = own;
         self.peers.retain(|_, p| now < p.heard_at + PEER_TIMEOUT);
-        self.rates.retain(|_, r| r.at(now) > MIN_RATE_PER_S);
-        self.refusals.retain(|_, r| r.at(now) > MIN_RATE_PER_S);
+        self.rates.forget_old(now);
         let mut engines = catalog.engines();
         let is_cautious = engines.any(|(name, _)| self.follows_demand(name, now));
         self.store_loads.set_cautious(is_cautious);
-        self.late_shares.retain(|_, share| !share.is_old(now));
         let mut demands = BTreeMap::new();
         for (service, engine) in catalog.engines() {
             self.sync_records(service, now);
--- a/src/gateway/orders/fleet.rs
+++ b/src/gateway/orders/fleet.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::super::link::DemandReport;
-use super::super::planner::{Fleet, PinnedTarget, TargetDemand};
+use super::super::planner::{Fleet, PinnedTarget};
 use super::super::protocol::Target;
 use super::OrderController;
 
@@ -28,30 +28,7 @@
     }
 
     pub(super) fn fleet(&self, service: &str, now: Duration) -> Fleet {
-        let mut target_demands: BTreeMap<Target, TargetDemand> = BTreeMap::new();
-        for ((scope, target), rate) in &self.rates {
-            if scope == service {
-                target_demands
-                    .entry(target.clone())
-                    .or_default()
-                    .request_rate = rate.at(now);
-            }
-        }
-        for ((scope, target), rate) in &self.refusals {
-            if scope == service {
-                target_demands
-                    .entry(target.clone())
-                    .or_default()
-                    .refused_rate = rate.at(now);
-            }
-        }
-        for ((scope, target), share) in &self.late_shares {
-            if scope == service
-                && let Some(demand) = target_demands.get_mut(target)
-            {
-                demand.late_share = share.at(now);
-            }
-        }
+        let mut target_demands = self.rates.of_service(service, now);
         let mut pinned = BTreeSet::new();
         let mut running: BTreeMap<&str, BTreeMap<Target, u32>> = BTreeMap::new();
         for demand in self.demands() {
--- a/src/gateway/orders/record.rs
+++ b/src/gateway/orders/record.rs
@@ -10,11 +10,6 @@
 use super::send::{MAX_FAILED_CONNECTS, Outcome, REPORT_CATCH_UP, is_current};
 use super::sequence::{OrderSequence, OrderTicket};
 
-/// Time constant of the average arrival rate for a model: as long as a few swaps take.
-///
-/// The times of loads are kept as long.
-pub(super) const RATE_WINDOW: Duration = Duration::from_secs(8);
-
 /// Time for which an adapter that an engine would not unload counts as in use.
 const IN_USE_TIME: Duration = Duration::from_secs(2);
 
@@ -428,22 +423,3 @@
         }
     }
 }
-
-/// Exponentially decaying average of arrivals per second.
-#[derive(Debug, Clone, Copy, Default)]
-pub(super) struct ArrivalRate {
-    pub(super) per_s: f64,
-    pub(super) updated: Duration,
-}
-
-impl ArrivalRate {
-    pub(super) fn at(self, now: Duration) -> f64 {
-        let age = now.saturating_sub(self.updated).as_secs_f64();
-        self.per_s * (-age / RATE_WINDOW.as_secs_f64()).exp()
-    }
-
-    pub(super) fn add(&mut self, count: u32, now: Duration) {
-        self.per_s = self.at(now) + f64::from(count) / RATE_WINDOW.as_secs_f64();
-        self.updated = now;
-    }
-}
--- a/src/gateway/orders/records.rs
+++ b/src/gateway/orders/records.rs
@@ -7,7 +7,8 @@
 use super::super::planner::EngineState;
 use super::super::protocol::{Endpoint, Target};
 use super::super::servers::ListedEndpoint;
-use super::record::{CarriedLoad, EngineRecord, RATE_WINDOW};
+use super::rates::RATE_WINDOW;
+use super::record::{CarriedLoad, EngineRecord};
 
 /// Engines by id of their incarnation.
 #[derive(Debug, Default)]
--- a/src/gateway/prompt_parts.rs
+++ b/src/gateway/prompt_parts.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 /// Ends each id in the text; ids do not contain it.
-const END: char = ',';
+const ID_END: char = ',';
 
 /// Ids of a prompt's parts in order, without the last one, which is the request's own.
 ///
@@ -24,7 +24,7 @@
 impl PromptParts {
     /// The ids in order.
     pub fn iter(&self) -> impl Iterator<Item = &str> {
-        self.0.split_terminator(END)
+        self.0.split_terminator(ID_END)
     }
 
     /// Size of the text in bytes.
@@ -45,7 +45,7 @@
         let mut text = String::new();
         for id in iter {
             text.push_str(id);
-            text.push(END);
+            text.push(ID_END);
         }
         Self(Arc::from(text))
     }
--- a/src/gateway/renewal.rs
+++ b/src/gateway/renewal.rs
@@ -186,7 +186,7 @@
             let was_restored = lease.is_restored();
             lease.observe(row, version, self.gateway.now());
             if lease.is_restored() && !was_restored {
-                log::warn!(version = version, counted = !lease.is_unproved();
+                log::warn!(version = version, counted = !lease.lacks_proof();
                     "lease row is of an older copy of the store; waiting for its holder");
             }
         }
--- a/tests/lease_model/world.rs
+++ b/tests/lease_model/world.rs
@@ -1,8 +1,4 @@
-//! The lease on orders under cuts, kills and freezes: at most one instance holds it at a time.
-//!
-//! Instances run the pure parts of the lease in simulated time. `LEASE_SEEDS=0-999` plays more seeds.
-
-#![expect(clippy::unwrap_used, reason = "a test may panic")]
+//! Instances that run the pure parts of the lease in simulated time, and what happens to them.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
@@ -12,29 +8,28 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
-const INSTANCES: usize = 6;
-const TICK_MS: u64 = 50;
-const CASE: Duration = Duration::from_secs(90);
+pub(crate) const INSTANCES: usize = 6;
+pub(crate) const TICK_MS: u64 = 50;
+pub(crate) const CASE: Duration = Duration::from_secs(90);
 /// Time from which a case has no faults.
-const CALM: Duration = Duration::from_mins(1);
-/// Time in which an instance takes over once all faults have ended: the longest extension, the
-/// handover and a read.
-const TAKEOVER: Duration = Duration::from_secs(18);
+pub(crate) const CALM: Duration = Duration::from_mins(1);
+/// Number of kinds of faults without drills.
+pub(crate) const FAULTS: u32 = 7;
 const REPORT_MS: u64 = 200;
 const READ_MS: u64 = 800;
 /// Age of the oldest copy from which the store comes back.
 const COPY_AGE: Duration = Duration::from_secs(6);
 const LINK_SILENCE: Duration = Duration::from_millis(1200);
-const TIMING: LeaseTiming = LeaseTiming {
+pub(crate) const TIMING: LeaseTiming = LeaseTiming {
     term: Duration::from_secs(2),
     handover_delay: Duration::from_secs(3),
     claim_delay: Duration::ZERO,
 };
 
 /// An instance, as a process that can end, freeze and be cut off.
-struct Instance {
+pub(crate) struct Instance {
     name: String,
-    lease: Lease,
+    pub(crate) lease: Lease,
     echoes: Echoes,
     /// Holder whose updates arrive, when the last one did, and the clock reading in it.
     link: Option<(usize, Duration, Duration)>,
@@ -72,35 +67,42 @@
     }
 }
 
-struct World {
+/// An instance loses the store, which then comes back from a copy.
+struct PlannedDrill {
+    instance: usize,
+    storeless_at: Duration,
+    drill_at: Duration,
+    /// When the instance reaches the store again.
+    until: Duration,
+}
+
+pub(crate) struct World {
     rng: StdRng,
-    now: Duration,
+    pub(crate) now: Duration,
     row: Option<LeaseRow>,
     version: u64,
     /// Earlier rows, each with the time up to which it stood.
     copies: VecDeque<(Duration, Option<LeaseRow>, u64)>,
-    store_down_until: Duration,
-    instances: Vec<Instance>,
+    pub(crate) store_down_until: Duration,
+    pub(crate) instances: Vec<Instance>,
     /// Until when nothing passes from the first instance to the second.
     cuts: BTreeMap<(usize, usize), Duration>,
-    last_held: Option<(usize, Duration)>,
-    held_ticks: u64,
+    pub(crate) last_held: Option<(usize, Duration)>,
+    pub(crate) held_ticks: u64,
     /// Mean time between two faults.
     fault_gap: u64,
-    /// Instance that is to lose the store, when, when the store comes back from a copy, and when the
-    /// instance reaches it again.
-    planned: Option<(usize, Duration, Duration, Duration)>,
-    /// Kinds of faults; the last of eight is a drill of the store.
-    faults: u32,
+    planned: Option<PlannedDrill>,
+    /// Number of kinds of faults: [`FAULTS`], or one more for drills of the store behind a cut.
+    pub(crate) faults: u32,
 }
 
 impl World {
-    fn new(seed: u64) -> Self {
+    pub(crate) fn new(seed: u64) -> Self {
         Self {
             rng: StdRng::seed_from_u64(seed),
             fault_gap: 1000 << (seed % 4),
             planned: None,
-            faults: 7,
+            faults: FAULTS,
             now: Duration::from_secs(1),
             row: None,
             version: 0,
@@ -138,7 +140,7 @@
     }
 
     /// The store is away for a time, and comes back from a copy of this age.
-    fn restore(&mut self, age: Duration, away: Duration) {
+    pub(crate) fn restore(&mut self, age: Duration, away: Duration) {
         self.store_down_until = self.now + away;
         let at = self.now.saturating_sub(age);
         let era = era(self.version) + 1;
@@ -168,18 +170,23 @@
         let storeless_at = self.now + self.millis(0, 5000);
         let drill_at = storeless_at + self.millis(0, 3000);
         let until = drill_at + self.millis(0, 14_000);
-        self.planned = Some((holder, storeless_at, drill_at, until));
+        self.planned = Some(PlannedDrill {
+            instance: holder,
+            storeless_at,
+            drill_at,
+            until,
+        });
     }
 
     /// Carries out what is planned by now.
     fn follow_plan(&mut self) {
-        let Some((holder, storeless_at, drill_at, until)) = self.planned else {
+        let Some(planned) = &self.planned else {
             return;
         };
-        if self.now >= storeless_at {
-            self.instances[holder].storeless_until = until;
+        if self.now >= planned.storeless_at {
+            self.instances[planned.instance].storeless_until = planned.until;
         }
-        if self.now >= drill_at {
+        if self.now >= planned.drill_at {
             let (age, away) = (self.millis(100, 6000), self.millis(100, 1000));
             self.restore(age, away);
             self.planned = None;
@@ -196,7 +203,7 @@
     }
 
     /// Brings faults that overlap, and ends them all some time before the case ends.
-    fn disturb(&mut self) {
+    pub(crate) fn disturb(&mut self) {
         if self.now >= CALM {
             self.calm();
             return;
@@ -214,7 +221,7 @@
             some
         };
         match self.rng.random_range(0..self.faults) {
-            7 => self.plan_drill(holder),
+            FAULTS => self.plan_drill(holder),
             0 => self.instances[target].storeless_until = self.now + time,
             1 => self.store_down_until = self.now + time,
             2 => self.instances[target].frozen_until = self.now + time / 2,
@@ -259,7 +266,7 @@
     }
 
     /// Ends a process; a new one under its name knows nothing.
-    fn kill(&mut self, n: usize, time: Duration) {
+    pub(crate) fn kill(&mut self, n: usize, time: Duration) {
         let storeless_until = self.instances[n].storeless_until;
         self.instances[n] = Instance {
             dead_until: self.now + time,
@@ -393,7 +400,7 @@
         }
     }
 
-    fn play(&mut self, seed: u64, mut disturbs: impl FnMut(&mut Self)) {
+    pub(crate) fn play(&mut self, seed: u64, mut disturbs: impl FnMut(&mut Self)) {
         while self.now < CASE {
             disturbs(self);
             for n in 0..INSTANCES {
@@ -406,122 +413,3 @@
         }
     }
 }
-
-fn seeds() -> std::ops::RangeInclusive<u64> {
-    let text = std::env::var("LEASE_SEEDS").unwrap_or_else(|_| "0-299".into());
-    let (first, last) = text.split_once('-').unwrap_or((&text, &text));
-    first.parse().unwrap()..=last.parse().unwrap()
-}
-
-/// Plays all seeds with the first `faults` kinds of faults.
-fn play_all(faults: u32) {
-    let mut held = 0;
-    for seed in seeds() {
-        let mut world = World::new(seed);
-        world.faults = faults;
-        world.play(seed, |world| {
-            world.disturb();
-            let (at, last_held) = (world.now, world.last_held);
-            if at >= CALM + TAKEOVER {
-                let is_held = last_held.is_some_and(|(_, last)| last + TIMING.term >= at);
-                assert!(is_held, "seed {seed}: {last_held:?} at {at:?}");
-            }
-        });
-        held += world.held_ticks;
-    }
-    let ticks = u64::try_from(CASE.as_millis()).unwrap() / TICK_MS * (seeds().count() as u64);
-    println!("held {held} of {ticks} ticks");
-}
-
-/// Guards against ONE: the holder, cut off from the store, goes on by the echoes of some while an
-/// instance that restarted, was cut off or is new takes over.
-#[test]
-fn one_holder_behind_cuts() {
-    play_all(7);
-}
-
-/// Guards against ONE: an instance claims a row of an older copy of the store while the holder, which
-/// has left it out since, goes on by the echoes of the others.
-#[test]
-fn one_holder_after_drills() {
-    play_all(8);
-}
-
-/// The time from a drill to the next holder where the one before was killed `lead` before the drill,
-/// as seen by instances that all had links to it.
-fn time_without_holder(lead: u64, age: u64) -> Duration {
-    let mut world = World::new(3);
-    let (killed_at, mut next_at) = (20_000, None);
-    world.play(3, |world| {
-        let at = u64::try_from(world.now.as_millis()).unwrap();
-        if at == killed_at {
-            let holder = world.last_held.unwrap().0;
-            world.kill(holder, CASE);
-        }
-        if at == killed_at + lead {
-            world.restore(Duration::from_millis(age), Duration::from_millis(300));
-        }
-        let held_at = world.last_held.map(|(_, at)| at);
-        if next_at.is_none() && held_at > Some(Duration::from_millis(killed_at + 1000)) {
-            next_at = held_at;
-        }
-    });
-    let drill_at = Duration::from_millis(killed_at + lead);
-    next_at.unwrap().saturating_sub(drill_at)
-}
-
-/// Guards against orders that wait for the longest time after each drill: a holder that ended beside it
-/// is followed as soon as the store's term and the handover allow, as its successors knew it alive.
-#[test]
-fn holder_killed_beside_a_drill() {
-    for lead in [0, 200, 500, 1000, 2000, 3000, 4500] {
-        for age in [300, 2500, 4500] {
-            let time = time_without_holder(lead, age);
-            assert!(time < Duration::from_secs(7), "{lead} {age}: {time:?}");
-        }
-    }
-}
-
-/// Orders go on through outages of the store, also where an instance died some seconds before.
-#[test]
-fn outage_of_the_store_is_bridged() {
-    for dies in [false, true] {
-        let mut world = World::new(1);
-        world.play(1, |world| {
-            let at = world.now.as_millis();
-            if dies && at == 16_000 {
-                let holder = world.last_held.unwrap().0;
-                world.kill((holder + 1) % INSTANCES, CASE);
-            }
-            if at == 20_000 {
-                world.store_down_until = world.now + Duration::from_secs(9);
-            }
-            if (20_000..29_000).contains(&at) {
-                let holder = &world.instances[world.last_held.unwrap().0];
-                assert!(
-                    holder.lease.fencing_token(world.now).is_some(),
-                    "at {at} ms"
-                );
-            }
-        });
-    }
-}
-
-/// No instance waits for good: whoever is left gives orders some seconds after all others are gone.
-#[test]
-fn last_instance_takes_over() {
-    for left in 0..INSTANCES {
-        let mut world = World::new(2);
-        world.play(2, |world| {
-            if world.now.as_millis() == 20_000 {
-                for n in (0..INSTANCES).filter(|n| *n != left) {
-                    world.kill(n, CASE);
-                }
-            }
-            if world.now.as_millis() == 45_000 {
-                let lease = &world.instances[left].lease;
-                assert!(lease.fencing_token(world.now).is_some(), "i{left}");
-            }
-        });
-    }
-}
