Lease: a holder whose term ended beside a drill takes it up again before others may claim

It woke after the end of its term, read the row of an older copy and gave up a lease that nobody else could have claimed yet; as rows of that time name nobody, no instance had a proof, so all waited for the longest extension, and another drill began that wait anew.

adopt_restored now holds until the handover delay after the holder's own term; the time is that of the response. Others claim no sooner in any era, and the write over the row fails if one has. A released or followed term stays ended.

--- a/src/answer_room.rs
+++ b/src/answer_room.rs
@@ -3,7 +3,7 @@
 //! An answer takes memory as it arrives, and keeps it until its caller has it. Where there is none left,
 //! an answer that is still arriving is evicted: the largest one of the endpoint whose answers hold most.
 //! So endpoints that send without end make room for the answers of others.
-//! What an instance holds in all: `docs/design/client-memory.md`.
+//! What an instance holds in all: `docs/design/memory.md`.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
--- a/src/gateway/lease.rs
+++ b/src/gateway/lease.rs
@@ -206,12 +206,16 @@
         })
     }
 
-    /// Records the row as read from the store by the holder; returns whether its term goes on.
+    /// Records the row as read from the store by the holder; returns whether its term goes on, or can be
+    /// taken up again.
     ///
-    /// A row of an earlier era is no successor's, as each one waits for the holder's term first. The
-    /// holder has to write its own over it in the term that it has.
+    /// A row of an earlier era is no successor's until the handover delay after the holder's term has
+    /// passed, as each one waits for both. A write over that row fails if another takes the lease until
+    /// then. `now` is the time of the response.
     pub fn adopt_restored(&mut self, row: Option<&LeaseRow>, version: u64, now: Duration) -> bool {
-        if self.fencing_token(now).is_none() || !is_restored(row, version) {
+        let followed_from = self.valid_until + self.timing.handover_delay;
+        let is_unfollowed = now + EXPIRY_MARGIN < followed_from;
+        if self.fencing_token.is_none() || !is_unfollowed || !is_restored(row, version) {
             return false;
         }
         self.version = version;
--- a/src/gateway/renewal.rs
+++ b/src/gateway/renewal.rs
@@ -168,7 +168,7 @@
         let row = rows.first().and_then(parse);
         let mut lease = self.lock();
         lease.record_read(row.as_ref(), version, requested_at);
-        if holding && lease.adopt_restored(row.as_ref(), version, requested_at) {
+        if lease.adopt_restored(row.as_ref(), version, self.gateway.now()) {
             log::warn!(version = version; "lease row is of an earlier era; writing it again");
             return true;
         }
