Lease: more of what an instance knows proves that no holder goes on after a drill

A free row in force and one's own term prove as much, as who claims later names nobody for the notice and so cannot go on after its term. A copy that is seen unchanged keeps a proof, for which a holder that takes its term up again names nobody for the notice. The copy is dated by the first answer of the store of its era.

Failed before: restored_lease::free_lease_proves, own_term_proves, era_dates_the_copy, unchanged_copy_keeps_the_proof, adopted_row_names_nobody.

--- a/src/gateway/lease.rs
+++ b/src/gateway/lease.rs
@@ -12,10 +12,12 @@
 //! A row names the era in which it was written. One from an earlier era than its version is an older
 //! copy that the store came back from: the holder, or another one, may have written since, and named
 //! other successors. Such a row proves nothing about who holds the lease or whom the holder hears. An
-//! instance claims it after the term only if it knows by itself that the holder counted it when the
-//! copy came back: the holder confirmed a report of it, or a row that was in force named it, less than
-//! the notice before. All others wait for the longest time that the holder may continue. A holder whose
-//! term still runs writes its own row over the copy.
+//! instance claims it after the term only if it knows by itself that any holder counted it when the copy
+//! came back, or named nobody. Less than the notice before that, one of these was so: the holder
+//! confirmed a report of it, a row that was in force named it, the lease was free, or this instance held
+//! it. Such a proof lasts as long as the copy is seen unchanged, as nobody leaves an instance out without
+//! writing for the notice. All others wait for the longest time that the holder may continue. A holder
+//! whose term still runs writes its own row over the copy; for the notice it then names nobody.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -118,15 +120,20 @@
     timing: LeaseTiming,
     row: Option<LeaseRow>,
     version: u64,
-    /// When the row was first seen to come from an older copy of the store, if it does.
+    /// Newest era of the store that is known, and since when.
+    era_known: Option<(u64, Duration)>,
+    /// Time by which the store had come back from an older copy, if the row comes from one.
     restored_at: Option<Duration>,
-    /// Last time at which the holder is known to have counted this instance among its successors.
+    /// Last time at which any holder is known to have counted this instance among its successors, or to
+    /// have named none.
     counted_at: Option<Duration>,
     observed_at: Option<Duration>,
     fencing_token: Option<u64>,
     valid_until: Duration,
     renewed_at: Duration,
     claimed_at: Duration,
+    /// Whether this instance has yet to write its own row over an older copy.
+    adopted: bool,
 }
 
 impl Lease {
@@ -138,6 +145,7 @@
             timing,
             row: None,
             version: 0,
+            era_known: None,
             restored_at: None,
             counted_at: None,
             observed_at: None,
@@ -145,6 +153,14 @@
             valid_until: Duration::ZERO,
             renewed_at: Duration::ZERO,
             claimed_at: Duration::ZERO,
+            adopted: false,
+        }
+    }
+
+    /// Records the era that the store's newest answer names.
+    pub fn record_era(&mut self, era: u64, now: Duration) {
+        if self.era_known.is_none_or(|(known, _)| known < era) {
+            self.era_known = Some((era, now));
         }
     }
 
@@ -160,12 +176,19 @@
             }
             return;
         }
-        self.fencing_token = None;
-        let is_same_era =
-            self.observed_at.is_some() && table::era(version) == table::era(self.version);
-        let first_seen = self.restored_at.filter(|_| is_same_era);
         let restored = is_restored(row.as_ref(), version);
-        self.restored_at = restored.then(|| first_seen.unwrap_or(now));
+        if self.fencing_token.take().is_some() && restored {
+            self.record_counted(self.valid_until + self.timing.handover_delay);
+        }
+        let era = table::era(version);
+        let is_same_era = self.observed_at.is_some() && era == table::era(self.version);
+        let first_seen = self.restored_at.filter(|_| is_same_era);
+        self.record_era(era, now);
+        let known_since = self.era_known.filter(|(known, _)| *known == era);
+        self.restored_at = first_seen
+            .or(known_since.map(|(_, since)| since))
+            .or(Some(now))
+            .filter(|_| restored);
         self.row = row;
         self.version = version;
         self.observed_at = Some(now);
@@ -178,10 +201,16 @@
     /// Records what a row read from the store says about this instance; `requested_at` is the time of
     /// the read's request.
     ///
-    /// A row of an older copy says nothing, as it may no longer have been in force.
+    /// One that is in force names this instance, or says that the lease is free. An older copy says
+    /// nothing by itself, as it may no longer have been in force; one that is still as it was shows that
+    /// no holder has written since, and so keeps a proof that this instance had of it.
     pub fn record_read(&mut self, row: Option<&LeaseRow>, version: u64, requested_at: Duration) {
-        let is_in_force = !is_restored(row, version);
-        if row.is_some_and(|r| is_in_force && r.promises(&self.own_row.holder)) {
+        let proves = if is_restored(row, version) {
+            version == self.version && self.restored_at.is_some() && !self.lacks_proof()
+        } else {
+            row.is_some_and(|r| r.released || r.promises(&self.own_row.holder))
+        };
+        if proves {
             self.record_counted(requested_at);
         }
     }
@@ -218,6 +247,7 @@
         if self.fencing_token.is_none() || !is_unfollowed || !is_restored(row, version) {
             return false;
         }
+        self.adopted = true;
         self.version = version;
         self.renewed_at = self.renewed_at.min(now.saturating_sub(self.timing.term));
         true
@@ -237,9 +267,16 @@
         self.renewed_at = requested_at;
     }
 
-    /// Records when the response to the write that began the term arrived.
+    /// Whether the next write begins a term, or takes one up again after an older copy.
+    #[must_use]
+    pub const fn is_claim(&self) -> bool {
+        self.fencing_token.is_none() || self.adopted
+    }
+
+    /// Records when the response to such a write arrived; successors are named some time after.
     pub fn record_claim(&mut self, answered_at: Duration) {
         self.claimed_at = self.claimed_at.max(answered_at);
+        self.adopted = false;
     }
 
     /// Fencing token, as long as this instance may send orders.
@@ -267,6 +304,7 @@
     pub const fn end_term(&mut self) {
         self.valid_until = Duration::ZERO;
         self.fencing_token = None;
+        self.adopted = false;
     }
 
     /// Last known holder, if it is another instance and has not released the lease.
--- a/src/gateway/lease/echoes.rs
+++ b/src/gateway/lease/echoes.rs
@@ -75,7 +75,7 @@
     pub fn name_successors(&mut self, lease: &Lease, now: Duration) -> Option<Successors> {
         self.left_out.clear();
         self.announced.clear();
-        if lease.term().is_none() || now < lease.claimed_at() + NOTICE_TIME {
+        if lease.is_claim() || now < lease.claimed_at() + NOTICE_TIME {
             return None;
         }
         let mut named = Vec::new();
--- a/src/gateway/renewal.rs
+++ b/src/gateway/renewal.rs
@@ -79,6 +79,8 @@
                 return self.release().await;
             }
             let now = self.gateway.now();
+            self.lock()
+                .record_era(self.gateway.platform.table.era(), now);
             let holding = self.lock().fencing_token(now).is_some();
             lost_path.update(self.gateway.is_cut_off_from_engines(), now);
             if holding && lost_path.since.is_some() && !lost_path.released && self.has_successor() {
@@ -181,6 +183,9 @@
             lease.record_write(version, requested_at.saturating_sub(STORE_TIMEOUT));
             let successors = row.and_then(|r| r.successors);
             let now = self.gateway.now();
+            if lease.is_claim() {
+                lease.record_claim(now);
+            }
             self.inbox.echoes().record_row(successors.as_ref(), now);
         } else {
             let was_restored = lease.is_restored();
@@ -208,7 +213,7 @@
             let mut echoes = self.inbox.echoes();
             let successors = echoes.name_successors(&lease, now);
             let expiring = echoes.expiring();
-            let is_claim = lease.term().is_none();
+            let is_claim = lease.is_claim();
             (successors, expiring, is_claim, lease.is_successor())
         };
         let named = successors.as_ref().map_or(0, Successors::count);
@@ -222,10 +227,10 @@
         };
         let known = self.write(version, &row).await;
         let now = self.gateway.now();
-        if is_claim {
+        let written = self.lock().version() != version;
+        if is_claim && written {
             self.lock().record_claim(now);
         }
-        let written = self.lock().version() != version;
         let mut echoes = self.inbox.echoes();
         if !written {
             echoes.record_unknown_row();
--- a/tests/lease_model/main.rs
+++ b/tests/lease_model/main.rs
@@ -8,7 +8,7 @@
 
 use std::time::Duration;
 
-use crate::world::{CALM, CASE, FAULTS, INSTANCES, TICK_MS, TIMING, World};
+use crate::world::{CALM, CASE, FAULTS, FAULTS_AND_DRILLS, INSTANCES, TICK_MS, TIMING, World};
 
 /// Time in which an instance takes over once all faults have ended: the longest extension, the
 /// handover and a read.
@@ -51,7 +51,7 @@
 /// has left it out since, goes on by the echoes of the others.
 #[test]
 fn one_holder_after_drills() {
-    play_all(FAULTS + 1);
+    play_all(FAULTS_AND_DRILLS);
 }
 
 /// The time from a drill to the next holder where the one before was killed `lead` before the drill,
--- a/tests/lease_model/world.rs
+++ b/tests/lease_model/world.rs
@@ -15,6 +15,10 @@
 pub(crate) const CALM: Duration = Duration::from_mins(1);
 /// Number of kinds of faults without drills.
 pub(crate) const FAULTS: u32 = 7;
+/// Number of the fault in which an instance is stopped and releases the lease.
+const RELEASES: u32 = FAULTS + 1;
+/// Number of kinds of faults, drills of the store and releases included.
+pub(crate) const FAULTS_AND_DRILLS: u32 = FAULTS + 2;
 const REPORT_MS: u64 = 200;
 const READ_MS: u64 = 800;
 /// Age of the oldest copy from which the store comes back.
@@ -92,7 +96,7 @@
     /// Mean time between two faults.
     fault_gap: u64,
     planned: Option<PlannedDrill>,
-    /// Number of kinds of faults: [`FAULTS`], or one more for drills of the store behind a cut.
+    /// Number of kinds of faults: [`FAULTS`] or [`FAULTS_AND_DRILLS`].
     pub(crate) faults: u32,
 }
 
@@ -222,6 +226,7 @@
         };
         match self.rng.random_range(0..self.faults) {
             FAULTS => self.plan_drill(holder),
+            RELEASES => self.release(target),
             0 => self.instances[target].storeless_until = self.now + time,
             1 => self.store_down_until = self.now + time,
             2 => self.instances[target].frozen_until = self.now + time / 2,
@@ -265,6 +270,28 @@
         }
     }
 
+    /// Stops an instance, which releases the lease if it can; a new one under its name knows nothing.
+    fn release(&mut self, n: usize) {
+        let reaches_store =
+            self.now >= self.store_down_until && self.now >= self.instances[n].storeless_until;
+        let instance = &mut self.instances[n];
+        let holds = instance.lease.fencing_token(self.now).is_some();
+        instance.lease.end_term();
+        if holds && reaches_store && instance.lease.version() == self.version {
+            let row = LeaseRow {
+                holder: self.instances[n].name.clone(),
+                address: ([127, 0, 0, 1], u16::try_from(n).unwrap()).into(),
+                released: true,
+                era: era(self.version),
+                successors: None,
+                expiring: None,
+            };
+            self.write(row);
+        }
+        let time = self.millis(200, 3000);
+        self.kill(n, time);
+    }
+
     /// Ends a process; a new one under its name knows nothing.
     pub(crate) fn kill(&mut self, n: usize, time: Duration) {
         let storeless_until = self.instances[n].storeless_until;
@@ -339,6 +366,7 @@
         if !store_answers {
             return;
         }
+        instance.lease.record_era(era(self.version), now);
         if !is_held || self.version != instance.lease.version() {
             instance.read_at = now;
             let (row, version) = (self.row.clone(), self.version);
@@ -350,6 +378,7 @@
         let LeaseAction::Write(expected) = instance.lease.next_action(now) else {
             return;
         };
+        let is_claim = instance.lease.is_claim();
         let successors = instance.echoes.name_successors(&instance.lease, now);
         let expiring = Some(instance.echoes.expiring());
         // A writer that does not know of the new era yet is checked by the number alone.
@@ -378,6 +407,9 @@
             return;
         }
         instance.lease.record_write(self.version, now);
+        if is_claim {
+            instance.lease.record_claim(now);
+        }
         instance.echoes.record_row(successors.as_ref(), now);
     }
 
--- a/tests/restored_lease.rs
+++ b/tests/restored_lease.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use brassrack::gateway::lease::{Lease, LeaseAction, LeaseRow, LeaseTiming, Successors};
+use brassrack::gateway::lease::{
+    Echo, Echoes, Lease, LeaseAction, LeaseRow, LeaseTiming, Successors,
+};
 use brassrack::table::{era, revision};
 
 const TERMS: LeaseTiming = LeaseTiming {
@@ -177,6 +179,83 @@
     }
 }
 
+/// Guards against the longest wait where no holder can go on: one that claimed since would name nobody.
+#[test]
+fn free_lease_proves() {
+    let free = LeaseRow {
+        released: true,
+        ..row("b", 0)
+    };
+    let mut lease = lease("a");
+    lease.record_read(Some(&free), 900, at(9));
+    lease.observe(Some(free.clone()), 900, at(9));
+    lease.observe(Some(row("b", 0)), revision(1, 4), at(10));
+    assert_eq!(claimed_at(&lease), SOON);
+}
+
+/// The same where this instance held the lease, and sees the copy after others may have claimed it.
+#[test]
+fn own_term_proves() {
+    for (seen_ms, claimed) in [(10_000, SOON), (10_800, SOON), (11_000, LONGEST)] {
+        let mut lease = lease("a");
+        // Others claim from 9 s.
+        lease.record_write(9, at(4));
+        lease.record_era(1, Duration::from_millis(seen_ms));
+        assert!(!lease.adopt_restored(Some(&row("a", 0)), revision(1, 4), at(10)));
+        lease.observe(Some(row("a", 0)), revision(1, 4), at(10));
+        assert_eq!(claimed_at(&lease), claimed, "{seen_ms}");
+    }
+}
+
+/// The copy came back when its era was first seen, in whichever answer of the store.
+#[test]
+fn era_dates_the_copy() {
+    let mut lease = lease("a");
+    lease.record_counted(at(5));
+    lease.record_era(1, at(6));
+    lease.observe(Some(row("b", 0)), revision(1, 4), at(10));
+    assert_eq!(claimed_at(&lease), SOON);
+}
+
+/// Guards against the longest wait after one drill upon another, where the row was seen unchanged in
+/// between; and against ONE where it was not seen for the notice.
+#[test]
+fn unchanged_copy_keeps_the_proof() {
+    for (seen, claimed) in [(9, SOON), (8, LONGEST)] {
+        let mut lease = lease("a");
+        lease.record_counted(at(6));
+        for second in 7..=seen {
+            lease.record_read(Some(&row("b", 0)), revision(1, 4), at(second));
+            lease.observe(Some(row("b", 0)), revision(1, 4), at(second));
+        }
+        lease.observe(Some(row("b", 0)), revision(2, 4), at(10));
+        assert_eq!(claimed_at(&lease), claimed, "{seen}");
+    }
+}
+
+/// Guards against ONE: a holder that wrote its row over a copy names others at once, and the next copy
+/// has lost that.
+#[test]
+fn adopted_row_names_nobody() {
+    let mut lease = lease("a");
+    lease.record_write(9, at(4));
+    lease.record_claim(at(4));
+    let mut echoes = Echoes::default();
+    let echo = Echo {
+        heard_at: at(10),
+        ..Echo::default()
+    };
+    echoes.record("b", echo);
+    lease.record_write(10, at(9));
+    assert!(echoes.name_successors(&lease, at(10)).is_some());
+    assert!(lease.adopt_restored(Some(&row("a", 0)), revision(1, 4), at(10)));
+    assert!(echoes.name_successors(&lease, at(10)).is_none());
+    lease.record_write(revision(1, 5), at(10));
+    lease.record_claim(at(11));
+    assert!(echoes.name_successors(&lease, at(12)).is_none());
+    assert!(echoes.name_successors(&lease, at(13)).is_some());
+}
+
 /// Guards against ONE: a holder that has released the lease, or seen another's row, takes it up again.
 #[test]
 fn ended_term_stays_ended() {
