Lease: rows tell whom a new term counts, and copies are dated and seen in time

Rows that name nobody say whom the first one that names any will name (heard), with the same notice. The era is noted every 100 ms. The first read of a copy keeps a proof as each later one does; while an instance has one, it reads every 300 ms and waits 500 ms for the answer. The line on an older copy is logged once an era, as OPERATIONS.md says.

Failed before: restored_lease::rows_in_force_prove (with heard), unchanged_copy_keeps_the_proof.

--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -100,6 +100,7 @@
         released: false,
         era: 0,
         successors: None,
+        heard: None,
         expiring: None,
     };
     let lease = Arc::new(Mutex::new(Lease::new(
--- a/src/gateway/lease.rs
+++ b/src/gateway/lease.rs
@@ -90,8 +90,11 @@
     /// longest extension.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub successors: Option<Successors>,
-    /// Successors that a later row may leave out; `None` in rows of builds that leave instances out
-    /// without notice.
+    /// Instances that the first row which names any will name, where this one names none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub heard: Option<Successors>,
+    /// Those of them, or of the successors, that a later row may leave out; `None` in rows of builds that
+    /// leave instances out without notice.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub expiring: Option<Successors>,
 }
@@ -100,7 +103,8 @@
     /// Whether the holder counts an instance for the notice time from when this row was in force.
     fn promises(&self, instance: &str) -> bool {
         let is_in = |named: &Option<Successors>| named.as_ref().map(|s| s.contains(instance));
-        is_in(&self.successors) == Some(true) && is_in(&self.expiring) == Some(false)
+        let named = self.successors.as_ref().or(self.heard.as_ref());
+        named.is_some_and(|s| s.contains(instance)) && is_in(&self.expiring) == Some(false)
     }
 }
 
@@ -198,12 +202,12 @@
         }
     }
 
-    /// Records what a row read from the store says about this instance; `requested_at` is the time of
-    /// the read's request.
+    /// Records what the row that was just observed says about this instance; `requested_at` is the time of
+    /// the request by which it was read.
     ///
     /// One that is in force names this instance, or says that the lease is free. An older copy says
-    /// nothing by itself, as it may no longer have been in force; one that is still as it was shows that
-    /// no holder has written since, and so keeps a proof that this instance had of it.
+    /// nothing by itself, as it may no longer have been in force; one that is still there shows that no
+    /// holder has written since, and so keeps a proof that this instance had of it.
     pub fn record_read(&mut self, row: Option<&LeaseRow>, version: u64, requested_at: Duration) {
         let proves = if is_restored(row, version) {
             version == self.version && self.restored_at.is_some() && !self.lacks_proof()
--- a/src/gateway/lease/echoes.rs
+++ b/src/gateway/lease/echoes.rs
@@ -33,6 +33,8 @@
     left_out: BTreeSet<String>,
     /// Instances of which the row being written announces that they may be left out.
     announced: BTreeSet<String>,
+    /// Instances that the first row which names any will name, if the row being written names none.
+    heard: Option<Successors>,
     /// Silent instances, and when a row that announces them was known to be in force.
     notices: BTreeMap<String, Duration>,
     /// Whether the row in force names successors.
@@ -62,6 +64,7 @@
     ///     released: false,
     ///     era: 0,
     ///     successors: None,
+    ///     heard: None,
     ///     expiring: None,
     /// };
     /// let mut lease = Lease::new(row, LeaseTiming::default());
@@ -75,9 +78,8 @@
     pub fn name_successors(&mut self, lease: &Lease, now: Duration) -> Option<Successors> {
         self.left_out.clear();
         self.announced.clear();
-        if lease.is_claim() || now < lease.claimed_at() + NOTICE_TIME {
-            return None;
-        }
+        self.heard = None;
+        let names_nobody = lease.is_claim() || now < lease.claimed_at() + NOTICE_TIME;
         let mut named = Vec::new();
         for (instance, echo) in &self.instances {
             let is_announced = self
@@ -90,7 +92,7 @@
             } else {
                 Duration::ZERO
             };
-            if is_announced && silence > REPORT_SILENCE {
+            if is_announced && silence > REPORT_SILENCE && !names_nobody {
                 self.left_out.insert(instance.clone());
                 continue;
             }
@@ -99,7 +101,19 @@
             }
             named.push(instance.as_str());
         }
-        Some(Successors::new(named))
+        let named = Successors::new(named);
+        if names_nobody {
+            self.heard = Some(named);
+            return None;
+        }
+        Some(named)
+    }
+
+    /// Instances that the first row which names any will name, where the one that is written now names
+    /// none.
+    #[must_use]
+    pub fn heard(&self) -> Option<Successors> {
+        self.heard.clone()
     }
 
     /// Successors named last that a later row may leave out.
--- a/src/gateway/link/holder.rs
+++ b/src/gateway/link/holder.rs
@@ -81,6 +81,7 @@
             released: false,
             era: 0,
             successors: None,
+            heard: None,
             expiring: None,
         })
     }
--- a/src/gateway/renewal.rs
+++ b/src/gateway/renewal.rs
@@ -19,6 +19,10 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval between two reads of the row while there is no link to the holder.
 const READ_INTERVAL: Duration = Duration::from_millis(800);
+/// Interval between two reads, and timeout of one, while this instance has a proof of an older copy, which
+/// it keeps as long as it sees the copy unchanged.
+const COPY_READ_INTERVAL: Duration = Duration::from_millis(300);
+const COPY_READ_TIMEOUT: Duration = Duration::from_millis(500);
 /// Silence of the holder after which the row is read, before its link times out.
 ///
 /// It is two of the holder's update intervals. The wait for a takeover starts with that read.
@@ -79,8 +83,6 @@
                 return self.release().await;
             }
             let now = self.gateway.now();
-            self.lock()
-                .record_era(self.gateway.platform.table.era(), now);
             let holding = self.lock().fencing_token(now).is_some();
             lost_path.update(self.gateway.is_cut_off_from_engines(), now);
             if holding && lost_path.since.is_some() && !lost_path.released && self.has_successor() {
@@ -105,7 +107,7 @@
             }
             if (!holding || row_stale) && !self.publish_during(self.read(holding)).await {
                 self.publish();
-                self.sleep_or_stop(&mut stopping, READ_INTERVAL).await;
+                self.sleep_or_stop(&mut stopping, self.read_pace().0).await;
                 continue;
             }
             row_stale = false;
@@ -121,12 +123,23 @@
             let time = if holding {
                 CHECK_INTERVAL
             } else {
-                self.lock().wait_time(now, READ_INTERVAL)
+                let interval = self.read_pace().0;
+                self.lock().wait_time(now, interval)
             };
             self.sleep_or_stop(&mut stopping, time).await;
         }
     }
 
+    /// Interval and timeout of reads of the row.
+    fn read_pace(&self) -> (Duration, Duration) {
+        let lease = self.lock();
+        if lease.is_restored() && !lease.lacks_proof() {
+            (COPY_READ_INTERVAL, COPY_READ_TIMEOUT)
+        } else {
+            (READ_INTERVAL, STORE_TIMEOUT)
+        }
+    }
+
     /// Whether a linked instance has a path to engines.
     fn has_successor(&self) -> bool {
         !self.gateway.detours.borrow().is_empty()
@@ -139,7 +152,7 @@
         }
     }
 
-    /// Runs `work`, and publishes meanwhile that the lease has ended.
+    /// Runs `work`, and publishes meanwhile that the lease has ended, and notes when the store is in a new era.
     async fn publish_during<T>(&self, work: impl Future<Output = T>) -> T {
         let mut work = pin!(work);
         loop {
@@ -159,7 +172,8 @@
     async fn read(&self, holding: bool) -> bool {
         let requested_at = self.gateway.now();
         let read = Read::Keys(vec![LEASE_KEY.to_owned()]);
-        let rows = match timeout(STORE_TIMEOUT, self.gateway.platform.table.read(read)).await {
+        let time = self.read_pace().1;
+        let rows = match timeout(time, self.gateway.platform.table.read(read)).await {
             Ok(Ok(rows)) => rows,
             Ok(Err(error)) => return self.read_failed(&error.to_string()),
             Err(elapsed) => return self.read_failed(&elapsed.to_string()),
@@ -169,7 +183,6 @@
         let version = rows.first().map_or(missing, |r| r.revision);
         let row = rows.first().and_then(parse);
         let mut lease = self.lock();
-        lease.record_read(row.as_ref(), version, requested_at);
         if lease.adopt_restored(row.as_ref(), version, self.gateway.now()) {
             log::warn!(version = version; "lease row is of an earlier era; writing it again");
             return true;
@@ -188,9 +201,10 @@
             }
             self.inbox.echoes().record_row(successors.as_ref(), now);
         } else {
-            let was_restored = lease.is_restored();
-            lease.observe(row, version, self.gateway.now());
-            if lease.is_restored() && !was_restored {
+            let before = lease.version();
+            lease.observe(row.clone(), version, self.gateway.now());
+            lease.record_read(row.as_ref(), version, requested_at);
+            if lease.is_restored() && table::era(version) != table::era(before) {
                 log::warn!(version = version, counted = !lease.lacks_proof();
                     "lease row is of an older copy of the store; waiting for its holder");
             }
@@ -208,23 +222,22 @@
     /// effect.
     async fn renew(&self, version: u64) -> bool {
         let now = self.gateway.now();
-        let (successors, expiring, is_claim, is_successor) = {
+        let (row, is_claim) = {
             let lease = self.lock();
+            if lease.term().is_none() {
+                log::info!(version = version, named = lease.is_successor();
+                    "claiming the lease on orders");
+            }
             let mut echoes = self.inbox.echoes();
-            let successors = echoes.name_successors(&lease, now);
-            let expiring = echoes.expiring();
-            let is_claim = lease.is_claim();
-            (successors, expiring, is_claim, lease.is_successor())
-        };
-        let named = successors.as_ref().map_or(0, Successors::count);
-        if is_claim {
-            log::info!(version = version, named = is_successor; "claiming the lease on orders");
-        }
-        let row = LeaseRow {
-            successors,
-            expiring: Some(expiring),
-            ..self.own_row.clone()
+            let row = LeaseRow {
+                successors: echoes.name_successors(&lease, now),
+                heard: echoes.heard(),
+                expiring: Some(echoes.expiring()),
+                ..self.own_row.clone()
+            };
+            (row, lease.is_claim())
         };
+        let named = row.successors.as_ref().map_or(0, Successors::count);
         let known = self.write(version, &row).await;
         let now = self.gateway.now();
         let written = self.lock().version() != version;
@@ -302,8 +315,9 @@
 
     fn publish(&self) {
         let (holding, holder) = {
-            let lease = self.lock();
-            let holding = lease.fencing_token(self.gateway.now()).is_some();
+            let (mut lease, now) = (self.lock(), self.gateway.now());
+            lease.record_era(self.gateway.platform.table.era(), now);
+            let holding = lease.fencing_token(now).is_some();
             (holding, lease.holder().map(|r| r.address))
         };
         let changed = self.gateway.lease_held.send_if_modified(|h| {
--- a/tests/holder_inbox.rs
+++ b/tests/holder_inbox.rs
@@ -43,6 +43,7 @@
         released: false,
         era: 0,
         successors: None,
+        heard: None,
         expiring: None,
     };
     let mut lease = Lease::new(row, LeaseTiming::default());
--- a/tests/lease_model/world.rs
+++ b/tests/lease_model/world.rs
@@ -52,6 +52,7 @@
             released: false,
             era: 0,
             successors: None,
+            heard: None,
             expiring: None,
         };
         Self {
@@ -284,6 +285,7 @@
                 released: true,
                 era: era(self.version),
                 successors: None,
+                heard: None,
                 expiring: None,
             };
             self.write(row);
@@ -334,6 +336,7 @@
                 released: false,
                 era: 0,
                 successors: None,
+                heard: None,
                 expiring: None,
             };
             let instance = &mut self.instances[n];
@@ -370,17 +373,17 @@
         if !is_held || self.version != instance.lease.version() {
             instance.read_at = now;
             let (row, version) = (self.row.clone(), self.version);
-            instance.lease.record_read(row.as_ref(), version, now);
             if !instance.lease.adopt_restored(row.as_ref(), version, now) {
-                instance.lease.observe(row, version, now);
+                instance.lease.observe(row.clone(), version, now);
             }
+            instance.lease.record_read(row.as_ref(), version, now);
         }
         let LeaseAction::Write(expected) = instance.lease.next_action(now) else {
             return;
         };
         let is_claim = instance.lease.is_claim();
         let successors = instance.echoes.name_successors(&instance.lease, now);
-        let expiring = Some(instance.echoes.expiring());
+        let (heard, expiring) = (instance.echoes.heard(), Some(instance.echoes.expiring()));
         // A writer that does not know of the new era yet is checked by the number alone.
         if number(expected) != number(self.version) {
             instance.echoes.record_unknown_row();
@@ -392,6 +395,7 @@
             released: false,
             era: era(expected),
             successors: successors.clone(),
+            heard,
             expiring,
         };
         let is_known = era(expected) == era(self.version);
--- a/tests/order_lease.rs
+++ b/tests/order_lease.rs
@@ -21,6 +21,7 @@
         released: false,
         era: 0,
         successors: None,
+        heard: None,
         expiring: None,
     }
 }
--- a/tests/order_model/holder.rs
+++ b/tests/order_model/holder.rs
@@ -56,6 +56,7 @@
             released: false,
             era: 0,
             successors: None,
+            heard: None,
             expiring: None,
         };
         let (sender, events) = mpsc::unbounded_channel();
@@ -108,6 +109,7 @@
                 released: false,
                 era: table::era(expected),
                 successors: None,
+                heard: None,
                 expiring: None,
             };
             if let Some(version) = self.world.write_row(expected, own) {
--- a/tests/restored_lease.rs
+++ b/tests/restored_lease.rs
@@ -24,6 +24,7 @@
         released: false,
         era,
         successors: None,
+        heard: None,
         expiring: None,
     }
 }
@@ -59,8 +60,8 @@
         ..row("b", 0)
     };
     let mut lease = lease("a");
+    lease.observe(Some(naming.clone()), revision(1, 4), at(10));
     lease.record_read(Some(&naming), revision(1, 4), at(10));
-    lease.observe(Some(naming), revision(1, 4), at(10));
     assert_eq!(claimed_at(&lease), LONGEST);
 }
 
@@ -88,15 +89,23 @@
         (named(&["a"]), None, LONGEST),
         (None, None, LONGEST),
     ];
-    for (successors, expiring, claimed) in cases {
+    // A row that names nobody says the same of those whom it will name.
+    let cases = cases.into_iter().flat_map(|(named, expiring, claimed)| {
+        [
+            (named.clone(), None, expiring.clone(), claimed),
+            (None, named, expiring, claimed),
+        ]
+    });
+    for (successors, heard, expiring, claimed) in cases {
         let row = LeaseRow {
             successors,
+            heard,
             expiring,
             ..row("b", 0)
         };
         let mut lease = lease("a");
-        lease.record_read(Some(&row), 900, at(9));
         lease.observe(Some(row.clone()), 900, at(9));
+        lease.record_read(Some(&row), 900, at(9));
         lease.observe(Some(row.clone()), revision(1, 4), at(10));
         assert_eq!(claimed_at(&lease), claimed, "{row:?}");
     }
@@ -187,8 +196,8 @@
         ..row("b", 0)
     };
     let mut lease = lease("a");
-    lease.record_read(Some(&free), 900, at(9));
     lease.observe(Some(free.clone()), 900, at(9));
+    lease.record_read(Some(&free), 900, at(9));
     lease.observe(Some(row("b", 0)), revision(1, 4), at(10));
     assert_eq!(claimed_at(&lease), SOON);
 }
@@ -221,15 +230,16 @@
 /// between; and against ONE where it was not seen for the notice.
 #[test]
 fn unchanged_copy_keeps_the_proof() {
-    for (seen, claimed) in [(9, SOON), (8, LONGEST)] {
+    for (seen, claimed) in [(7..=9, SOON), (9..=9, SOON), (7..=8, LONGEST)] {
         let mut lease = lease("a");
         lease.record_counted(at(6));
-        for second in 7..=seen {
-            lease.record_read(Some(&row("b", 0)), revision(1, 4), at(second));
+        lease.record_era(1, at(7));
+        for second in seen.clone() {
             lease.observe(Some(row("b", 0)), revision(1, 4), at(second));
+            lease.record_read(Some(&row("b", 0)), revision(1, 4), at(second));
         }
         lease.observe(Some(row("b", 0)), revision(2, 4), at(10));
-        assert_eq!(claimed_at(&lease), claimed, "{seen}");
+        assert_eq!(claimed_at(&lease), claimed, "{seen:?}");
     }
 }
 
@@ -250,6 +260,7 @@
     assert!(echoes.name_successors(&lease, at(10)).is_some());
     assert!(lease.adopt_restored(Some(&row("a", 0)), revision(1, 4), at(10)));
     assert!(echoes.name_successors(&lease, at(10)).is_none());
+    assert!(echoes.heard().is_some_and(|s| s.contains("b")));
     lease.record_write(revision(1, 5), at(10));
     lease.record_claim(at(11));
     assert!(echoes.name_successors(&lease, at(12)).is_none());
