Lease: a holder that does not know of its own write yet is waited for

Cause, traced: the holder's newest write took effect without an answer. An instance that had read that row took the holder's updates, which name the version before, for those of a deposed one, and counted its wait from its read; its echoes meanwhile prolonged the holder's term. Once the link broke, it claimed at once.

An update of the instance that the row names restarts the wait whatever version it knows.

--- a/src/gateway/lease.rs
+++ b/src/gateway/lease.rs
@@ -320,7 +320,8 @@
 
     /// Records the row version that the holder sent over a link, and when it was received.
     ///
-    /// This restarts the wait for a takeover from that time.
+    /// This restarts the wait for a takeover from that time, also where the holder does not know yet that
+    /// its newest write took effect.
     pub fn confirm_holder(&mut self, row: LeaseRow, version: u64, heard_at: Duration) {
         if self.fencing_token.is_some() {
             return;
@@ -329,7 +330,9 @@
             self.row = Some(row);
             self.restored_at = None;
             self.version = version;
-        } else if self.restored_at.is_none() {
+        } else if self.restored_at.is_none()
+            && self.row.as_ref().map(|r| r.address) != Some(row.address)
+        {
             return;
         }
         self.observed_at = self.observed_at.max(Some(heard_at));
--- a/tests/order_lease.rs
+++ b/tests/order_lease.rs
@@ -183,6 +183,30 @@
     assert_eq!(lease.next_action(at(25)), LeaseAction::Write(4));
 }
 
+/// Guards against ONE: the holder, whose last write took effect without an answer, goes on by the echoes of
+/// an instance that has read that write and counts its wait from then.
+#[test]
+fn holder_behind_its_row_is_waited_for() {
+    let mut lease = lease();
+    lease.observe(Some(row("other")), 5, at(10));
+    lease.confirm_holder(row("other"), 4, at(17));
+    assert_eq!(lease.next_action(at(24)), LeaseAction::Wait);
+    assert_eq!(lease.next_action(at(25)), LeaseAction::Write(5));
+}
+
+/// A holder that was followed delays nobody.
+#[test]
+fn followed_holder_is_not_waited_for() {
+    let mut lease = lease();
+    let followed = LeaseRow {
+        address: ([127, 0, 0, 1], 8).into(),
+        ..row("before")
+    };
+    lease.observe(Some(row("other")), 5, at(10));
+    lease.confirm_holder(followed, 4, at(17));
+    assert_eq!(lease.next_action(at(18)), LeaseAction::Write(5));
+}
+
 /// Pattern: the holder freezes. The successor claims the row when the wait ends, not at the next
 /// of its reads.
 #[test]
