Tests: a late order reaches only the process that it was sent to

Trace: the order was sent with the expected count 5 to a process that restarted while the order was late, and reached the next one when its count stood at 5. An order's connection ends with its process, so that this cannot happen; the model now drops such an order. Late orders that reach the process that they were sent to are delivered as before.

--- a/tests/order_model/holder.rs
+++ b/tests/order_model/holder.rs
@@ -310,9 +310,13 @@
             sleep(self.world.millis(1, 20)).await;
             if self.world.has(Fault::LateOrders) && self.world.chance(80) {
                 let (world, order) = (Arc::clone(&self.world), order.clone());
+                let sent_to = world.incarnation(&order.endpoint);
                 tokio::spawn(async move {
                     sleep(world.millis(100, 5000)).await;
-                    world.receive(&order);
+                    // A connection ends with its process.
+                    if world.incarnation(&order.endpoint) == sent_to {
+                        world.receive(&order);
+                    }
                 });
                 sleep(Duration::from_millis(700)).await;
                 return OrderAnswer::Unknown;
--- a/tests/order_model/world.rs
+++ b/tests/order_model/world.rs
@@ -238,6 +238,11 @@
         engine.receive(order, work, now)
     }
 
+    /// Number of the process that an engine runs as.
+    pub(crate) fn incarnation(&self, id: &str) -> u64 {
+        self.state().engines[id].born
+    }
+
     pub(crate) fn report(&self, id: &str) -> Option<Report> {
         let lag = self.millis(50, 380);
         let now = self.now();
