Lease: the row in a file of its own

lease.rs held the row, what a row proves, and the state of an instance, in 431 lines; the row and what it says are now lease/row.rs. promises() names its two conditions, and the comment of publish_during says what it does.

--- a/src/gateway/lease.rs
+++ b/src/gateway/lease.rs
@@ -19,17 +19,17 @@
 //! writing for the notice. All others wait for the longest time that the holder may continue. A holder
 //! whose term still runs writes its own row over the copy; for the notice it then names nobody.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
-
 use crate::table;
 
 mod echoes;
+mod row;
 mod successors;
 
 pub use echoes::{Echo, Echoes};
+pub use row::LeaseRow;
+use row::is_restored;
 pub use successors::Successors;
 
 /// Durations that govern the lease.
@@ -74,40 +74,6 @@
 /// Time for which an instance that the holder counted is surely still counted.
 const PROOF_TIME: Duration = Duration::from_millis(1900);
 
-/// Lease row in the store.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LeaseRow {
-    /// Name of the instance that holds the lease.
-    pub holder: String,
-    /// Address at which the holder accepts links from other instances.
-    pub address: SocketAddr,
-    /// Whether the holder has released the lease.
-    pub released: bool,
-    /// Era of the store in which the row was written.
-    #[serde(default)]
-    pub era: u64,
-    /// Instances that take over after the term; all of them where none are named. Others wait for the
-    /// longest extension.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub successors: Option<Successors>,
-    /// Instances that the first row which names any will name, where this one names none.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub heard: Option<Successors>,
-    /// Those of them, or of the successors, that a later row may leave out; `None` in rows of builds that
-    /// leave instances out without notice.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub expiring: Option<Successors>,
-}
-
-impl LeaseRow {
-    /// Whether the holder counts an instance for the notice time from when this row was in force.
-    fn promises(&self, instance: &str) -> bool {
-        let is_in = |named: &Option<Successors>| named.as_ref().map(|s| s.contains(instance));
-        let named = self.successors.as_ref().or(self.heard.as_ref());
-        named.is_some_and(|s| s.contains(instance)) && is_in(&self.expiring) == Some(false)
-    }
-}
-
 /// Next action on the lease row.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LeaseAction {
@@ -422,10 +388,3 @@
             .min(limit)
     }
 }
-
-/// Whether a row at a version may be an older copy.
-///
-/// A lease row is never deleted, so that a missing one may be older than its first write.
-fn is_restored(row: Option<&LeaseRow>, version: u64) -> bool {
-    row.map_or(0, |row| row.era) < table::era(version)
-}
--- a/src/gateway/renewal.rs
+++ b/src/gateway/renewal.rs
@@ -152,7 +152,7 @@
         }
     }
 
-    /// Runs `work`, and publishes meanwhile that the lease has ended, and notes when the store is in a new era.
+    /// Runs `work`, and meanwhile publishes the end of the lease and records new eras of the store.
     async fn publish_during<T>(&self, work: impl Future<Output = T>) -> T {
         let mut work = pin!(work);
         loop {
