--- a/review/standin-3/rig.rs
+++ b/review/standin-3/rig.rs
@@ -252,7 +252,11 @@
     };
     let models: Vec<String> = (0..models).map(|m| model(&format!("m{m}"))).collect();
     format!(
-        "{{\"version\":{version},\"routes\":[{},{}],\"services\":[{{\"name\":\"writers\",\
+        "{{\"version\":{version},\"routes\":[{},{},{{\"name\":\"r-status\",\
+         \"host\":\"{HOST}\",\"prefix\":\"/status/\",\"kind\":\"safe\",\"timeoutMs\":600,\
+         \"sloMs\":100,\"priority\":2,\"service\":\"desk\",\"attempts\":2}}],\
+         \"services\":[{{\"name\":\"desk\",\"healthPath\":\"/healthz\",\"maxConns\":110,\
+         \"protocol\":\"h1\",\"tls\":false}},{{\"name\":\"writers\",\
          \"healthPath\":\"/healthz\",\"maxConns\":370,\"protocol\":\"h1\",\"tls\":false,\
          \"engine\":{{\"slots\":24,\"kvCapacity\":119923,\"kvTokenBytes\":163840,\
          \"linkMbps\":280000.0,\"moves\":true,\"backups\":true,\"stride\":3,\"cap\":12,\
--- a/review/standin-3/server.rs
+++ b/review/standin-3/server.rs
@@ -1,4 +1,4 @@
-//! A stand-in of a model server.
+//! A stand-in of a model server, and of a plain server, whose requests name no model.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, Write};
@@ -47,6 +47,7 @@
 #[derive(Debug, Default, Clone)]
 struct State {
     software: String,
+    is_draining: bool,
     born: u64,
     beats: u64,
     accepted: u64,
@@ -142,6 +143,18 @@
         }
     }
 
+    /// Says in its entry that it leaves, and goes on serving.
+    pub fn drain(&self) {
+        self.state.lock().unwrap().is_draining = true;
+        self.beat();
+    }
+
+    /// Ends it for good and removes its entry.
+    pub fn leave(&self) {
+        self.end();
+        self.store.put("servers", &self.id, None);
+    }
+
     /// Starts it again under its id, with this version of its software; it holds no model.
     pub fn begin(self: &Arc<Self>, software: &str) {
         thread::sleep(Duration::from_millis(10));
@@ -208,11 +221,12 @@
         };
         let entry = format!(
             "{{\"service\":{},\"addr\":\"{}\",\"zone\":\"gulf-a\",\"version\":{},\"slots\":{SLOTS},\
-             \"state\":\"ready\",\"coldLeftMs\":0,\"stage\":\"both\",\"models\":{},\"seq\":{},\
+             \"state\":\"{}\",\"coldLeftMs\":0,\"stage\":\"both\",\"models\":{},\"seq\":{},\
              \"born\":{},\"atHand\":{}}}",
             quote(&self.service),
             self.address,
             quote(&state.software),
+            if state.is_draining { "draining" } else { "ready" },
             models_text(&state),
             state.beats,
             state.born,
@@ -262,7 +276,8 @@
         ];
         let target = request.header("brassrack-target-instance");
         let is_other = !target.is_empty() && target != self.id;
-        if is_other || !self.holds(request.header("brassrack-model")) {
+        let model = request.header("brassrack-model");
+        if is_other || (!model.is_empty() && !self.holds(model)) {
             return respond(to, 421, &unrun, b"");
         }
         let software = self.software();
@@ -273,6 +288,15 @@
             software: software.clone(),
             after,
         });
+        if model.is_empty() {
+            thread::sleep(self.gap);
+            let signature = format!("{}.{born}", self.id);
+            let head = [
+                ("Brassrack-Request-Id", id.as_str()),
+                ("Brassrack-Response-Signature", signature.as_str()),
+            ];
+            return respond(to, 200, &head, b"status");
+        }
         self.running.fetch_add(1, Ordering::Relaxed);
         let tokens = request.header("brassrack-token-usage").split(',').nth(1);
         let tokens: u64 = tokens
--- a/review/standin-3/store.rs
+++ b/review/standin-3/store.rs
@@ -30,6 +30,8 @@
 }
 
 pub struct Store {
+    /// When the server list was read last, by the address at which it was.
+    list_reads: Mutex<BTreeMap<IpAddr, Instant>>,
     rows: Mutex<Rows>,
     changed: Condvar,
     began: Instant,
@@ -41,6 +43,7 @@
 impl Store {
     pub fn new() -> Arc<Self> {
         Arc::new(Self {
+            list_reads: Mutex::default(),
             rows: Mutex::default(),
             changed: Condvar::new(),
             began: Instant::now(),
@@ -72,6 +75,11 @@
         self.changed.notify_all();
     }
 
+    /// When the server list was read last at an address.
+    pub fn list_read(&self, at: IpAddr) -> Option<Instant> {
+        self.list_reads.lock().unwrap().get(&at).copied()
+    }
+
     pub fn value(&self, table: &str, key: &str) -> Option<String> {
         let rows = self.rows.lock().unwrap();
         let (value, _) = rows.cells.get(&(table.into(), key.into()))?;
@@ -110,6 +118,10 @@
             _ => (404, String::from("{}")),
         };
         Self::wait_out(path)?;
+        if request.path().starts_with("/rows-") && request.query("table") == "servers" {
+            let at = to.local_addr()?.ip();
+            self.list_reads.lock().unwrap().insert(at, Instant::now());
+        }
         respond(
             to,
             status,
